Set down the workspace, core types and inner protocol

Cause: the project needs its folders, its core types and the protocol between its processes before the parts can be built side by side. Change: nine packages under packages/, result codes, keys, epochs, settings and logs in base, thrift structs with their data classes, codec, framing, handshake and connections in wire, the model of the deployment file, the design page.

--- /dev/null
+++ b/packages/agent/src/hornbeamshore/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent daemon beside each target."""
--- /dev/null
+++ b/packages/base/src/hornbeamshore/base/codes.py
@@ -0,0 +1,214 @@
+"""Numbered result codes and what each one says about the work."""
+
+import enum
+from dataclasses import dataclass
+
+
+class RunState(enum.IntEnum):
+    """Whether the work behind an answer ran."""
+
+    RAN = 1
+    NOT_RUN = 2
+    UNKNOWN = 3
+
+    @property
+    def label(self):
+        """Return the spelling used in answers: ``ran``, ``not run`` or ``unknown``."""
+        return self.name.lower().replace("_", " ")
+
+
+class ResultCode(enum.IntEnum):
+    """Result code of a request, a task, a peer message or a command."""
+
+    OK = 0
+    MALFORMED_REQUEST = 100
+    BODY_TOO_LARGE = 101
+    TASK_COUNT_OUT_OF_RANGE = 102
+    UNKNOWN_SERVICE = 103
+    UNKNOWN_KIND = 104
+    NOT_AUTHENTICATED = 105
+    KEY_REUSED = 106
+    JOB_NOT_FOUND = 107
+    NEVER_RUNNABLE = 108
+    DEADLINE_OUT_OF_RANGE = 109
+    NOT_ALLOWED = 110
+    OVERLOADED = 200
+    QUOTA_EXCEEDED = 201
+    DEADLINE_UNREACHABLE = 202
+    DRAINING = 203
+    NO_TARGETS = 204
+    NOT_CONFIGURED = 205
+    TASK_FAILED = 300
+    DEADLINE_EXCEEDED = 301
+    CANCELLED = 302
+    RESULT_EXPIRED = 303
+    RESULT_TOO_LARGE = 304
+    OUTCOME_UNKNOWN = 400
+    KEY_UNACCOUNTED = 401
+    KEY_EXPIRED = 402
+    OWNER_UNREACHABLE = 403
+    STALE_EPOCH = 500
+    AGENT_LEAVING = 501
+    NO_FREE_SLOT = 502
+    DUPLICATE_START = 503
+    START_EXPIRED = 504
+    TARGET_UNREACHABLE = 505
+    PROTOCOL_ERROR = 506
+    PEER_REJECTED = 507
+    NOT_OWNER = 508
+    OWNER_ALIVE = 509
+    CONFIG_INVALID = 600
+    CONFIG_CONFLICT = 601
+    STORE_UNAVAILABLE = 602
+    NOT_IN_FORCE = 603
+    SETTINGS_INVALID = 700
+    ADDRESS_IN_USE = 701
+
+
+@dataclass(frozen=True, slots=True)
+class CodeInfo:
+    """Row of the table of result codes.
+
+    Attributes
+    ----------
+    run_state : RunState
+        What the code says by default about the work.
+    http_status : int
+        Status of an HTTP answer that carries the code.
+    meaning : str
+        One sentence for the reader of the code.
+    """
+
+    run_state: RunState
+    http_status: int
+    meaning: str
+
+
+_RAN = RunState.RAN
+_NOT = RunState.NOT_RUN
+_UNKNOWN = RunState.UNKNOWN
+
+CODE_TABLE = {
+    ResultCode.OK: CodeInfo(_RAN, 200, "All tasks ran and succeeded."),
+    ResultCode.MALFORMED_REQUEST: CodeInfo(_NOT, 400, "The request is malformed."),
+    ResultCode.BODY_TOO_LARGE: CodeInfo(_NOT, 413, "The body exceeds its limit."),
+    ResultCode.TASK_COUNT_OUT_OF_RANGE: CodeInfo(
+        _NOT, 422, "A job has 1 to 320 tasks."
+    ),
+    ResultCode.UNKNOWN_SERVICE: CodeInfo(
+        _NOT, 404, "The configuration has no such service."
+    ),
+    ResultCode.UNKNOWN_KIND: CodeInfo(_NOT, 404, "The service has no such kind."),
+    ResultCode.NOT_AUTHENTICATED: CodeInfo(
+        _NOT, 401, "The token is missing or unknown."
+    ),
+    ResultCode.KEY_REUSED: CodeInfo(
+        _NOT, 422, "The identifier belongs to a submission with other content."
+    ),
+    ResultCode.JOB_NOT_FOUND: CodeInfo(
+        _UNKNOWN, 404, "No record of this identifier is kept."
+    ),
+    ResultCode.NEVER_RUNNABLE: CodeInfo(
+        _NOT, 422, "No target can ever run this request."
+    ),
+    ResultCode.DEADLINE_OUT_OF_RANGE: CodeInfo(
+        _NOT, 422, "The deadline is outside its bounds."
+    ),
+    ResultCode.NOT_ALLOWED: CodeInfo(
+        _NOT, 403, "The token does not allow this operation."
+    ),
+    ResultCode.OVERLOADED: CodeInfo(_NOT, 503, "The queue is full."),
+    ResultCode.QUOTA_EXCEEDED: CodeInfo(_NOT, 429, "The team has used its quota."),
+    ResultCode.DEADLINE_UNREACHABLE: CodeInfo(
+        _NOT, 503, "The work could not end before its deadline."
+    ),
+    ResultCode.DRAINING: CodeInfo(_NOT, 503, "The entry is shutting down."),
+    ResultCode.NO_TARGETS: CodeInfo(_NOT, 503, "No target of the service is up."),
+    ResultCode.NOT_CONFIGURED: CodeInfo(_NOT, 503, "No configuration is in force yet."),
+    ResultCode.TASK_FAILED: CodeInfo(_RAN, 502, "A task ran and failed."),
+    ResultCode.DEADLINE_EXCEEDED: CodeInfo(
+        _UNKNOWN, 504, "The deadline passed before the work ended."
+    ),
+    ResultCode.CANCELLED: CodeInfo(_UNKNOWN, 409, "The job was cancelled."),
+    ResultCode.RESULT_EXPIRED: CodeInfo(
+        _RAN, 410, "The work ran; its result is no longer kept."
+    ),
+    ResultCode.RESULT_TOO_LARGE: CodeInfo(
+        _RAN, 502, "The work ran; its result exceeds the limit."
+    ),
+    ResultCode.OUTCOME_UNKNOWN: CodeInfo(
+        _UNKNOWN, 504, "Contact was lost after the work may have started."
+    ),
+    ResultCode.KEY_UNACCOUNTED: CodeInfo(
+        _UNKNOWN, 503, "Records that could name this identifier are missing."
+    ),
+    ResultCode.KEY_EXPIRED: CodeInfo(
+        _UNKNOWN, 410, "The identifier is older than the retention."
+    ),
+    ResultCode.OWNER_UNREACHABLE: CodeInfo(
+        _UNKNOWN, 503, "No owner of the partition could be reached."
+    ),
+    ResultCode.STALE_EPOCH: CodeInfo(_NOT, 503, "A newer owner fenced the sender."),
+    ResultCode.AGENT_LEAVING: CodeInfo(_NOT, 503, "The target is leaving."),
+    ResultCode.NO_FREE_SLOT: CodeInfo(_NOT, 503, "The target has no free slot."),
+    ResultCode.DUPLICATE_START: CodeInfo(
+        _NOT, 409, "The task was already started; this copy did not run."
+    ),
+    ResultCode.START_EXPIRED: CodeInfo(
+        _NOT, 504, "The start reached the agent after its deadline."
+    ),
+    ResultCode.TARGET_UNREACHABLE: CodeInfo(
+        _NOT, 502, "No connection to the target could be opened."
+    ),
+    ResultCode.PROTOCOL_ERROR: CodeInfo(
+        _UNKNOWN, 500, "A peer broke the inner protocol."
+    ),
+    ResultCode.PEER_REJECTED: CodeInfo(_NOT, 403, "A peer failed authentication."),
+    ResultCode.NOT_OWNER: CodeInfo(_NOT, 503, "The entry does not own the partition."),
+    ResultCode.OWNER_ALIVE: CodeInfo(
+        _NOT, 503, "The agent still hears the present owner."
+    ),
+    ResultCode.CONFIG_INVALID: CodeInfo(
+        _NOT, 422, "The configuration file has faults."
+    ),
+    ResultCode.CONFIG_CONFLICT: CodeInfo(
+        _NOT, 409, "Another operator applied a change first."
+    ),
+    ResultCode.STORE_UNAVAILABLE: CodeInfo(
+        _UNKNOWN, 503, "The platform's store did not answer."
+    ),
+    ResultCode.NOT_IN_FORCE: CodeInfo(
+        _UNKNOWN, 504, "A process does not have the revision in force yet."
+    ),
+    ResultCode.SETTINGS_INVALID: CodeInfo(_NOT, 500, "The settings file has faults."),
+    ResultCode.ADDRESS_IN_USE: CodeInfo(_NOT, 500, "The listen address is taken."),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Answer that something was refused or failed.
+
+    Attributes
+    ----------
+    code : ResultCode
+        Numbered reason.
+    detail : str
+        Sentence that names the place and the rule.
+    run_state : RunState
+        Whether the work ran.
+    retry_after_s : float
+        Seconds after which a new try makes sense; 0 where none does.
+    """
+
+    code: ResultCode
+    detail: str
+    run_state: RunState
+    retry_after_s: float = 0.0
+
+
+def refuse(code, detail="", *, run_state=None, retry_after_s=0.0):
+    """Return a `Refusal` with the run state of the code table as default."""
+    info = CODE_TABLE[code]
+    state = info.run_state if run_state is None else run_state
+    return Refusal(code, detail or info.meaning, state, retry_after_s)
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demonstration and measurement."""
--- /dev/null
+++ b/packages/cli/src/hornbeamshore/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators."""
--- /dev/null
+++ b/packages/config/src/hornbeamshore/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration file: model, checks, application and replication."""
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry daemon: HTTP interface, ownership of partitions and dispatch."""
--- /dev/null
+++ b/packages/policy/src/hornbeamshore/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on placement, queueing, admission, retries and outliers."""
--- /dev/null
+++ b/packages/store/src/hornbeamshore/store/__init__.py
@@ -0,0 +1,1 @@
+"""Interface and adapter of the platform's key-value store."""
--- /dev/null
+++ b/packages/wire/src/hornbeamshore/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between the processes: messages, codec, framing and connections."""
--- /dev/null
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -0,0 +1,354 @@
+"""Connections between processes: messages, calls and liveness over one stream.
+
+One task runs each connection from the handshake to its end. It reads; a child of
+it writes all that has gathered since its last write as one frame, and sends a
+heartbeat when nothing else went out.
+"""
+
+import abc
+import contextlib
+import itertools
+from dataclasses import dataclass
+
+import trio
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.wire import codec, framing, handshake
+from hornbeamshore.wire.messages import Heartbeat, Message
+
+MAX_OUTBOX_MESSAGES = 100_000
+MAX_ACCEPTED_CONNECTIONS = 4096
+
+log = PartLogger("wire")
+
+
+class ConnectionLost(Exception):  # noqa: N818
+    """The connection ended before the operation did."""
+
+
+class CallTimeout(Exception):  # noqa: N818
+    """The peer did not reply in time; what became of the call is unknown."""
+
+
+@dataclass(frozen=True, slots=True)
+class WireSettings:
+    """Settings of the connections between processes.
+
+    Attributes
+    ----------
+    heartbeat_every : Duration
+        Longest time without a message to a peer.
+    suspect_after : Duration
+        Silence of a peer after which its connection is closed.
+    dead_after : Duration
+        Time without any connection after which a peer is lost.
+    redial_after : Duration
+        Pause between two tries to connect.
+    """
+
+    heartbeat_every: Duration = Duration(0.5)
+    suspect_after: Duration = Duration(1.5)
+    dead_after: Duration = Duration(6.0)
+    redial_after: Duration = Duration(0.2)
+
+
+class MessageHandler(abc.ABC):
+    """What a process does with the connections and messages of its peers.
+
+    The hooks run in the connection's task and do not block: a reply that takes
+    time is sent later, by ``conn.send(body, reply_to=message.id)``.
+    """
+
+    @abc.abstractmethod
+    def handle(self, conn, message):
+        """Act on a message that is no reply to a call of this process."""
+
+    def opened(self, conn):  # noqa: B027
+        """Act on a connection whose handshake has ended."""
+
+    def closed(self, conn):  # noqa: B027
+        """Act on the end of a connection, whatever its reason."""
+
+    def heartbeat(self):
+        """Return the body that tells a peer that this process lives."""
+        return Heartbeat()
+
+
+class Connection:
+    """Messages to and from one peer.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        Bytes to and from the peer.
+    peer : Identity
+        Who the peer proved to be.
+    cfg : WireSettings
+        Times of heartbeats and suspicion.
+
+    Attributes
+    ----------
+    messages_sent, messages_received, bytes_sent, bytes_received : int
+        Totals since the connection opened.
+    last_heard : float
+        Trio time of the last message of the peer.
+    ended_by_peer : bool
+        Whether the stream was closed by the peer or its host, rather than given
+        up by this side after silence.
+    """
+
+    def __init__(self, stream, peer, cfg, reader=None):
+        self.peer = peer
+        self.cfg = cfg
+        self.is_open = True
+        self.ended_by_peer = False
+        self.last_heard = trio.current_time()
+        self.messages_sent = self.messages_received = 0
+        self.bytes_sent = self.bytes_received = 0
+        self._stream = stream
+        self._reader = reader or framing.FrameReader(stream)
+        self._reader.max_bytes = framing.MAX_FRAME_BYTES
+        self._ids = itertools.count(1)
+        self._outbox = []
+        self._wake_writer = trio.Event()
+        self._calls = {}
+        self._scope = trio.CancelScope()
+
+    def __repr__(self):
+        return f"<Connection to {self.peer.kind} {self.peer.process_id}>"
+
+    def send(self, body, reply_to=0):
+        """Queue a message and return its id; a closed connection drops it.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection is closed.
+        """
+        if not self.is_open:
+            raise ConnectionLost(f"{self!r} is closed")
+        message = Message(next(self._ids), reply_to, body)
+        self._outbox.append(message)
+        if len(self._outbox) > MAX_OUTBOX_MESSAGES:
+            log.warning("Peer %s reads too slowly.", self.peer.process_id)
+            self.close()
+        self._wake_writer.set()
+        return message.id
+
+    def try_send(self, body, reply_to=0):
+        """Queue a message and return whether the connection was open."""
+        try:
+            self.send(body, reply_to)
+        except ConnectionLost:
+            return False
+        return True
+
+    async def call(self, body, timeout_s):
+        """Send a message and return the body of its reply.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection ends first; the peer may have received the call.
+        CallTimeout
+            If no reply comes within `timeout_s` seconds.
+        """
+        message_id = self.send(body)
+        channel_in, channel_out = trio.open_memory_channel(1)
+        self._calls[message_id] = channel_in
+        try:
+            with trio.fail_after(timeout_s):
+                return await channel_out.receive()
+        except trio.TooSlowError:
+            raise CallTimeout(f"{self!r}: no reply in {timeout_s} s") from None
+        except trio.EndOfChannel:
+            raise ConnectionLost(f"{self!r} ended during a call") from None
+        finally:
+            self._calls.pop(message_id, None)
+
+    def close(self):
+        """End the connection; calls in progress raise `ConnectionLost`."""
+        self.is_open = False
+        self._scope.cancel()
+        self._wake_writer.set()
+
+    async def run(self, handler):
+        """Serve the connection until it ends, and call the handler's hooks."""
+        try:
+            handler.opened(self)
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, handler)
+                    await self._read(handler)
+                    nursery.cancel_scope.cancel()
+        finally:
+            self.is_open = False
+            for channel in self._calls.values():
+                channel.close()
+            handler.closed(self)
+
+    async def _read(self, handler):
+        while True:
+            with trio.move_on_after(self.cfg.suspect_after) as silence:
+                payload = await self._next_frame()
+            if silence.cancelled_caught:
+                log.warning("Peer %s is silent.", self.peer.process_id)
+                return
+            if payload is None:
+                self.ended_by_peer = True
+                return
+            self.last_heard = trio.current_time()
+            self.bytes_received += len(payload)
+            if not self._deliver(payload, handler):
+                return
+
+    async def _next_frame(self):
+        try:
+            return await self._reader.read()
+        except (framing.FramingError, trio.BrokenResourceError) as exc:
+            log.info("Connection to %s broke: %s", self.peer.process_id, exc)
+        except trio.ClosedResourceError:
+            pass
+        return None
+
+    def _deliver(self, payload, handler):
+        try:
+            messages = codec.decode_batch(payload)
+        except codec.CodecError as exc:
+            log.warning("Peer %s: %s", self.peer.process_id, exc)
+            return False
+        self.messages_received += len(messages)
+        for message in messages:
+            channel = self._calls.pop(message.reply_to, None)
+            if channel is not None:
+                channel.send_nowait(message.body)
+                channel.close()
+            elif message.body is not None and message.reply_to == 0:
+                handler.handle(self, message)
+        return True
+
+    async def _write(self, handler):
+        while self.is_open:
+            with trio.move_on_after(self.cfg.heartbeat_every):
+                await self._wake_writer.wait()
+            self._wake_writer = trio.Event()
+            if not self._outbox:
+                self.send(handler.heartbeat())
+                self._wake_writer = trio.Event()
+            await self._flush()
+
+    async def _flush(self):
+        while self._outbox:
+            limit = codec.MAX_MESSAGES_PER_BATCH
+            batch, self._outbox = self._outbox[:limit], self._outbox[limit:]
+            payload = codec.encode_batch(batch)
+            try:
+                # A peer that stops reading must not hold this task for good.
+                with trio.fail_after(self.cfg.dead_after):
+                    await self._stream.send_all(framing.frame(payload))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.close()
+                return
+            except trio.TooSlowError:
+                log.warning("Peer %s reads too slowly.", self.peer.process_id)
+                self.close()
+                return
+            self.messages_sent += len(batch)
+            self.bytes_sent += len(payload)
+
+
+@contextlib.asynccontextmanager
+async def open_connection(address, identity, secret, cfg):
+    """Connect to a process and yield the `Connection` after the handshake.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    identity : Identity
+        Of this process.
+    secret : bytes
+        Of the deployment.
+    cfg : WireSettings
+        Times of heartbeats and suspicion.
+
+    Raises
+    ------
+    ConnectionLost
+        If the address cannot be reached in time.
+    HandshakeError
+        If one side refuses the other.
+    """
+    host, _, port = address.rpartition(":")
+    async with contextlib.AsyncExitStack() as stack:
+        try:
+            with trio.fail_after(handshake.HANDSHAKE_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(host, int(port))
+                await stack.enter_async_context(stream)
+                reader = _handshake_reader(stream)
+                send, receive = _handshake_channel(stream, reader)
+                peer = await handshake.greet(send, receive, identity, secret)
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+            raise ConnectionLost(f"{address}: {exc}") from exc
+        yield Connection(stream, peer, cfg, reader)
+
+
+async def serve_connections(listeners, identity, secret, cfg, handler):
+    """Accept connections for good; one task runs each of them.
+
+    Parameters
+    ----------
+    listeners : list of trio.SocketListener
+        Open listeners.
+    handler : MessageHandler
+        Whose hooks the connections call.
+    """
+    limit = trio.CapacityLimiter(MAX_ACCEPTED_CONNECTIONS)
+
+    async def serve_one(stream):
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(stream)
+            await stack.enter_async_context(limit)
+            conn = await _accept_one(stream, identity, secret, cfg)
+            if conn is not None:
+                await conn.run(handler)
+
+    await trio.serve_listeners(serve_one, listeners)
+
+
+async def _accept_one(stream, identity, secret, cfg):
+    reader = _handshake_reader(stream)
+    send, receive = _handshake_channel(stream, reader)
+    try:
+        with trio.fail_after(handshake.HANDSHAKE_TIMEOUT_S):
+            peer = await handshake.accept(send, receive, identity, secret)
+    except (
+        handshake.HandshakeError,
+        trio.TooSlowError,
+        trio.BrokenResourceError,
+    ) as exc:
+        log.warning("Refused a connection: %s", exc or type(exc).__name__)
+        return None
+    return Connection(stream, peer, cfg, reader)
+
+
+def _handshake_reader(stream):
+    return framing.FrameReader(stream, handshake.MAX_HANDSHAKE_FRAME_BYTES)
+
+
+def _handshake_channel(stream, reader):
+    async def send(body):
+        payload = codec.encode_batch([Message(0, 0, body)])
+        await stream.send_all(framing.frame(payload))
+
+    async def receive():
+        try:
+            payload = await reader.read()
+            messages = codec.decode_batch(payload or b"")
+        except (framing.FramingError, codec.CodecError) as exc:
+            raise handshake.HandshakeError(str(exc)) from exc
+        if len(messages) != 1:
+            raise handshake.HandshakeError("expected one message")
+        return messages[0].body
+
+    return send, receive
--- /dev/null
+++ b/packages/wire/src/hornbeamshore/wire/framing.py
@@ -0,0 +1,69 @@
+"""Frames on a byte stream: four bytes of length, then the payload."""
+
+import struct
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+_LENGTH = struct.Struct(">I")
+
+
+class FramingError(ValueError):
+    """A peer sent a frame that breaks the bounds, or ended inside one."""
+
+
+def frame(payload):
+    """Return the payload with its length in front.
+
+    Raises
+    ------
+    FramingError
+        If the payload exceeds the bound of a frame.
+    """
+    if len(payload) > MAX_FRAME_BYTES:
+        raise FramingError(f"frame of {len(payload)} bytes exceeds the bound")
+    return _LENGTH.pack(len(payload)) + payload
+
+
+class FrameReader:
+    """Reads frames from a trio stream.
+
+    Parameters
+    ----------
+    stream : trio.abc.ReceiveStream
+        Where the bytes come from.
+    max_bytes : int
+        Bound of one frame, checked before its memory is taken.
+    """
+
+    def __init__(self, stream, max_bytes=MAX_FRAME_BYTES):
+        self._stream = stream
+        self._buffer = bytearray()
+        self.max_bytes = max_bytes
+
+    async def read(self):
+        """Return the next payload, or None at the end of the stream.
+
+        Raises
+        ------
+        FramingError
+            If the length breaks the bound or the stream ends inside a frame.
+        """
+        if not await self._fill(_LENGTH.size):
+            return None
+        (length,) = _LENGTH.unpack_from(self._buffer)
+        if length > self.max_bytes:
+            raise FramingError(f"frame of {length} bytes exceeds the bound")
+        if not await self._fill(_LENGTH.size + length):
+            raise FramingError("stream ended inside a frame")
+        payload = bytes(self._buffer[_LENGTH.size : _LENGTH.size + length])
+        del self._buffer[: _LENGTH.size + length]
+        return payload
+
+    async def _fill(self, size):
+        while len(self._buffer) < size:
+            chunk = await self._stream.receive_some(READ_BYTES)
+            if not chunk:
+                return False
+            self._buffer += chunk
+        return True
--- /dev/null
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/packages/wire/src/hornbeamshore/wire/handshake.py
@@ -0,0 +1,174 @@
+"""Mutual authentication of two processes by the secret of their deployment.
+
+Each side proves that it holds the secret by an HMAC over both nonces and both
+identities, so that a recorded handshake cannot be replayed and a process of
+another deployment is refused.
+"""
+
+import hashlib
+import hmac
+import os
+from dataclasses import dataclass
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.wire.messages import (
+    PROTOCOL_VERSION,
+    Challenge,
+    Hello,
+    Proof,
+    Reject,
+    Welcome,
+)
+
+NONCE_BYTES = 16
+HANDSHAKE_TIMEOUT_S = 5.0
+# A handshake is small; a port scan must not make the process take memory.
+MAX_HANDSHAKE_FRAME_BYTES = 4096
+
+
+class HandshakeError(Exception):
+    """The peer is not of this deployment or broke the handshake."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a process is, as it tells its peers."""
+
+    deployment: str
+    kind: str
+    process_id: str
+    incarnation: int
+    data_centre: str
+    rack: str = ""
+    address: str = ""
+
+
+async def greet(send, receive, identity, secret):
+    """Run the handshake on the side that opened the connection.
+
+    Parameters
+    ----------
+    send, receive : coroutine functions
+        Write one message body and read one.
+    identity : Identity
+        Of this process.
+    secret : bytes
+        Shared by all processes of the deployment.
+
+    Returns
+    -------
+    Identity
+        Of the accepting process.
+
+    Raises
+    ------
+    HandshakeError
+        If the peer rejects this process or fails to prove itself.
+    """
+    hello = _hello(identity, os.urandom(NONCE_BYTES))
+    await send(hello)
+    challenge = await receive()
+    _raise_rejected(challenge)
+    if not isinstance(challenge, Challenge):
+        raise HandshakeError("expected Challenge")
+    expected = _proof(secret, b"accept", hello, challenge)
+    if not hmac.compare_digest(expected, challenge.proof):
+        raise HandshakeError(f"{challenge.process_id} does not hold the secret")
+    await send(Proof(_proof(secret, b"open", hello, challenge)))
+    welcome = await receive()
+    _raise_rejected(welcome)
+    if not isinstance(welcome, Welcome):
+        raise HandshakeError("expected Welcome")
+    return _identity(identity.deployment, challenge)
+
+
+async def accept(send, receive, identity, secret):
+    """Run the handshake on the side that accepted the connection.
+
+    Returns
+    -------
+    Identity
+        Of the process that opened the connection.
+
+    Raises
+    ------
+    HandshakeError
+        If the peer is of another deployment or fails to prove itself; it has
+        been sent a `Reject`.
+    """
+    hello = await receive()
+    if not isinstance(hello, Hello):
+        raise HandshakeError("expected Hello")
+    if hello.deployment != identity.deployment:
+        await _reject(send, f"deployment {hello.deployment!r} is not served here")
+    nonce = os.urandom(NONCE_BYTES)
+    challenge = _challenge(identity, nonce, b"")
+    proof = _proof(secret, b"accept", hello, challenge)
+    await send(_challenge(identity, nonce, proof))
+    answer = await receive()
+    expected = _proof(secret, b"open", hello, challenge)
+    if not isinstance(answer, Proof) or not hmac.compare_digest(expected, answer.proof):
+        await _reject(send, f"{hello.process_id} does not hold the secret")
+    await send(Welcome())
+    return _identity(hello.deployment, hello)
+
+
+async def _reject(send, detail):
+    await send(Reject(int(ResultCode.PEER_REJECTED), detail))
+    raise HandshakeError(detail)
+
+
+def _raise_rejected(body):
+    if isinstance(body, Reject):
+        raise HandshakeError(f"rejected by the peer: {body.detail}")
+
+
+def _hello(identity, nonce):
+    return Hello(
+        identity.deployment,
+        identity.kind,
+        identity.process_id,
+        identity.incarnation,
+        PROTOCOL_VERSION,
+        identity.data_centre,
+        identity.rack,
+        identity.address,
+        nonce,
+    )
+
+
+def _challenge(identity, nonce, proof):
+    return Challenge(
+        identity.kind,
+        identity.process_id,
+        identity.incarnation,
+        PROTOCOL_VERSION,
+        identity.data_centre,
+        identity.rack,
+        identity.address,
+        nonce,
+        proof,
+    )
+
+
+def _identity(deployment, body):
+    return Identity(
+        deployment,
+        body.kind,
+        body.process_id,
+        body.incarnation,
+        body.data_centre,
+        body.rack,
+        body.address,
+    )
+
+
+def _proof(secret, role, hello, challenge):
+    parts = [role, hello.nonce, challenge.nonce, hello.deployment.encode()]
+    for side in (hello, challenge):
+        text = "\0".join(
+            (side.kind, side.process_id, str(side.incarnation), side.data_centre)
+        )
+        parts.append(text.encode())
+    message = b"".join(len(part).to_bytes(4, "big") + part for part in parts)
+    return hmac.new(secret, message, hashlib.sha256).digest()
--- /dev/null
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -0,0 +1,454 @@
+"""Messages between the processes, as frozen data classes.
+
+Each class has the field names of its struct in ``idl/hornbeamshore.thrift``; times
+are in milliseconds of Unix time unless a name says otherwise.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from hornbeamshore.base.types import (
+    JobAnswer,
+    JobKey,
+    JobRequest,
+    TaskResult,
+    TaskSpec,
+)
+
+PROTOCOL_VERSION = 1
+
+
+class ProcessKind(enum.StrEnum):
+    """Kind of process at an end of a connection."""
+
+    ENTRY = "entry"
+    AGENT = "agent"
+    OPERATOR = "operator"
+
+
+class RecordState(enum.IntEnum):
+    """State of a task in a start record."""
+
+    RUNNING = 1
+    ENDED = 2
+    REFUSED = 3
+    QUEUED = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First message of the side that opened the connection."""
+
+    deployment: str
+    kind: str
+    process_id: str
+    incarnation: int
+    protocol_version: int
+    data_centre: str
+    rack: str
+    address: str
+    nonce: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Challenge:
+    """Answer to `Hello`: identity, nonce and proof of the accepting side."""
+
+    kind: str
+    process_id: str
+    incarnation: int
+    protocol_version: int
+    data_centre: str
+    rack: str
+    address: str
+    nonce: bytes
+    proof: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Proof:
+    """Proof of the side that opened the connection."""
+
+    proof: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Welcome:
+    """End of a handshake that succeeded."""
+
+    config_revision: int = 0
+    table_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Reject:
+    """End of a handshake that failed; `code` is a `ResultCode` value."""
+
+    code: int
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sign of life, sent when no other message went out."""
+
+    config_revision: int = 0
+    table_version: int = 0
+    slots_in_use: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """What an agent offers to the entry that it is connected to."""
+
+    service: str
+    target: str
+    slots: int
+    connections: int
+    labels: tuple[str, ...] = ()
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Order of a partition's owner to start one attempt of a task.
+
+    `expires_at_ms` is the Unix time after which the agent refuses the start;
+    `timeout_ms` bounds the run itself.
+    """
+
+    partition: str
+    epoch: int
+    key: JobKey
+    index: int
+    attempt: int
+    kind: str
+    spec: TaskSpec
+    expires_at_ms: int
+    timeout_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TaskDone:
+    """Outcome of a `Start`: a result or a refusal."""
+
+    partition: str
+    key: JobKey
+    result: TaskResult
+
+
+@dataclass(frozen=True, slots=True)
+class TaskRef:
+    """Name of one attempt of a task."""
+
+    key: JobKey
+    index: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledge:
+    """The owner has the results of these tasks; the agent may drop their bodies."""
+
+    partition: str
+    tasks: tuple[TaskRef, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelTasks:
+    """Order to end these tasks; one message for all of a wave."""
+
+    partition: str
+    epoch: int
+    tasks: tuple[TaskRef, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StartRecord:
+    """What a process knows of one attempt; `state` is a `RecordState` value."""
+
+    key: JobKey
+    index: int
+    attempt: int
+    state: int
+    started_at_ms: int
+    result: TaskResult | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RosterEntry:
+    """One agent of a partition as its owner knows it."""
+
+    agent_id: str
+    incarnation: int
+    live: bool
+    accounted_for: bool
+    lost_at_ms: int
+    rack: str
+
+
+@dataclass(frozen=True, slots=True)
+class Roster:
+    """Agents of a partition; a higher (epoch, version) is newer."""
+
+    epoch: int = 0
+    version: int = 0
+    entries: tuple[RosterEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Fence:
+    """Request of an entry to own the partition at an epoch.
+
+    `forced` says that the present owner was told and gave the partition up.
+    """
+
+    partition: str
+    epoch: int
+    forced: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FenceReply:
+    """Answer to `Fence`: the epoch granted by the agent and all that it knows."""
+
+    partition: str
+    code: int
+    epoch: int
+    records: tuple[StartRecord, ...] = ()
+    roster: Roster = Roster()
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """The owner gives the partition up; any candidate may fence at once."""
+
+    partition: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reconcile:
+    """Question for the outcome of tasks whose connection was lost."""
+
+    partition: str
+    epoch: int
+    tasks: tuple[TaskRef, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReconcileReply:
+    """Answer to `Reconcile`: records, and tasks that now can never start here."""
+
+    partition: str
+    records: tuple[StartRecord, ...]
+    refused: tuple[TaskRef, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CopyRecords:
+    """Start records of a lost or leaving agent, for another agent to keep."""
+
+    partition: str
+    epoch: int
+    agent_id: str
+    records: tuple[StartRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CopyRecordsReply:
+    """Answer to `CopyRecords`."""
+
+    code: int
+
+
+@dataclass(frozen=True, slots=True)
+class RosterUpdate:
+    """The owner's roster, for agents and candidates to keep."""
+
+    partition: str
+    roster: Roster
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Last message of an agent that ends as planned, with its start records."""
+
+    records: tuple[StartRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveReply:
+    """The owner has the records; the agent may end."""
+
+    code: int
+
+
+@dataclass(frozen=True, slots=True)
+class Submit:
+    """Submission that a front sends to the owner of its partition."""
+
+    request: JobRequest
+    table_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SubmitReply:
+    """Answer to `Submit`, `JobQuery` and `JobCancel`."""
+
+    answer: JobAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class JobQuery:
+    """Question for a job's answer; `wait` holds the reply until the job ends."""
+
+    key: JobKey
+    wait: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobCancel:
+    """Order to cancel a job."""
+
+    key: JobKey
+
+
+@dataclass(frozen=True, slots=True)
+class JobRecord:
+    """Record of a job as its owner hands it over; `answer` is set once it ended."""
+
+    request: JobRequest
+    accepted_at_ms: int
+    answer: JobAnswer | None = None
+    tasks: tuple[StartRecord, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """Job records that a leaving owner gives its successor; `last` ends them."""
+
+    partition: str
+    epoch: int
+    jobs: tuple[JobRecord, ...]
+    roster: Roster = Roster()
+    last: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverReply:
+    """Answer to `Handover`."""
+
+    code: int
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class TableEntry:
+    """One entry of the owner table."""
+
+    entry_id: str
+    incarnation: int
+    address: str
+    data_centre: str
+    rack: str
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerTable:
+    """Entries of the region; the version rises with each change."""
+
+    version: int = 0
+    entries: tuple[TableEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class TableUpdate:
+    """Owner table, for a peer that has an older version."""
+
+    table: OwnerTable
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerNotice:
+    """News that an entry owns a partition at an epoch."""
+
+    partition: str
+    epoch: int
+    entry_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPull:
+    """Request for a configuration newer than the known revision."""
+
+    known_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigUpdate:
+    """Configuration at a revision, in the form in which the store holds it."""
+
+    revision: int
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StatusQuery:
+    """Request for a JSON report; the topic is ``status`` or ``burn``."""
+
+    topic: str
+
+
+@dataclass(frozen=True, slots=True)
+class StatusReply:
+    """JSON report."""
+
+    content: str
+
+
+# Name of the field of the thrift struct Message for each class that can be a body.
+BODY_FIELDS = {
+    Hello: "hello",
+    Challenge: "challenge",
+    Proof: "proof",
+    Welcome: "welcome",
+    Reject: "reject",
+    Heartbeat: "heartbeat",
+    Announce: "announce",
+    Start: "start",
+    TaskDone: "task_done",
+    Acknowledge: "acknowledge",
+    CancelTasks: "cancel_tasks",
+    Fence: "fence",
+    FenceReply: "fence_reply",
+    Release: "release",
+    Reconcile: "reconcile",
+    ReconcileReply: "reconcile_reply",
+    CopyRecords: "copy_records",
+    CopyRecordsReply: "copy_records_reply",
+    RosterUpdate: "roster_update",
+    Leave: "leave",
+    LeaveReply: "leave_reply",
+    Submit: "submit",
+    SubmitReply: "submit_reply",
+    JobQuery: "job_query",
+    JobCancel: "job_cancel",
+    Handover: "handover",
+    HandoverReply: "handover_reply",
+    TableUpdate: "table_update",
+    OwnerNotice: "owner_notice",
+    ConfigPull: "config_pull",
+    ConfigUpdate: "config_update",
+    StatusQuery: "status_query",
+    StatusReply: "status_reply",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """One message of a batch: a body with its id and the id that it replies to."""
+
+    id: int
+    reply_to: int
+    body: object
