--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -31,7 +31,9 @@
 struct Welcome { 1: i64 config_revision, 2: i64 table_version }
 struct Reject { 1: i32 code, 2: string detail }
 
-struct Heartbeat { 1: i64 config_revision, 2: i64 table_version, 3: i32 slots_in_use }
+struct Heartbeat {
+  1: i64 config_revision, 2: i64 table_version, 3: i32 slots_in_use, 4: bool leaving
+}
 struct Announce {
   1: string service_name, 2: string target, 3: i32 slots, 4: i32 connections,
   5: list<string> labels, 6: bool leaving
@@ -55,10 +57,12 @@
   5: i64 lost_at_ms, 6: string rack
 }
 struct Roster { 1: i64 epoch, 2: i64 version, 3: list<RosterEntry> entries }
-struct Fence { 1: string partition, 2: i64 epoch, 3: bool forced }
+struct Fence { 1: string partition, 2: i64 epoch }
 struct FenceReply {
   1: string partition, 2: i32 code, 3: i64 epoch, 4: list<StartRecord> records, 5: Roster roster
 }
+struct Renew { 1: string partition, 2: i64 epoch }
+struct RenewReply { 1: i32 code, 2: i64 epoch }
 struct Release { 1: string partition, 2: i64 epoch }
 struct Reconcile { 1: string partition, 2: i64 epoch, 3: list<TaskRef> tasks }
 struct ReconcileReply { 1: string partition, 2: list<StartRecord> records, 3: list<TaskRef> refused }
@@ -77,14 +81,15 @@
   1: JobRequest request, 2: i64 accepted_at_ms, 3: JobAnswer answer, 4: list<StartRecord> tasks
 }
 struct Handover {
-  1: string partition, 2: i64 epoch, 3: list<JobRecord> jobs, 4: Roster roster, 5: bool last
+  1: string partition, 2: i64 epoch, 3: list<JobRecord> jobs, 4: Roster roster, 5: bool last,
+  6: bool complete, 7: i64 taken_over_at_ms
 }
 struct HandoverReply { 1: i32 code, 2: string detail }
 
 struct TableEntry {
   1: string entry_id, 2: i64 incarnation, 3: string address, 4: string data_centre, 5: string rack
 }
-struct OwnerTable { 1: i64 version, 2: list<TableEntry> entries }
+struct OwnerTable { 1: i64 version, 2: list<TableEntry> entries, 3: list<string> owned }
 struct TableUpdate { 1: OwnerTable table }
 struct OwnerNotice { 1: string partition, 2: i64 epoch, 3: string entry_id }
 struct ConfigPull { 1: i64 known_revision }
@@ -110,6 +115,7 @@
   44: optional Handover handover, 45: optional HandoverReply handover_reply,
   50: optional TableUpdate table_update, 51: optional OwnerNotice owner_notice,
   52: optional ConfigPull config_pull, 53: optional ConfigUpdate config_update,
-  54: optional StatusQuery status_query, 55: optional StatusReply status_reply
+  54: optional StatusQuery status_query,  55: optional StatusReply status_reply,
+  56: optional Renew renew, 57: optional RenewReply renew_reply
 }
 struct Batch { 1: list<Message> messages }
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -1324,6 +1324,7 @@
      - config_revision
      - table_version
      - slots_in_use
+     - leaving
 
     """
 
@@ -1331,13 +1332,15 @@
         'config_revision',
         'table_version',
         'slots_in_use',
+        'leaving',
     )
 
 
-    def __init__(self, config_revision=None, table_version=None, slots_in_use=None,):
+    def __init__(self, config_revision=None, table_version=None, slots_in_use=None, leaving=None,):
         self.config_revision = config_revision
         self.table_version = table_version
         self.slots_in_use = slots_in_use
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1363,6 +1366,11 @@
                     self.slots_in_use = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1385,6 +1393,10 @@
             oprot.writeFieldBegin('slots_in_use', TType.I32, 3)
             oprot.writeI32(self.slots_in_use)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 4)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2453,21 +2465,18 @@
     Attributes:
      - partition
      - epoch
-     - forced
 
     """
 
     __slots__ = (
         'partition',
         'epoch',
-        'forced',
     )
 
 
-    def __init__(self, partition=None, epoch=None, forced=None,):
+    def __init__(self, partition=None, epoch=None,):
         self.partition = partition
         self.epoch = epoch
-        self.forced = forced
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2488,11 +2497,6 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.forced = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2511,10 +2515,6 @@
             oprot.writeFieldBegin('epoch', TType.I64, 2)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
-        if self.forced is not None:
-            oprot.writeFieldBegin('forced', TType.BOOL, 3)
-            oprot.writeBool(self.forced)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2666,6 +2666,166 @@
         return not (self == other)
 
 
+class Renew(object):
+    """
+    Attributes:
+     - partition
+     - epoch
+
+    """
+
+    __slots__ = (
+        'partition',
+        'epoch',
+    )
+
+
+    def __init__(self, partition=None, epoch=None,):
+        self.partition = partition
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.partition = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Renew')
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.STRING, 1)
+            oprot.writeString(self.partition.encode('utf-8') if sys.version_info[0] == 2 else self.partition)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RenewReply(object):
+    """
+    Attributes:
+     - code
+     - epoch
+
+    """
+
+    __slots__ = (
+        'code',
+        'epoch',
+    )
+
+
+    def __init__(self, code=None, epoch=None,):
+        self.code = code
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RenewReply')
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 1)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Release(object):
     """
     Attributes:
@@ -3787,6 +3947,8 @@
      - jobs
      - roster
      - last
+     - complete
+     - taken_over_at_ms
 
     """
 
@@ -3796,15 +3958,19 @@
         'jobs',
         'roster',
         'last',
+        'complete',
+        'taken_over_at_ms',
     )
 
 
-    def __init__(self, partition=None, epoch=None, jobs=None, roster=None, last=None,):
+    def __init__(self, partition=None, epoch=None, jobs=None, roster=None, last=None, complete=None, taken_over_at_ms=None,):
         self.partition = partition
         self.epoch = epoch
         self.jobs = jobs
         self.roster = roster
         self.last = last
+        self.complete = complete
+        self.taken_over_at_ms = taken_over_at_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3847,6 +4013,16 @@
                     self.last = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.taken_over_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3880,6 +4056,14 @@
             oprot.writeFieldBegin('last', TType.BOOL, 5)
             oprot.writeBool(self.last)
             oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 6)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.taken_over_at_ms is not None:
+            oprot.writeFieldBegin('taken_over_at_ms', TType.I64, 7)
+            oprot.writeI64(self.taken_over_at_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4106,18 +4290,21 @@
     Attributes:
      - version
      - entries
+     - owned
 
     """
 
     __slots__ = (
         'version',
         'entries',
+        'owned',
     )
 
 
-    def __init__(self, version=None, entries=None,):
+    def __init__(self, version=None, entries=None, owned=None,):
         self.version = version
         self.entries = entries
+        self.owned = owned
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4144,6 +4331,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.owned = []
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.owned.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4161,8 +4358,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter118 in self.entries:
-                iter118.write(oprot)
+            for iter124 in self.entries:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.owned is not None:
+            oprot.writeFieldBegin('owned', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.owned))
+            for iter125 in self.owned:
+                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4673,6 +4877,8 @@
      - config_update
      - status_query
      - status_reply
+     - renew
+     - renew_reply
 
     """
 
@@ -4712,10 +4918,12 @@
         'config_update',
         'status_query',
         'status_reply',
+        'renew',
+        'renew_reply',
     )
 
 
-    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None,):
+    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None,):
         self.id = id
         self.reply_to = reply_to
         self.hello = hello
@@ -4751,6 +4959,8 @@
         self.config_update = config_update
         self.status_query = status_query
         self.status_reply = status_reply
+        self.renew = renew
+        self.renew_reply = renew_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4969,6 +5179,18 @@
                     self.status_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 56:
+                if ftype == TType.STRUCT:
+                    self.renew = Renew()
+                    self.renew.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 57:
+                if ftype == TType.STRUCT:
+                    self.renew_reply = RenewReply()
+                    self.renew_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5119,6 +5341,14 @@
             oprot.writeFieldBegin('status_reply', TType.STRUCT, 55)
             self.status_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.renew is not None:
+            oprot.writeFieldBegin('renew', TType.STRUCT, 56)
+            self.renew.write(oprot)
+            oprot.writeFieldEnd()
+        if self.renew_reply is not None:
+            oprot.writeFieldBegin('renew_reply', TType.STRUCT, 57)
+            self.renew_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5171,11 +5401,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype122, _size119) = iprot.readListBegin()
-                    for _i123 in range(_size119):
-                        _elem124 = Message()
-                        _elem124.read(iprot)
-                        self.messages.append(_elem124)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = Message()
+                        _elem131.read(iprot)
+                        self.messages.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5192,8 +5422,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter125 in self.messages:
-                iter125.write(oprot)
+            for iter132 in self.messages:
+                iter132.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5323,6 +5553,7 @@
     (1, TType.I64, 'config_revision', None, None, ),  # 1
     (2, TType.I64, 'table_version', None, None, ),  # 2
     (3, TType.I32, 'slots_in_use', None, None, ),  # 3
+    (4, TType.BOOL, 'leaving', None, None, ),  # 4
 )
 all_structs.append(Announce)
 Announce.thrift_spec = (
@@ -5406,7 +5637,6 @@
     None,  # 0
     (1, TType.STRING, 'partition', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
-    (3, TType.BOOL, 'forced', None, None, ),  # 3
 )
 all_structs.append(FenceReply)
 FenceReply.thrift_spec = (
@@ -5417,6 +5647,18 @@
     (4, TType.LIST, 'records', (TType.STRUCT, [StartRecord, None], False), None, ),  # 4
     (5, TType.STRUCT, 'roster', [Roster, None], None, ),  # 5
 )
+all_structs.append(Renew)
+Renew.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'partition', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+)
+all_structs.append(RenewReply)
+RenewReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'code', None, None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+)
 all_structs.append(Release)
 Release.thrift_spec = (
     None,  # 0
@@ -5504,6 +5746,8 @@
     (3, TType.LIST, 'jobs', (TType.STRUCT, [JobRecord, None], False), None, ),  # 3
     (4, TType.STRUCT, 'roster', [Roster, None], None, ),  # 4
     (5, TType.BOOL, 'last', None, None, ),  # 5
+    (6, TType.BOOL, 'complete', None, None, ),  # 6
+    (7, TType.I64, 'taken_over_at_ms', None, None, ),  # 7
 )
 all_structs.append(HandoverReply)
 HandoverReply.thrift_spec = (
@@ -5525,6 +5769,7 @@
     None,  # 0
     (1, TType.I64, 'version', None, None, ),  # 1
     (2, TType.LIST, 'entries', (TType.STRUCT, [TableEntry, None], False), None, ),  # 2
+    (3, TType.LIST, 'owned', (TType.STRING, 'UTF8', False), None, ),  # 3
 )
 all_structs.append(TableUpdate)
 TableUpdate.thrift_spec = (
@@ -5617,6 +5862,8 @@
     (53, TType.STRUCT, 'config_update', [ConfigUpdate, None], None, ),  # 53
     (54, TType.STRUCT, 'status_query', [StatusQuery, None], None, ),  # 54
     (55, TType.STRUCT, 'status_reply', [StatusReply, None], None, ),  # 55
+    (56, TType.STRUCT, 'renew', [Renew, None], None, ),  # 56
+    (57, TType.STRUCT, 'renew_reply', [RenewReply, None], None, ),  # 57
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -95,6 +95,7 @@
     config_revision: int = 0
     table_version: int = 0
     slots_in_use: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,14 +199,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Fence:
-    """Request of an entry to own the partition at an epoch.
-
-    `forced` says that the present owner was told and gave the partition up.
-    """
+    """Request of an entry to own the partition at an epoch."""
 
     partition: str
     epoch: int
-    forced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,6 +216,22 @@
     roster: Roster = Roster()
 
 
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Renewal of the lease that the agent granted with an epoch."""
+
+    partition: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewReply:
+    """Answer to `Renew`: whether the epoch still holds, and the present one."""
+
+    code: int
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """The owner gives the partition up; any candidate may fence at once."""
@@ -326,13 +339,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Handover:
-    """Job records that a leaving owner gives its successor; `last` ends them."""
+    """Job records that a leaving owner gives its successor; `last` ends them.
+
+    `complete` and `taken_over_at_ms` say what the leaving owner knew of the time
+    before it.
+    """
 
     partition: str
     epoch: int
     jobs: tuple[JobRecord, ...]
     roster: Roster = Roster()
     last: bool = False
+    complete: bool = False
+    taken_over_at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -356,10 +375,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerTable:
-    """Entries of the region; the version rises with each change."""
+    """Entries of the region; the version rises with each change.
+
+    `owned` names each partition that has ever had an owner.
+    """
 
     version: int = 0
     entries: tuple[TableEntry, ...] = ()
+    owned: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -422,6 +445,8 @@
     CancelTasks: "cancel_tasks",
     Fence: "fence",
     FenceReply: "fence_reply",
+    Renew: "renew",
+    RenewReply: "renew_reply",
     Release: "release",
     Reconcile: "reconcile",
     ReconcileReply: "reconcile_reply",
