Serve callers over HTTP/1.1 and HTTP/2

Cause: callers need an interface that answers each submission with a code and with whether the work ran. Change: SubmissionService as the interface to the routing of submissions; an ASGI application with jobs, single requests passed through, health and metrics; bounds on bodies, headers, time and total memory; a server of hypercorn's connections that a fault in one connection does not end. Code 1 (RUNNING) for a job that was accepted and has not ended.

--- a/packages/base/src/hornbeamshore/base/codes.py
+++ b/packages/base/src/hornbeamshore/base/codes.py
@@ -21,6 +21,7 @@
     """Result code of a request, a task, a peer message or a command."""
 
     OK = 0
+    RUNNING = 1
     MALFORMED_REQUEST = 100
     BODY_TOO_LARGE = 101
     TASK_COUNT_OUT_OF_RANGE = 102
@@ -90,6 +91,9 @@
 
 CODE_TABLE = {
     ResultCode.OK: CodeInfo(_RAN, 200, "All tasks ran and succeeded."),
+    ResultCode.RUNNING: CodeInfo(
+        _UNKNOWN, 202, "The job was accepted and has not ended."
+    ),
     ResultCode.MALFORMED_REQUEST: CodeInfo(_NOT, 400, "The request is malformed."),
     ResultCode.BODY_TOO_LARGE: CodeInfo(_NOT, 413, "The body exceeds its limit."),
     ResultCode.TASK_COUNT_OUT_OF_RANGE: CodeInfo(
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/http_answers.py
@@ -0,0 +1,139 @@
+"""Answers to callers: status, headers and body."""
+
+import base64
+import math
+from dataclasses import dataclass
+
+import msgspec
+from hornbeamshore.base.codes import CODE_TABLE, ResultCode, RunState, refuse
+from hornbeamshore.base.types import JobAnswer, JobKey
+from hornbeamshore.entry import http_headers
+
+DEFAULT_RETRY_AFTER_MS = 1_000
+_BODILESS_STATUSES = (204, 205, 304)
+_NO_KEY = JobKey("", "", "")
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """Answer to an HTTP request."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    code: int = 0
+
+
+def json_answer(job_answer, *, status=None, headers=(), fields=None):
+    """Return the answer whose JSON body tells code, run state and results."""
+    code, run_state = _code_of(job_answer.code), RunState(job_answer.run_state)
+    body = {
+        "code": int(job_answer.code),
+        "name": _name_of(job_answer.code),
+        "run_state": run_state.label,
+        "detail": job_answer.detail or CODE_TABLE[code].meaning,
+        **(fields or {}),
+    }
+    if job_answer.results:
+        ordered = sorted(job_answer.results, key=lambda result: result.index)
+        body["results"] = [_result_fields(result) for result in ordered]
+    status = CODE_TABLE[code].http_status if status is None else status
+    return HttpAnswer(
+        status,
+        (
+            *_code_headers(job_answer.code, run_state),
+            ("content-type", "application/json"),
+            *_retry_headers(code, status, job_answer.retry_after_ms),
+            *headers,
+        ),
+        msgspec.json.encode(body),
+        int(job_answer.code),
+    )
+
+
+def refusal_answer(refusal, *, status=None, headers=()):
+    """Return the answer that carries a `Refusal`."""
+    job_answer = JobAnswer.refused(_NO_KEY, refusal)
+    return json_answer(job_answer, status=status, headers=headers)
+
+
+def code_answer(code, detail="", *, status=None, headers=()):
+    """Return the answer of a result code with its default run state."""
+    return refusal_answer(refuse(code, detail), status=status, headers=headers)
+
+
+def passed_answer(job_answer):
+    """Return a target's answer to a single request, or the reason for its absence."""
+    fields = {"id": job_answer.key.job_id}
+    if not job_answer.results or not 200 <= job_answer.results[0].status <= 599:
+        return json_answer(job_answer, fields=fields)
+    result = job_answer.results[0]
+    passed = tuple(
+        (header.name, header.value) for header in http_headers.to_caller(result.headers)
+    )
+    run_state = RunState(job_answer.run_state)
+    return HttpAnswer(
+        result.status,
+        (*_code_headers(job_answer.code, run_state), *passed),
+        b"" if result.status in _BODILESS_STATUSES else result.body,
+        int(job_answer.code),
+    )
+
+
+async def send_answer(send, answer, method):
+    """Send an answer through the ASGI send function of its request."""
+    headers = [
+        (name.lower().encode("latin-1"), value.encode("latin-1"))
+        for name, value in answer.headers
+    ]
+    if method != "HEAD" and answer.status not in _BODILESS_STATUSES:
+        headers.append((b"content-length", b"%d" % len(answer.body)))
+    await send(
+        {"type": "http.response.start", "status": answer.status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": answer.body})
+
+
+def _code_of(value):
+    # An owner of a newer version may know codes that this process does not.
+    try:
+        return ResultCode(value)
+    except ValueError:
+        return ResultCode.OUTCOME_UNKNOWN
+
+
+def _name_of(value):
+    code = _code_of(value)
+    return code.name if code == value else f"CODE_{int(value)}"
+
+
+def _code_headers(code, run_state):
+    return (
+        (http_headers.CODE_HEADER, str(int(code))),
+        (http_headers.RUN_STATE_HEADER, run_state.label),
+    )
+
+
+def _retry_headers(code, status, retry_after_ms):
+    refused_for_now = 200 <= code < 300 or status in (202, 429, 503)
+    if not refused_for_now and not retry_after_ms:
+        return ()
+    wait_ms = retry_after_ms or DEFAULT_RETRY_AFTER_MS
+    return (
+        ("retry-after", str(math.ceil(wait_ms / 1000))),
+        (http_headers.RETRY_AFTER_MS_HEADER, str(wait_ms)),
+    )
+
+
+def _result_fields(result):
+    fields = {"index": result.index, "status": result.status}
+    media_type = http_headers.content_type(result.headers)
+    if media_type == "application/json" or media_type.endswith("+json"):
+        try:
+            # The text is checked and then placed as it is; numbers keep their digits.
+            msgspec.json.decode(result.body)
+            return {**fields, "body": msgspec.Raw(result.body)}
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            pass
+    encoded = base64.b64encode(result.body).decode("ascii")
+    return {**fields, "body_base64": encoded}
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/http_api.py
@@ -0,0 +1,399 @@
+"""ASGI application towards callers."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from urllib.parse import quote, unquote
+
+import trio
+from hornbeamshore.base.codes import ResultCode, RunState, refuse
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.types import JobAnswer, JobKey
+from hornbeamshore.entry import http_requests
+from hornbeamshore.entry.http_answers import (
+    HttpAnswer,
+    code_answer,
+    json_answer,
+    passed_answer,
+    refusal_answer,
+    send_answer,
+)
+from hornbeamshore.entry.http_auth import authenticate
+from hornbeamshore.entry.http_body import BodyBudget, RequestBody
+from hornbeamshore.entry.http_errors import RequestRefused
+from hornbeamshore.entry.http_requests import RequestHead
+from hornbeamshore.entry.http_settings import HttpSettings
+
+JOBS_PATH = "/v1/jobs"
+SERVICES_PREFIX = "/v1/services/"
+QUERY_TIMEOUT_S = 5.0
+# The service answers by the deadline; this is for the way of its last message.
+ANSWER_GRACE_S = 1.0
+# An asynchronous submission that is refused within this time gets the refusal itself
+# instead of 202, since the record of a refused job is not kept.
+ASYNC_REFUSAL_S = 0.05
+
+# Codes with which a service says that it has no record to tell of.
+_NOT_FOUND = (ResultCode.JOB_NOT_FOUND, ResultCode.UNKNOWN_SERVICE)
+_UNCERTAIN = (
+    ResultCode.OWNER_UNREACHABLE,
+    ResultCode.KEY_UNACCOUNTED,
+    ResultCode.OUTCOME_UNKNOWN,
+)
+
+_log = PartLogger("entry")
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Submission that was answered, for metrics and objectives.
+
+    Attributes
+    ----------
+    service, kind : str
+        Names from the configuration; empty where the request named no known ones.
+    code : int
+        Value of a `ResultCode`.
+    elapsed_s : float
+        Time from the head of the request to its answer.
+    """
+
+    service: str
+    kind: str
+    code: int
+    elapsed_s: float
+
+
+class AnswerObserver(ABC):
+    """Receiver of what metrics and objectives need to know of the front end."""
+
+    @abstractmethod
+    def answered(self, event: Answered) -> None:
+        """Note a submission that was answered."""
+
+    @abstractmethod
+    def metrics_page(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+
+
+class HttpApi:
+    """ASGI application that turns HTTP requests into submissions.
+
+    Parameters
+    ----------
+    service : SubmissionService
+        Code that routes the submissions.
+    nursery : trio.Nursery
+        Owner of the tasks that wait for submissions. They outlive the connections, so
+        a caller that disconnects does not end its job.
+    observer : AnswerObserver
+        Receiver of the answers' codes and times.
+    cfg : HttpSettings
+        Bounds.
+    """
+
+    def __init__(self, service, nursery, observer, cfg=None):
+        self._service = service
+        self._nursery = nursery
+        self._observer = observer
+        self._cfg = cfg or HttpSettings()
+        self._budget = BodyBudget(self._cfg.body_budget)
+
+    async def __call__(self, scope, receive, send):
+        """Serve one ASGI connection scope."""
+        if scope["type"] == "lifespan":
+            await _serve_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._serve_request(scope, receive, send)
+        else:
+            await send({"type": "websocket.close"})
+
+    async def _serve_request(self, scope, receive, send):
+        exchange = _Exchange(RequestHead.of_scope(scope), trio.current_time())
+        body = None
+        try:
+            length = exchange.head.header_int("content-length")
+            body = RequestBody(receive, length, self._budget, self._cfg)
+            answer = await self._answer(exchange, body)
+        except RequestRefused as exc:
+            answer = refusal_answer(exc.refusal, status=exc.status, headers=exc.headers)
+        except Exception as exc:
+            _log.error("request failed by a fault of the entry: %r", exc)
+            answer = code_answer(
+                ResultCode.OUTCOME_UNKNOWN, "the entry met a fault", status=500
+            )
+        body = body or RequestBody(receive, None, self._budget, self._cfg)
+        self._note(exchange, answer)
+        await self._send(answer, exchange.head.method, body, send)
+
+    async def _send(self, answer, method, body, send):
+        body.release()
+        await body.discard()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(body.discard_all)
+            await send_answer(send, answer, method)
+            nursery.cancel_scope.cancel()
+
+    def _note(self, exchange, answer):
+        if not exchange.is_submission:
+            return
+        elapsed_s = trio.current_time() - exchange.started
+        self._observer.answered(
+            Answered(exchange.service, exchange.kind, answer.code, elapsed_s)
+        )
+
+    async def _answer(self, exchange, body):
+        head = exchange.head
+        self._check_header_size(head)
+        if head.path == "/healthz":
+            return self._health(head)
+        if head.path == "/metrics":
+            return self._metrics(head)
+        if head.path == JOBS_PATH:
+            _check_method(head, "POST")
+            return await self._submit_job(exchange, body)
+        if head.path.startswith(f"{JOBS_PATH}/"):
+            _check_method(head, "GET", "DELETE")
+            return await self._ask_job(head)
+        if head.path.startswith(SERVICES_PREFIX):
+            return await self._pass_single(exchange, body)
+        raise _no_such_path(head)
+
+    def _check_header_size(self, head):
+        size = sum(len(item.name) + len(item.value) for item in head.raw_headers)
+        if size > self._cfg.max_header_bytes:
+            raise RequestRefused(
+                ResultCode.MALFORMED_REQUEST,
+                f"headers: {size} bytes, {int(self._cfg.max_header_bytes)} are allowed",
+                status=431,
+            )
+
+    def _health(self, head):
+        _check_method(head, "GET", "HEAD")
+        if self._service.status().get("draining"):
+            return code_answer(ResultCode.DRAINING)
+        return code_answer(ResultCode.OK, "The entry serves requests.")
+
+    def _metrics(self, head):
+        _check_method(head, "GET", "HEAD")
+        page = self._observer.metrics_page()
+        plain = code_answer(ResultCode.OK)
+        headers = (
+            *(item for item in plain.headers if item[0] != "content-type"),
+            ("content-type", "text/plain; version=0.0.4; charset=utf-8"),
+        )
+        return HttpAnswer(200, headers, page)
+
+    async def _submit_job(self, exchange, body):
+        exchange.is_submission = True
+        deployment, caller = self._authenticate(exchange.head)
+        limit = http_requests.job_body_limit(deployment, caller)
+        content = await body.read(limit)
+        request = http_requests.parse_job(exchange.head, content, deployment, caller)
+        exchange.name_kind(request.key.service, request.kind)
+        if exchange.head.prefers_async():
+            return await self._submit_async(exchange, request)
+        return _job_answer(await self._submit(exchange, request))
+
+    async def _submit_async(self, exchange, request):
+        pending = self._start_submission(exchange, request)
+        with trio.move_on_after(ASYNC_REFUSAL_S):
+            return _job_answer(await pending.wait())
+        running = JobAnswer(request.key, ResultCode.RUNNING, RunState.UNKNOWN)
+        return _job_answer(running)
+
+    async def _pass_single(self, exchange, body):
+        exchange.is_submission = True
+        head = exchange.head
+        deployment, caller = self._authenticate(head)
+        service, kind_name, extra = _service_route(head)
+        kind = http_requests.find_kind(deployment, caller, service, kind_name)
+        exchange.name_kind(service, kind_name)
+        request = http_requests.single_request(
+            head, (service, kind_name, extra), kind, caller
+        )
+        limit = min(http_requests.MAX_BODY_BYTES, kind.max_body)
+        content = await body.read(limit)
+        request = http_requests.with_body(request, content)
+        return passed_answer(await self._submit(exchange, request))
+
+    async def _submit(self, exchange, request):
+        pending = self._start_submission(exchange, request)
+        with trio.move_on_after(request.timeout_ms / 1000 + ANSWER_GRACE_S):
+            return await pending.wait()
+        return JobAnswer.refused(
+            request.key,
+            refuse(ResultCode.OUTCOME_UNKNOWN, "no answer came by the deadline"),
+        )
+
+    def _start_submission(self, exchange, request):
+        # The deadline counts from the head of the request, so a body that came slowly
+        # has used up a part of it.
+        timeout_s = request.timeout_ms / 1000
+        timeout_s -= trio.current_time() - exchange.started
+        if timeout_s <= 0:
+            raise RequestRefused(
+                ResultCode.DEADLINE_UNREACHABLE,
+                "the deadline passed while the body was being read",
+            )
+        pending = _PendingAnswer(request.key)
+        self._nursery.start_soon(pending.run, self._service, request, timeout_s)
+        return pending
+
+    async def _ask_job(self, head):
+        deployment, caller = self._authenticate(head)
+        job_id = http_requests.job_id_of_path(head.path[len(JOBS_PATH) + 1 :])
+        keys = _candidate_keys(head, deployment, caller, job_id)
+        if head.method == "DELETE":
+            return await self._cancel_job(keys, job_id)
+        answer = await self._query_all(keys, job_id)
+        return _job_answer(answer)
+
+    async def _cancel_job(self, keys, job_id):
+        key = keys[0]
+        if len(keys) > 1:
+            found = await self._query_all(keys, job_id)
+            if found.code in (*_NOT_FOUND, *_UNCERTAIN):
+                return _job_answer(found)
+            key = found.key
+        answer = refuse_unknown(key, "the cancellation was not confirmed in time")
+        with trio.move_on_after(QUERY_TIMEOUT_S):
+            answer = await self._service.cancel(key)
+        status = 200 if answer.code == ResultCode.CANCELLED else None
+        return _job_answer(answer, status=status)
+
+    async def _query_all(self, keys, job_id):
+        answers = []
+        async with trio.open_nursery() as nursery:
+            for key in keys:
+                nursery.start_soon(self._query, key, answers)
+        return _choose_answer(answers, job_id)
+
+    async def _query(self, key, answers):
+        answer = refuse_unknown(key, "the owner of the record did not answer in time")
+        with trio.move_on_after(QUERY_TIMEOUT_S + ANSWER_GRACE_S):
+            answer = await self._service.query(key, QUERY_TIMEOUT_S)
+        answers.append(answer)
+
+    def _authenticate(self, head):
+        deployment = self._service.deployment()
+        if deployment is None:
+            raise RequestRefused(ResultCode.NOT_CONFIGURED)
+        caller = authenticate(deployment, head.headers.get("authorization"))
+        return deployment, caller
+
+
+class _Exchange:
+    """Request that is being served, with what metrics need to know of it."""
+
+    def __init__(self, head, started):
+        self.head = head
+        self.started = started
+        self.is_submission = False
+        self.service = ""
+        self.kind = ""
+
+    def name_kind(self, service, kind):
+        self.service = service
+        self.kind = kind
+
+
+class _PendingAnswer:
+    """Answer to a submission that runs in a task of its own."""
+
+    def __init__(self, key):
+        self._key = key
+        self._done = trio.Event()
+        self._answer = None
+
+    async def run(self, service, request, timeout_s):
+        """Submit and keep the answer; a fault becomes an ``unknown`` answer."""
+        try:
+            self._answer = await service.submit(request, timeout_s)
+        except Exception as exc:
+            _log.error("submission failed by a fault of the entry: %r", exc)
+            self._answer = refuse_unknown(self._key, "the entry met a fault")
+        finally:
+            self._done.set()
+
+    async def wait(self):
+        """Return the answer when it has come."""
+        await self._done.wait()
+        return self._answer or refuse_unknown(self._key, "the entry is ending")
+
+
+def refuse_unknown(key, detail):
+    """Return the answer of a job whose outcome this process cannot tell."""
+    return JobAnswer.refused(key, refuse(ResultCode.OUTCOME_UNKNOWN, detail))
+
+
+async def _serve_lifespan(receive, send):
+    while True:
+        message = await receive()
+        if message["type"] == "lifespan.startup":
+            await send({"type": "lifespan.startup.complete"})
+        elif message["type"] == "lifespan.shutdown":
+            await send({"type": "lifespan.shutdown.complete"})
+            return
+
+
+def _check_method(head, *allowed):
+    if head.method not in allowed:
+        listed = ", ".join(allowed)
+        raise RequestRefused(
+            ResultCode.MALFORMED_REQUEST,
+            f"method {head.method}: {head.path} allows {listed}",
+            status=405,
+            headers=(("allow", listed),),
+        )
+
+
+def _no_such_path(head):
+    return RequestRefused(
+        ResultCode.MALFORMED_REQUEST, f"path {head.path}: no such path", status=404
+    )
+
+
+def _service_route(head):
+    parts = head.path[len(SERVICES_PREFIX) :].split("/", 2)
+    if len(parts) < 2 or not parts[0] or not parts[1]:
+        raise _no_such_path(head)
+    extra = f"/{parts[2]}" if len(parts) > 2 else ""
+    return unquote(parts[0]), unquote(parts[1]), extra
+
+
+def _candidate_keys(head, deployment, caller, job_id):
+    service = head.query_value("service")
+    if service is not None:
+        http_requests.check_service(deployment, caller, service)
+        return [JobKey(caller.name, service, job_id)]
+    return [
+        JobKey(caller.name, name, job_id)
+        for name in sorted(deployment.services)
+        if caller.may_use(name)
+    ]
+
+
+def _choose_answer(answers, job_id):
+    found = [item for item in answers if item.code not in (*_NOT_FOUND, *_UNCERTAIN)]
+    if len(found) > 1:
+        names = ", ".join(sorted(item.key.service for item in found))
+        raise RequestRefused(
+            ResultCode.MALFORMED_REQUEST,
+            f"the identifier {job_id!r} is in use in several services ({names}): "
+            "add ?service=",
+            run_state=RunState.UNKNOWN,
+        )
+    uncertain = [item for item in answers if item.code in _UNCERTAIN]
+    for candidates in (found, uncertain, answers):
+        if candidates:
+            return candidates[0]
+    raise RequestRefused(ResultCode.JOB_NOT_FOUND, run_state=RunState.UNKNOWN)
+
+
+def _job_answer(answer, *, status=None):
+    headers = ()
+    if answer.code == ResultCode.RUNNING:
+        path = f"{JOBS_PATH}/{quote(answer.key.job_id, safe='')}"
+        headers = (("location", f"{path}?service={quote(answer.key.service)}"),)
+    fields = {"id": answer.key.job_id, "service": answer.key.service}
+    return json_answer(answer, status=status, headers=headers, fields=fields)
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/http_body.py
@@ -0,0 +1,137 @@
+"""Reading of request bodies within bounds of size, time and total memory."""
+
+import trio
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.entry.http_errors import RequestRefused
+
+# A caller that gets a refusal while it still sends must be read on for a while, or a
+# reset of the connection may reach it before the answer does.
+DISCARD_S = 2.0
+DISCARD_BYTES = 32 * 1024 * 1024
+
+
+class BodyBudget:
+    """Count of the bytes of request bodies that the process holds."""
+
+    def __init__(self, limit):
+        self._limit = limit
+        self._held = 0
+
+    @property
+    def held(self):
+        """Return the bytes held."""
+        return self._held
+
+    def take(self, size):
+        """Count `size` more bytes.
+
+        Raises
+        ------
+        RequestRefused
+            If the limit would be exceeded.
+        """
+        if self._held + size > self._limit:
+            raise RequestRefused(
+                ResultCode.OVERLOADED,
+                f"request bodies held by this entry would exceed {self._limit} bytes",
+            )
+        self._held += size
+
+    def release(self, size):
+        """Count `size` bytes less."""
+        self._held -= size
+
+
+class RequestBody:
+    """Body of one request, as an ASGI server delivers it.
+
+    Parameters
+    ----------
+    receive : callable
+        ASGI receive function of the request.
+    content_length : int or None
+        Length that the caller declared.
+    budget : BodyBudget
+        Count that this body belongs to until `release`.
+    cfg : HttpSettings
+        Settings of the front end.
+    """
+
+    def __init__(self, receive, content_length, budget, cfg):
+        self._receive = receive
+        self._content_length = content_length
+        self._budget = budget
+        self._cfg = cfg
+        self._taken = 0
+        self._ended = False
+
+    async def read(self, limit):
+        """Return the whole body.
+
+        Raises
+        ------
+        RequestRefused
+            If the body exceeds `limit` bytes or the time for it, if the process holds
+            too many bodies, or if the caller left.
+        """
+        if self._content_length is not None and self._content_length > limit:
+            raise _too_large(limit)
+        chunks = []
+        with trio.move_on_after(self._cfg.body_timeout):
+            while not self._ended:
+                chunk = await self._next_chunk()
+                if self._taken + len(chunk) > limit:
+                    raise _too_large(limit)
+                self._budget.take(len(chunk))
+                self._taken += len(chunk)
+                chunks.append(chunk)
+            return b"".join(chunks)
+        raise RequestRefused(
+            ResultCode.MALFORMED_REQUEST,
+            f"the body did not arrive within {self._cfg.body_timeout:g} s",
+            status=408,
+        )
+
+    async def discard(self):
+        """Read what is left of the body, within bounds, and drop it."""
+        left = DISCARD_BYTES
+        with trio.move_on_after(DISCARD_S):
+            while not self._ended and left > 0:
+                message = await self._receive()
+                left -= len(message.get("body", b""))
+                self._note_end(message)
+
+    async def discard_all(self):
+        """Read and drop messages until cancelled.
+
+        The server's task for the connection blocks on a full queue of messages; it
+        must not wait there for a request that is being answered early.
+        """
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                return
+
+    def release(self):
+        """Give the bytes of this body back to the budget."""
+        self._budget.release(self._taken)
+        self._taken = 0
+
+    async def _next_chunk(self):
+        message = await self._receive()
+        self._note_end(message)
+        if message["type"] == "http.disconnect":
+            raise RequestRefused(
+                ResultCode.MALFORMED_REQUEST, "the caller left before its body ended"
+            )
+        return message.get("body", b"")
+
+    def _note_end(self, message):
+        if message["type"] == "http.disconnect" or not message.get("more_body", False):
+            self._ended = True
+
+
+def _too_large(limit):
+    return RequestRefused(
+        ResultCode.BODY_TOO_LARGE, f"the body exceeds {limit} bytes, its limit here"
+    )
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/http_headers.py
@@ -0,0 +1,84 @@
+"""Rules for the HTTP headers that pass between callers and targets."""
+
+import re
+
+from hornbeamshore.base.types import Header
+
+OWN_PREFIX = "hornbeamshore-"
+CODE_HEADER = "Hornbeamshore-Code"
+RUN_STATE_HEADER = "Hornbeamshore-Run-State"
+RETRY_AFTER_MS_HEADER = "Hornbeamshore-Retry-After-Ms"
+SUBMITTED_AT_HEADER = "hornbeamshore-submitted-at"
+DEADLINE_HEADER = "hornbeamshore-deadline-ms"
+IDEMPOTENCY_KEY_HEADER = "idempotency-key"
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), with the older
+# names that programs still send.
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "http2-settings",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+# The token of a team stays at the entry; the length and the host are set anew.
+_NOT_TO_TARGET = HOP_BY_HOP | {
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+    IDEMPOTENCY_KEY_HEADER,
+}
+# The entry answers under its own name and clock, and frames the body itself.
+_NOT_TO_CALLER = HOP_BY_HOP | {"alt-svc", "content-length", "date", "server"}
+
+_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
+_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+
+
+def to_target(headers, job_id):
+    """Return the headers of a caller's request that a target gets, as a tuple."""
+    passed = _pass_through(headers, _NOT_TO_TARGET)
+    return (*passed, Header(IDEMPOTENCY_KEY_HEADER, job_id))
+
+
+def to_caller(headers):
+    """Return the headers of a target's answer that a caller gets, as a tuple."""
+    return _pass_through(headers, _NOT_TO_CALLER)
+
+
+def content_type(headers):
+    """Return the media type in lower case without parameters; empty for none."""
+    for header in headers:
+        if header.name.lower() == "content-type":
+            return header.value.partition(";")[0].strip().lower()
+    return ""
+
+
+def _pass_through(headers, dropped):
+    lower = [Header(header.name.lower(), header.value) for header in headers]
+    dropped = dropped | _named_by_connection(lower)
+    return tuple(
+        header
+        for header in lower
+        if header.name not in dropped
+        and not header.name.startswith(OWN_PREFIX)
+        and _NAME.fullmatch(header.name)
+        and _VALUE.fullmatch(header.value)
+    )
+
+
+def _named_by_connection(headers):
+    return {
+        token.strip().lower()
+        for header in headers
+        if header.name == "connection"
+        for token in header.value.split(",")
+    }
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/http_requests.py
@@ -0,0 +1,373 @@
+"""Parsing of callers' requests into submissions, with all checks of their form."""
+
+import re
+from dataclasses import dataclass, replace
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+from hornbeamshore.base.clock import random_id, unix_ms
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.base.types import (
+    MAX_TASKS_PER_JOB,
+    Header,
+    JobKey,
+    JobRequest,
+    TaskSpec,
+    fingerprint_of,
+)
+from hornbeamshore.entry import http_headers
+from hornbeamshore.entry.http_errors import RequestRefused
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_DEADLINE_MS = 60_000
+MAX_ID_CHARS = 200
+MAX_PATH_CHARS = 4096
+# Clocks of callers may be ahead by the margin that owners allow after a takeover; a
+# larger lead would let an old identifier pass as fresh.
+MAX_CLOCK_LEAD_MS = 2_000
+# Room for the envelope of a job besides the bodies of its tasks.
+ENVELOPE_BYTES = 64 * 1024
+TASK_ENVELOPE_BYTES = MAX_PATH_CHARS + 256
+
+_ID = re.compile(r"[\x21-\x7e]+")
+_METHOD = re.compile(r"[A-Z]{1,20}")
+_PATH = re.compile(r"/[\x21\x22\x24-\x7e]*")
+_DOT_SEGMENT = re.compile(r"(?i)/(?:\.|%2e){1,2}(?:/|$)")
+_JSON_HEADERS = (Header("content-type", "application/json"),)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Head of an HTTP request.
+
+    Attributes
+    ----------
+    path : str
+        Path as sent, percent-encoded, without the query.
+    headers : dict of str to str
+        Values by name in lower case; those of repeated headers are joined.
+    raw_headers : tuple of Header
+        Headers in the order in which they were sent.
+    """
+
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    raw_headers: tuple[Header, ...]
+
+    @classmethod
+    def of_scope(cls, scope):
+        """Return the head of the request that an ASGI scope describes."""
+        raw = tuple(
+            Header(name.decode("latin-1").lower(), value.decode("latin-1"))
+            for name, value in scope["headers"]
+        )
+        headers = {}
+        for header in raw:
+            known = headers.get(header.name)
+            headers[header.name] = (
+                header.value if known is None else f"{known}, {header.value}"
+            )
+        return cls(
+            scope["method"],
+            scope["raw_path"].decode("latin-1"),
+            scope["query_string"].decode("latin-1"),
+            headers,
+            raw,
+        )
+
+    def header_int(self, name):
+        """Return the whole number in a header, None where it is absent.
+
+        Raises
+        ------
+        RequestRefused
+            If the value is not a whole number of at most 15 digits.
+        """
+        text = self.headers.get(name)
+        if text is None:
+            return None
+        if not re.fullmatch(r"[0-9]{1,15}", text):
+            raise malformed(f"header {name}: expected a whole number, got {text!r}")
+        return int(text)
+
+    def query_value(self, name):
+        """Return the only value of a query parameter, None where it is absent.
+
+        Raises
+        ------
+        RequestRefused
+            If the parameter is given more than once.
+        """
+        values = parse_qs(self.query, keep_blank_values=True).get(name, [])
+        if len(values) > 1:
+            raise malformed(f"query parameter {name}: given {len(values)} times")
+        return values[0] if values else None
+
+    def prefers_async(self):
+        """Return whether the caller asks for an answer before the job has ended."""
+        preferences = self.headers.get("prefer", "").split(",")
+        return any(
+            part.partition(";")[0].strip().lower() == "respond-async"
+            for part in preferences
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class _JobBody:
+    service: str
+    kind: str
+    tasks: list[msgspec.Raw]
+    id: str | None = None
+    deadline_ms: int | None = None
+    submitted_at: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _TaskBody:
+    body: msgspec.Raw
+    path: str = ""
+    method: str = "POST"
+
+
+def malformed(detail):
+    """Return the exception for a request whose form is wrong."""
+    return RequestRefused(ResultCode.MALFORMED_REQUEST, detail)
+
+
+def find_kind(deployment, caller, service, kind):
+    """Return the `Kind` that a caller names.
+
+    Raises
+    ------
+    RequestRefused
+        If the service or the kind is not configured or not allowed to the team.
+    """
+    check_service(deployment, caller, service)
+    found = deployment.services[service].kinds.get(kind)
+    if found is None:
+        raise RequestRefused(
+            ResultCode.UNKNOWN_KIND, f"service {service!r} has no kind {kind!r}"
+        )
+    return found
+
+
+def check_service(deployment, caller, service):
+    """Check that a service exists and that the caller's team may use it.
+
+    Raises
+    ------
+    RequestRefused
+        If either is not so.
+    """
+    if service not in deployment.services:
+        raise RequestRefused(
+            ResultCode.UNKNOWN_SERVICE, f"there is no service {service!r}"
+        )
+    if not caller.may_use(service):
+        raise RequestRefused(
+            ResultCode.NOT_ALLOWED,
+            f"team {caller.name!r} may not use the service {service!r}",
+        )
+
+
+def job_body_limit(deployment, caller):
+    """Return the bytes that a job of the caller may have before its kind is known."""
+    bounds = [
+        kind.max_body
+        for name, service in deployment.services.items()
+        if caller.may_use(name)
+        for kind in service.kinds.values()
+    ]
+    task_bytes = max(bounds, default=0) + TASK_ENVELOPE_BYTES
+    return min(MAX_BODY_BYTES, ENVELOPE_BYTES + MAX_TASKS_PER_JOB * task_bytes)
+
+
+def parse_job(head, body, deployment, caller):
+    """Return the `JobRequest` of a body sent to ``POST /v1/jobs``.
+
+    Raises
+    ------
+    RequestRefused
+        If a field is missing, unknown, of a wrong type or out of its bounds.
+    """
+    job = _decode(body, _JobBody, "$")
+    kind = find_kind(deployment, caller, job.service, job.kind)
+    if not 1 <= len(job.tasks) <= MAX_TASKS_PER_JOB:
+        raise RequestRefused(
+            ResultCode.TASK_COUNT_OUT_OF_RANGE,
+            f"$.tasks: 1 to {MAX_TASKS_PER_JOB} tasks are allowed, got "
+            f"{len(job.tasks)}",
+        )
+    job_id = _job_id(head.headers.get(http_headers.IDEMPOTENCY_KEY_HEADER), job.id)
+    if job_id is None:
+        raise malformed("$.id: give it or the header Idempotency-Key")
+    tasks = tuple(
+        _task_spec(raw, f"$.tasks[{index}]", job.kind, kind)
+        for index, raw in enumerate(job.tasks)
+    )
+    return JobRequest(
+        JobKey(caller.name, job.service, job_id),
+        job.kind,
+        tasks,
+        _deadline_ms(job.deadline_ms, kind, "$.deadline_ms"),
+        _submitted_at_ms(job.submitted_at, "$.submitted_at"),
+        False,
+        fingerprint_of(job.kind, tasks),
+    )
+
+
+def single_request(head, route, kind, caller):
+    """Return the `JobRequest` of a request passed through, its body still empty.
+
+    Parameters
+    ----------
+    route : tuple of str
+        Service, name of the kind, and the path after the kind.
+
+    Raises
+    ------
+    RequestRefused
+        If a header or the path breaks its rule.
+    """
+    service, kind_name, extra = route
+    job_id = _job_id(head.headers.get(http_headers.IDEMPOTENCY_KEY_HEADER), None)
+    if job_id is None:
+        if not kind.repeatable:
+            raise malformed(
+                f"header Idempotency-Key: required, the kind {kind_name!r} is not "
+                "repeatable"
+            )
+        job_id = random_id(16)
+    query = f"?{head.query}" if head.query else ""
+    path = _target_path(kind_name, extra + query, "path")
+    headers = http_headers.to_target(head.raw_headers, job_id)
+    deadline_ms = head.header_int(http_headers.DEADLINE_HEADER)
+    submitted_at = head.header_int(http_headers.SUBMITTED_AT_HEADER)
+    return JobRequest(
+        JobKey(caller.name, service, job_id),
+        kind_name,
+        (TaskSpec(head.method, path, headers, b""),),
+        _deadline_ms(deadline_ms, kind, f"header {http_headers.DEADLINE_HEADER}"),
+        _submitted_at_ms(submitted_at, f"header {http_headers.SUBMITTED_AT_HEADER}"),
+        True,
+        b"",
+    )
+
+
+def with_body(request, body):
+    """Return a single request with its body and fingerprint."""
+    tasks = (replace(request.tasks[0], body=body),)
+    return replace(
+        request, tasks=tasks, fingerprint=fingerprint_of(request.kind, tasks)
+    )
+
+
+def job_id_of_path(text):
+    """Return the identifier in the path of a question about a job.
+
+    Raises
+    ------
+    RequestRefused
+        If it breaks the rule for identifiers.
+    """
+    return _checked_id(unquote(text), "path")
+
+
+def _decode(raw, kind, place):
+    # msgspec ignores unknown keys of data classes, which would hide a typing error.
+    try:
+        keys = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+        unknown = keys.keys() - kind.__dataclass_fields__.keys()
+        if unknown:
+            known = ", ".join(sorted(kind.__dataclass_fields__))
+            raise malformed(f"{place}: unknown key {min(unknown)!r}; known: {known}")
+        return msgspec.json.decode(raw, type=kind)
+    except msgspec.ValidationError as exc:
+        raise malformed(_with_place(str(exc), place)) from exc
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise malformed(f"{place}: not JSON: {exc}") from exc
+
+
+def _with_place(message, place):
+    rule, mark, path = message.partition(" - at `$")
+    return f"{place}{path.rstrip('`')}: {rule}" if mark else f"{place}: {message}"
+
+
+def _task_spec(raw, place, kind_name, kind):
+    task = _decode(raw, _TaskBody, place)
+    if not _METHOD.fullmatch(task.method):
+        raise malformed(f"{place}.method: expected capital letters")
+    body = bytes(task.body)
+    if task.method in ("GET", "HEAD") and body == b"null":
+        body = b""
+    if len(body) > kind.max_body:
+        raise RequestRefused(
+            ResultCode.BODY_TOO_LARGE,
+            f"{place}.body: {len(body)} bytes, the kind {kind_name!r} allows "
+            f"{int(kind.max_body)}",
+        )
+    path = _target_path(kind_name, task.path, f"{place}.path")
+    return TaskSpec(task.method, path, _JSON_HEADERS if body else (), body)
+
+
+def _target_path(kind_name, extra, place):
+    # A target sees the kind first, so no path can reach the work of another kind,
+    # which may have other bounds and another urgency.
+    if extra and extra[0] not in "/?":
+        raise malformed(f"{place}: expected / at the start")
+    path = f"/{kind_name}{extra}"
+    if len(path) > MAX_PATH_CHARS:
+        raise malformed(f"{place}: longer than {MAX_PATH_CHARS} characters")
+    if not _PATH.fullmatch(path):
+        raise malformed(f"{place}: expected visible ASCII characters other than #")
+    if _DOT_SEGMENT.search(path.partition("?")[0]):
+        raise malformed(f"{place}: the segments . and .. are not allowed")
+    return path
+
+
+def _job_id(header, field):
+    if header is not None and len(header) > 1 and header[0] == header[-1] == '"':
+        header = header[1:-1]
+    if header is not None and field is not None and header != field:
+        raise malformed(
+            f"$.id: {field!r} differs from the header Idempotency-Key, {header!r}"
+        )
+    if field is not None:
+        return _checked_id(field, "$.id")
+    if header is not None:
+        return _checked_id(header, "header Idempotency-Key")
+    return None
+
+
+def _checked_id(text, place):
+    if len(text) > MAX_ID_CHARS or not _ID.fullmatch(text):
+        raise malformed(
+            f"{place}: an identifier has 1 to {MAX_ID_CHARS} visible ASCII characters"
+        )
+    return text
+
+
+def _deadline_ms(value, kind, place):
+    if value is None:
+        return min(MAX_DEADLINE_MS, round(kind.deadline * 1000))
+    if not 1 <= value <= MAX_DEADLINE_MS:
+        raise RequestRefused(
+            ResultCode.DEADLINE_OUT_OF_RANGE,
+            f"{place}: 1 to {MAX_DEADLINE_MS} ms are allowed, got {value}",
+        )
+    return value
+
+
+def _submitted_at_ms(value, place):
+    if value is None:
+        return 0
+    if value < 1:
+        raise malformed(f"{place}: expected Unix milliseconds, got {value}")
+    if value > unix_ms() + MAX_CLOCK_LEAD_MS:
+        raise malformed(
+            f"{place}: more than {MAX_CLOCK_LEAD_MS} ms in the future by the clock of "
+            "the entry"
+        )
+    return value
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/http_server.py
@@ -0,0 +1,109 @@
+"""HTTP server of an entry: hypercorn's protocols on listeners that trio accepts on."""
+
+import socket
+from functools import partial
+
+import trio
+from hornbeamshore.base.logs import PartLogger
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.config import Config
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState
+
+# Callers keep their connections for as long as they have work; hypercorn's default of
+# 1,000 requests would close a busy one every few seconds.
+KEEP_ALIVE_MAX_REQUESTS = 2**31
+# Headers above this are refused by h11 and h2 before they are kept; those between it
+# and the setting max_header_bytes get an answer with a code.
+HARD_HEADER_BYTES = 64 * 1024
+MAX_STREAMS = 1_000
+BACKLOG = 1_024
+
+_log = PartLogger("entry")
+
+
+async def open_http_listeners(host, port):
+    """Return the listeners of an address; port 0 lets the system choose."""
+    return await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+
+
+async def serve_http(
+    app, listeners, cfg, stopping, task_status=trio.TASK_STATUS_IGNORED
+):
+    """Serve an ASGI application until a planned stop has ended.
+
+    Parameters
+    ----------
+    app : callable
+        ASGI application.
+    listeners : list of trio.SocketListener
+        Listeners; they are closed when the stop begins.
+    cfg : HttpSettings
+        Bounds.
+    stopping : trio.Event
+        Begins the stop: nothing new is accepted, idle connections are closed, and
+        requests in flight are answered within ``cfg.graceful_timeout``.
+    """
+    context = WorkerContext(None)
+    config = _hypercorn_config(cfg)
+    _bound_send_time(listeners, cfg.send_timeout)
+
+    async def handle(stream):
+        await _ConnectionServer(
+            ASGIWrapper(app), config, context, ConnectionState({}), stream
+        ).run()
+
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    handle,
+                    listeners,
+                    handler_nursery=connections,
+                )
+            )
+            task_status.started()
+            await stopping.wait()
+            accepting.cancel_scope.cancel()
+        for listener in listeners:
+            await listener.aclose()
+        await context.terminated.set()
+        connections.cancel_scope.deadline = trio.current_time() + cfg.graceful_timeout
+
+
+class _ConnectionServer(TCPServer):
+    """Server of one connection whose faults end that connection only.
+
+    Hypercorn 0.18 raises KeyError for data of an HTTP/2 stream that was answered
+    early; without this class the exception would end the whole process.
+    """
+
+    async def run(self):
+        try:
+            await super().run()
+        except* Exception as group:
+            _log.debug("connection closed after %r", group.exceptions[0])
+
+
+def _hypercorn_config(cfg):
+    config = Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.keep_alive_max_requests = KEEP_ALIVE_MAX_REQUESTS
+    config.keep_alive_timeout = cfg.idle_timeout
+    config.h11_max_incomplete_size = HARD_HEADER_BYTES
+    config.h2_max_header_list_size = HARD_HEADER_BYTES
+    config.h2_max_concurrent_streams = MAX_STREAMS
+    return config
+
+
+def _bound_send_time(listeners, send_timeout):
+    # Hypercorn shields its writes from cancellation, so only the system can end one
+    # towards a caller that reads nothing. Accepted sockets inherit the option.
+    for listener in listeners:
+        listener.socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(send_timeout * 1000)
+        )
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/service.py
@@ -0,0 +1,37 @@
+"""Interface between the HTTP front end and the code that routes submissions."""
+
+from abc import ABC, abstractmethod
+
+from hornbeamshore.base.types import JobAnswer, JobKey, JobRequest
+from hornbeamshore.config.model import Deployment
+
+
+class SubmissionService(ABC):
+    """What a front end needs from an entry; it knows nothing of HTTP."""
+
+    @abstractmethod
+    async def submit(self, request: JobRequest, timeout_s: float) -> JobAnswer:
+        """Return the whole answer to a submission within `timeout_s` seconds.
+
+        The front end runs this in a task that outlives the caller's connection.
+        """
+
+    @abstractmethod
+    async def query(self, key: JobKey, timeout_s: float) -> JobAnswer:
+        """Return the answer of an earlier submission within `timeout_s` seconds.
+
+        The code is `RUNNING` for a job that has not ended, `JOB_NOT_FOUND` for an
+        identifier without a record.
+        """
+
+    @abstractmethod
+    async def cancel(self, key: JobKey) -> JobAnswer:
+        """Cancel a job and return its answer; `CANCELLED` where that succeeded."""
+
+    @abstractmethod
+    def deployment(self) -> Deployment | None:
+        """Return the configuration in force, None before the first one is known."""
+
+    @abstractmethod
+    def status(self) -> dict:
+        """Return a report for operators; its key ``draining`` holds a bool."""
