--- a/packages/base/src/hornbeamshore/base/types.py
+++ b/packages/base/src/hornbeamshore/base/types.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import xxhash
+
 from hornbeamshore.base.codes import ResultCode, RunState
 
 MAX_TASKS_PER_JOB = 320
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -0,0 +1,218 @@
+"""Entry daemon: wiring of its parts, start and graceful shutdown."""
+
+import contextlib
+import signal
+from pathlib import Path
+
+import trio
+
+from hornbeamshore.base.clock import new_incarnation
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.config.replica import ConfigReplica
+from hornbeamshore.entry.front import Front
+from hornbeamshore.entry.handler import EntryHandler
+from hornbeamshore.entry.http_api import HttpApi
+from hornbeamshore.entry.http_server import open_http_listeners, serve_http
+from hornbeamshore.entry.http_settings import HttpSettings
+from hornbeamshore.entry.membership import OWNERS, EntryMembership
+from hornbeamshore.entry.metrics import EntryMetrics
+from hornbeamshore.entry.objectives import ObjectiveWindows
+from hornbeamshore.entry.observer import EntryObserver
+from hornbeamshore.entry.peers import PeerLinks
+from hornbeamshore.entry.state import EntryState
+from hornbeamshore.entry.table import decode_table
+from hornbeamshore.store.base import StoreError, deployment_key
+from hornbeamshore.store.etcd import EtcdStore
+from hornbeamshore.wire.connection import serve_connections
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import ProcessKind, TableEntry
+
+WATCH_RETRY_S = 1.0
+# Time for peers and agents to learn of a shutdown before connections close.
+FAREWELL_S = 0.2
+
+log = PartLogger("entry")
+
+
+class AddressInUse(Exception):  # noqa: N818
+    """A listen address of the settings is taken or not of this host."""
+
+
+class EntryDaemon:
+    """One entry process.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+        Settings of the process.
+
+    Attributes
+    ----------
+    http_address, peer_address : str
+        Bound addresses, once `run` has told that it started.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self.secret = Path(cfg.secret_file).read_bytes().strip()
+        self.http_address = self.peer_address = ""
+        self.entry = None
+        self._stopping = trio.Event()
+
+    def stop(self):
+        """Begin a graceful shutdown."""
+        self._stopping.set()
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until `stop`, then hand all partitions over and end.
+
+        Raises
+        ------
+        AddressInUse
+            If a listen address cannot be bound.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            http_listeners = await self._listen(stack, self.cfg.http_listen)
+            peer_listeners = await self._listen(stack, self.cfg.peer_listen)
+            self.http_address = _address(http_listeners, self.cfg.http_listen)
+            self.peer_address = self.cfg.peer_address or _address(
+                peer_listeners, self.cfg.peer_listen
+            )
+            store = EtcdStore(self.cfg.store)
+            stack.push_async_callback(store.aclose)
+            nursery = await stack.enter_async_context(trio.open_nursery())
+            self._build(nursery, store)
+            self._start(nursery, store, http_listeners, peer_listeners)
+            task_status.started(self)
+            log.info("Serving callers at %s.", self.http_address)
+            await self._stopping.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+
+    async def _listen(self, stack, address):
+        host, _, port = address.rpartition(":")
+        try:
+            listeners = await open_http_listeners(host, int(port))
+        except OSError as exc:
+            raise AddressInUse(f"{address}: {exc}") from exc
+        for listener in listeners:
+            await stack.enter_async_context(listener)
+        return listeners
+
+    def _build(self, nursery, store):
+        cfg = self.cfg
+        identity = Identity(
+            cfg.deployment,
+            ProcessKind.ENTRY,
+            cfg.entry_id,
+            new_incarnation(),
+            cfg.data_centre,
+            cfg.rack,
+            self.peer_address,
+        )
+        self.replica = ConfigReplica(cfg.deployment)
+        self.objectives = ObjectiveWindows()
+        metrics = EntryMetrics()
+        self.entry = EntryState(cfg, identity, self.replica, metrics, self.objectives)
+        self.handler = EntryHandler(self.entry, nursery)
+        self.entry.peers = PeerLinks(identity, self.secret, cfg.wire, self.handler)
+        me = TableEntry(
+            cfg.entry_id,
+            identity.incarnation,
+            self.peer_address,
+            cfg.data_centre,
+            cfg.rack,
+        )
+        self.entry.membership = EntryMembership(store, cfg, me, self.entry.take_table)
+        observer = EntryObserver(self.entry)
+        self.front = Front(self.entry)
+        http_cfg = HttpSettings(graceful_timeout=cfg.drain_timeout)
+        self.api = HttpApi(self.front, nursery, observer, http_cfg)
+        self._http_cfg = http_cfg
+
+    def _start(self, nursery, store, http_listeners, peer_listeners):
+        entry = self.entry
+        nursery.start_soon(
+            serve_connections,
+            peer_listeners,
+            entry.identity,
+            self.secret,
+            self.cfg.wire,
+            self.handler,
+        )
+        nursery.start_soon(entry.membership.run)
+        nursery.start_soon(self.replica.watch_store, store)
+        nursery.start_soon(self._watch_table, store)
+        nursery.start_soon(
+            entry.peers.keep_dialing, nursery, self._addresses, entry.table_changed
+        )
+        nursery.start_soon(entry.run_owners, nursery)
+        nursery.start_soon(
+            serve_http, self.api, http_listeners, self._http_cfg, self._stopping
+        )
+
+    def _addresses(self):
+        others = [
+            item.address
+            for item in self.entry.table.entries
+            if item.entry_id != self.cfg.entry_id
+        ]
+        return {*others, *self.cfg.seeds} - {self.peer_address}
+
+    async def _watch_table(self, store):
+        """Take each owner table that the store holds, until cancelled."""
+        key = deployment_key(self.cfg.deployment, OWNERS)
+        async with store.watch(key) as watch:
+            while True:
+                try:
+                    async for change in watch:
+                        if change.item is not None:
+                            self.entry.take_table(decode_table(change.item.value))
+                except StoreError as exc:
+                    log.debug("Watch of the owner table: %s", exc)
+                    await trio.sleep(WATCH_RETRY_S)
+
+    async def _drain(self):
+        """Hand the partitions over, answer what is in flight, leave the table."""
+        log.info("Draining.")
+        self.entry.leaving = True
+        for conn in self.entry.peers.all():
+            conn.try_send(self.handler.heartbeat())
+        for owner in self.entry.owners.values():
+            owner.resign()
+        if not await self.entry.wait_idle(self.cfg.drain_timeout):
+            log.warning("Requests were still in flight at the end of the drain.")
+        with trio.move_on_after(self.cfg.wire.dead_after):
+            await self.entry.membership.leave()
+        await trio.sleep(FAREWELL_S)
+        log.info("Stopped.")
+
+
+async def run_until_signal(daemon, announce):
+    """Run a daemon until SIGTERM or SIGINT; a second signal ends it at once.
+
+    Parameters
+    ----------
+    announce : callable
+        Called once the daemon serves.
+    """
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+
+            async def start(task_status=trio.TASK_STATUS_IGNORED):
+                await daemon.run(task_status)
+                nursery.cancel_scope.cancel()
+
+            await nursery.start(start)
+            announce(daemon)
+            async for _ in signals:
+                daemon.stop()
+                break
+            async for _ in signals:
+                log.warning("Ended by a second signal.")
+                nursery.cancel_scope.cancel()
+
+
+def _address(listeners, configured):
+    host = configured.rpartition(":")[0]
+    return f"{host}:{listeners[0].socket.getsockname()[1]}"
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -0,0 +1,650 @@
+"""Dispatcher of one partition: job records, the queue and the starts on agents.
+
+All decisions are made by one entry at a time, the partition's active owner. The
+methods are called by the connection tasks and do not block; `run` sends what the
+scheduler decides after each event.
+"""
+
+import heapq
+import itertools
+from dataclasses import dataclass, replace
+
+import trio
+
+from hornbeamshore.base.clock import unix_ms
+from hornbeamshore.base.codes import ResultCode, RunState, refuse
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.types import JobAnswer, TaskResult
+from hornbeamshore.entry.jobs import (
+    Job,
+    JobBook,
+    TaskEntry,
+    TaskPhase,
+    start_records,
+)
+from hornbeamshore.policy.scheduler import (
+    JobLoad,
+    Outcome,
+    QueuedTask,
+    Scheduler,
+    TargetInfo,
+)
+from hornbeamshore.wire.messages import (
+    Acknowledge,
+    CancelTasks,
+    RecordState,
+    Start,
+    TaskRef,
+)
+
+MAX_RESULT_BYTES = 64 * 1024 * 1024
+# A start is acted on at once; an older one was held up and has lost its use. The
+# time leaves room for clocks that differ.
+START_VALID_MS = 5000
+# Refusals by agents are rare; a task that meets this many has no fitting target.
+MAX_REQUEUES_PER_TASK = 8
+EXPIRE_EVERY_S = 5.0
+# How long after a deadline the owner waits for the agent's own timeout report.
+DEADLINE_GRACE_S = 0.25
+
+log = PartLogger("owner")
+
+
+@dataclass(frozen=True, slots=True)
+class Tenure:
+    """How an entry came to own a partition.
+
+    Attributes
+    ----------
+    epoch : int
+        Packed epoch.
+    since_ms : int
+        Unix time of the takeover.
+    complete : bool
+        Whether the start records of all earlier owners are known.
+    """
+
+    epoch: int
+    since_ms: int
+    complete: bool
+
+
+class Dispatcher:
+    """Places the work of one partition on its agents.
+
+    Parameters
+    ----------
+    partition : Partition
+        Share of the service's keys and agents.
+    cfg : EntrySettings
+        Of this process.
+    deployment : Deployment
+        Configuration in force.
+    metrics : EntryMetrics
+        Where events are counted.
+    """
+
+    def __init__(self, partition, cfg, deployment, metrics):
+        self.partition = partition
+        self.cfg = cfg
+        self.metrics = metrics
+        policy = replace(cfg.policy, data_centre=cfg.data_centre)
+        self.scheduler = Scheduler(policy)
+        self.book = JobBook(deployment.retention, MAX_RESULT_BYTES)
+        self.tenure = None
+        self._links = {}
+        self._retries = []
+        self._retry_ids = itertools.count()
+        self._deadlines = []
+        self._cancels = {}
+        self._acknowledgements = {}
+        self._wake = trio.Event()
+        self.configure(deployment)
+
+    @property
+    def is_active(self):
+        """Return whether this entry may accept and start work now."""
+        return self.tenure is not None
+
+    def configure(self, deployment):
+        """Take a configuration that is in force."""
+        self.deployment = deployment
+        self.book.retention_s = deployment.retention
+        self.scheduler.configure(deployment, self.partition.service)
+        self.wake()
+
+    def activate(self, tenure):
+        """Begin, or go on, to accept and start work at an epoch."""
+        self.tenure = tenure
+        self.wake()
+
+    def take_over(self, records):
+        """Take the job records that a leaving owner handed over."""
+        for record in records:
+            job = self.book.get(record.key)
+            if job is None:
+                job = Job(record.key, None, record.accepted_at_ms, float("inf"))
+                self.book.add(job)
+            if job.request is None and record.request is not None:
+                job.request = record.request
+                job.deadline = _deadline_of_record(record)
+            for task in record.tasks:
+                self._take_over_task(job, task)
+            if record.answer is not None and job.is_open:
+                self._end(job, record.answer)
+
+    def _take_over_task(self, job, task):
+        if task.state == RecordState.QUEUED:
+            entry = TaskEntry(TaskPhase.QUEUED, task.attempt, task.agent_id)
+            job.tasks.setdefault(task.index, entry)
+        else:
+            self._merge_record(job, task.agent_id, task)
+
+    def resume_queued(self):
+        """Queue the tasks that a leaving owner handed over unstarted."""
+        for job in self.book.open_jobs():
+            if job.request is None:
+                continue
+            waiting = [
+                index
+                for index in range(len(job.request.tasks))
+                if index not in job.tasks or job.tasks[index].phase is TaskPhase.QUEUED
+            ]
+            self._enqueue(job, waiting)
+            self._end_if_complete(job)
+
+    def deactivate(self):
+        """Stop accepting and starting; return the answer for open submissions.
+
+        Fronts take `NOT_OWNER` as the order to submit again to the new owner.
+        """
+        self.tenure = None
+        for agent_id in list(self._links):
+            self.agent_gone(agent_id)
+        for job in self.book.drop_open():
+            self.scheduler.cancel(job.key)
+            for reply in job.waiters:
+                reply(JobAnswer.refused(job.key, refuse(ResultCode.NOT_OWNER)))
+
+    def suspend(self):
+        """Accept and start nothing more, and return the tenure that was in force."""
+        tenure, self.tenure = self.tenure, None
+        return tenure
+
+    def uses(self, agent_id):
+        """Return whether work may be placed on an agent."""
+        return agent_id in self._links
+
+    def wake(self):
+        """Let `run` look for something to do."""
+        self._wake.set()
+
+    # Agents
+
+    def agent_ready(self, link):
+        """Take an agent that granted the epoch and is in the committed roster."""
+        self._links[link.agent_id] = link
+        self.scheduler.add_target(
+            TargetInfo(
+                agent_id=link.agent_id,
+                data_centre=link.data_centre,
+                rack=link.rack,
+                slots=link.slots,
+                labels=link.labels,
+            )
+        )
+        for job in self.book:
+            for index, entry in job.running():
+                if entry.agent_id == link.agent_id:
+                    self._adopt(job, index, entry)
+        self.wake()
+
+    def agent_leaving(self, agent_id):
+        """Give an agent no more work."""
+        if agent_id in self._links:
+            self.scheduler.set_draining(agent_id)
+
+    def agent_gone(self, agent_id):
+        """Stop using an agent whose connection ended; its tasks stay open."""
+        if self._links.pop(agent_id, None) is not None:
+            self.scheduler.remove_target(agent_id)
+
+    def agent_lost(self, agent_id):
+        """End the tasks of an agent that is not expected to come back."""
+        self.agent_gone(agent_id)
+        for job in list(self.book):
+            for index, entry in job.running():
+                if entry.agent_id == agent_id:
+                    self._end_lost(job, index, entry)
+
+    def records_of(self, agent_id):
+        """Return the start records that an agent is known to hold."""
+        return tuple(
+            record for job in self.book for record in start_records(job, agent_id)
+        )
+
+    def running_on(self, agent_id):
+        """Return references to the tasks that are believed to run on an agent."""
+        return tuple(
+            TaskRef(job.key, index, entry.attempt)
+            for job in self.book
+            for index, entry in job.running()
+            if entry.agent_id == agent_id
+        )
+
+    def merge_records(self, agent_id, records):
+        """Take start records of an agent into the book.
+
+        Records of keys that are not in the book become jobs without a request;
+        the caller's resubmission completes them.
+        """
+        for record in records:
+            job = self.book.get(record.key)
+            if job is None:
+                job = Job(record.key, None, record.started_at_ms, float("inf"))
+                self.book.add(job)
+            self._merge_record(job, record.agent_id or agent_id, record)
+
+    def _merge_record(self, job, agent_id, record):
+        known = job.tasks.get(record.index)
+        if record.state == RecordState.REFUSED or not job.is_open:
+            return
+        if known is not None and known.attempt > record.attempt:
+            return
+        if known is not None and known.phase is TaskPhase.ENDED:
+            return
+        entry = TaskEntry(
+            TaskPhase.RUNNING,
+            record.attempt,
+            agent_id,
+            record.started_at_ms,
+            may_have_run=True,
+        )
+        if known is None or known.attempt < record.attempt:
+            job.tasks[record.index] = entry
+        if record.state == RecordState.ENDED and record.result is not None:
+            self._apply_result(job, record.index, entry, record.result)
+
+    def _adopt(self, job, index, entry):
+        task = self._queued_task(job, index, entry.attempt)
+        self.scheduler.adopt(entry.agent_id, task, trio.current_time())
+
+    def never_received(self, agent_id, ref):
+        """Place a task again whose start did not reach its agent and never will."""
+        job = self.book.get(ref.key)
+        entry = job.tasks.get(ref.index) if job is not None else None
+        if entry is None or entry.phase is not TaskPhase.RUNNING:
+            return
+        if (entry.agent_id, entry.attempt) == (agent_id, ref.attempt):
+            self._apply_result(job, ref.index, entry, _not_sent(ref))
+
+    # Submissions
+
+    def submit(self, req, reply):
+        """Accept, join or refuse a submission; `reply` gets its whole answer."""
+        if not self.is_active:
+            reply(JobAnswer.refused(req.key, refuse(ResultCode.NOT_OWNER)))
+            return
+        job = self.book.get(req.key)
+        if job is not None:
+            self._join(job, req, reply)
+            return
+        refusal = self._check_unfamiliar(req) or self._admit(req)
+        if refusal is not None:
+            self.metrics.refused(self.partition.service, req.kind, refusal.code)
+            reply(JobAnswer.refused(req.key, refusal))
+            return
+        job = Job(req.key, req, unix_ms(), self._deadline_of(req))
+        job.waiters.append(reply)
+        self.book.add(job)
+        self._enqueue(job, range(len(req.tasks)))
+
+    def query(self, key, reply, *, wait):
+        """Answer with a job's answer, at its end if `wait`, or with code 107."""
+        job = self.book.get(key)
+        if job is None or not self.is_active:
+            code = ResultCode.JOB_NOT_FOUND if self.is_active else ResultCode.NOT_OWNER
+            reply(JobAnswer.refused(key, refuse(code)))
+        elif job.answer is not None:
+            reply(job.answer)
+        elif wait:
+            job.waiters.append(reply)
+        else:
+            reply(JobAnswer.refused(key, refuse(ResultCode.RUNNING)))
+
+    def cancel(self, key, reply):
+        """End a job as cancelled and answer with its final answer."""
+        job = self.book.get(key)
+        if job is not None and job.is_open and job.request is not None:
+            self._fail(job, ResultCode.CANCELLED, "The caller cancelled the job.")
+        self.query(key, reply, wait=True)
+
+    def _join(self, job, req, reply):
+        if job.request is None:
+            self._resume(job, req)
+        if job.request.fingerprint != req.fingerprint:
+            detail = f"{req.key.job_id}: submitted before with other content"
+            refusal = refuse(ResultCode.KEY_REUSED, detail)
+            reply(JobAnswer.refused(req.key, refusal))
+        elif job.answer is not None:
+            reply(job.answer)
+        else:
+            job.waiters.append(reply)
+
+    def _resume(self, job, req):
+        """Go on with a job that an earlier owner accepted."""
+        job.request = req
+        job.deadline = self._deadline_of(req)
+        failed = self._first_failure(job)
+        missing = [index for index in range(len(req.tasks)) if index not in job.tasks]
+        if failed is not None:
+            self._fail(job, ResultCode(failed.code), failed.detail)
+        elif missing and not self.tenure.complete:
+            detail = "Tasks of the job may run on an agent that cannot be reached."
+            self._fail(job, ResultCode.OUTCOME_UNKNOWN, detail)
+        else:
+            self._enqueue(job, missing)
+            self._end_if_complete(job)
+
+    def _first_failure(self, job):
+        for entry in job.tasks.values():
+            if entry.result is not None and not entry.result.ok:
+                return entry.result
+        return None
+
+    def _check_unfamiliar(self, req):
+        """Return why a key without a record cannot be taken as new, or None."""
+        now_ms = unix_ms()
+        submitted = req.submitted_at_ms
+        margin_ms = self.cfg.ownership.clock_margin * 1000
+        if submitted and submitted > now_ms + margin_ms:
+            detail = "submitted_at is in the future"
+            return refuse(ResultCode.MALFORMED_REQUEST, detail)
+        if submitted and now_ms - submitted > self.book.retention_s * 1000 - margin_ms:
+            return refuse(ResultCode.KEY_EXPIRED)
+        if self.tenure.complete or submitted >= self.tenure.since_ms + margin_ms:
+            return None
+        return refuse(ResultCode.KEY_UNACCOUNTED, retry_after_s=1.0)
+
+    def _admit(self, req):
+        load = JobLoad(
+            key=req.key,
+            team=req.key.team,
+            kind=req.kind,
+            task_count=len(req.tasks),
+            timeout_s=req.timeout_ms / 1000,
+        )
+        return self.scheduler.admit(load, trio.current_time())
+
+    def _deadline_of(self, req):
+        return trio.current_time() + req.timeout_ms / 1000
+
+    def _enqueue(self, job, indexes):
+        for index in indexes:
+            known = job.tasks.get(index, TaskEntry(TaskPhase.QUEUED))
+            job.tasks[index] = known.queued()
+        tasks = [
+            self._queued_task(job, index, job.tasks[index].attempt + 1)
+            for index in indexes
+        ]
+        self.scheduler.enqueue(tasks, trio.current_time())
+        heapq.heappush(self._deadlines, (job.deadline, next(self._retry_ids), job.key))
+        self.wake()
+
+    def _queued_task(self, job, index, attempt):
+        kind = job.request.kind if job.request is not None else ""
+        return QueuedTask(
+            key=job.key,
+            index=index,
+            attempt=attempt,
+            team=job.key.team,
+            kind=kind,
+            deadline=job.deadline,
+        )
+
+    # Results
+
+    def task_done(self, agent_id, body):
+        """Take the outcome that an agent reports for one attempt of a task."""
+        job = self.book.get(body.key)
+        result = body.result
+        entry = job.tasks.get(result.index) if job is not None else None
+        if entry is None or entry.attempt != result.attempt:
+            self.metrics.wasted_message("late answer")
+            self._acknowledge(agent_id, TaskRef(body.key, result.index, result.attempt))
+        elif entry.phase is TaskPhase.RUNNING:
+            self._apply_result(job, result.index, entry, result)
+        self.wake()
+
+    def _apply_result(self, job, index, entry, result):
+        self._tell_scheduler(job, index, entry, result)
+        if result.code == ResultCode.DUPLICATE_START:
+            result = _of_unknown_copy(result)
+        job.tasks[index] = entry.ended(result)
+        if result.run_state == RunState.NOT_RUN:
+            self.metrics.wasted_message("refusal")
+            if job.is_open and result.code != ResultCode.CANCELLED:
+                self._place_again(job, index, result)
+            return
+        job.unacknowledged.append(
+            (entry.agent_id, TaskRef(job.key, index, entry.attempt))
+        )
+        if not job.is_open:
+            self._acknowledge_job(job)
+        elif result.ok:
+            self._end_if_complete(job)
+        elif not self._retry(job, index, result):
+            detail = f"task {index}: {result.detail or ResultCode(result.code).name}"
+            self._fail(job, ResultCode(result.code), detail)
+
+    def _tell_scheduler(self, job, index, entry, result):
+        task = self._queued_task(job, index, entry.attempt)
+        outcome = _OUTCOMES.get(result.code, Outcome.FAILED)
+        run_time_s = result.run_time_us / 1e6
+        now = trio.current_time()
+        self.scheduler.ended(entry.agent_id, task, outcome, run_time_s, now)
+
+    def _place_again(self, job, index, result):
+        job.requeues += 1
+        if job.request is None:
+            return
+        if job.requeues > MAX_REQUEUES_PER_TASK * len(job.request.tasks):
+            self._fail(job, ResultCode(result.code), result.detail)
+        else:
+            self._enqueue(job, [index])
+
+    def _retry(self, job, index, result):
+        """Schedule another attempt of a single repeatable request, if allowed."""
+        if job.request is None or not job.request.single:
+            return False
+        service = self.deployment.services.get(self.partition.service)
+        kind = service.kinds.get(job.request.kind) if service is not None else None
+        entry = job.tasks[index]
+        if kind is None or not kind.repeatable:
+            return False
+        if entry.attempt >= service.retry.max_attempts:
+            return False
+        now = trio.current_time()
+        if not self.scheduler.may_retry(now):
+            return False
+        due = now + self.scheduler.retry_delay(entry.attempt)
+        if due >= job.deadline:
+            return False
+        job.tasks[index] = entry.queued()
+        heapq.heappush(self._retries, (due, next(self._retry_ids), job.key, index))
+        self.metrics.retried(self.partition.service, job.request.kind)
+        return True
+
+    def _end_lost(self, job, index, entry):
+        result = TaskResult(
+            index,
+            entry.attempt,
+            int(ResultCode.OUTCOME_UNKNOWN),
+            int(RunState.UNKNOWN),
+            detail=f"agent {entry.agent_id} was lost",
+        )
+        self._apply_result(job, index, entry, result)
+        self.wake()
+
+    def _end_if_complete(self, job):
+        if job.is_open and job.is_complete():
+            self._end(job, job.complete_answer())
+
+    def _fail(self, job, code, detail):
+        """End a job as failed, and cancel what is left of it."""
+        if not job.is_open:
+            return
+        for task in self.scheduler.cancel(job.key):
+            entry = job.tasks[task.index]
+            job.tasks[task.index] = replace(entry, phase=TaskPhase.ENDED)
+        run_state = job.run_state()
+        for index, entry in job.running():
+            ref = TaskRef(job.key, index, entry.attempt)
+            self._cancels.setdefault(entry.agent_id, []).append(ref)
+        refusal = refuse(code, detail, run_state=run_state)
+        self._end(job, JobAnswer.refused(job.key, refusal))
+
+    def _end(self, job, answer):
+        job.end(answer, unix_ms())
+        self.book.note_ended(job)
+        self._acknowledge_job(job)
+        if job.request is not None:
+            self.metrics.job_ended(
+                self.partition.service, job.request.kind, ResultCode(answer.code)
+            )
+        self.wake()
+
+    def _acknowledge_job(self, job):
+        for agent_id, ref in job.unacknowledged:
+            self._acknowledge(agent_id, ref)
+        job.unacknowledged.clear()
+
+    def _acknowledge(self, agent_id, ref):
+        self._acknowledgements.setdefault(agent_id, []).append(ref)
+        self.wake()
+
+    # The task of the dispatcher
+
+    async def run(self):
+        """Act on events until cancelled: expire, place, start, cancel."""
+        expire_at = trio.current_time() + EXPIRE_EVERY_S
+        while True:
+            now = trio.current_time()
+            if self.is_active:
+                self._act(now)
+            if now >= expire_at:
+                self.book.expire(unix_ms())
+                expire_at = now + EXPIRE_EVERY_S
+            with trio.move_on_at(min(self._next_wakeup(now), expire_at)):
+                await self._wake.wait()
+            self._wake = trio.Event()
+
+    def _act(self, now):
+        self._enqueue_due_retries(now)
+        self._end_expired(now)
+        for assignment in self.scheduler.assign(now):
+            self._start(assignment)
+        self._flush_messages()
+
+    def _next_wakeup(self, now):
+        times = [now + EXPIRE_EVERY_S]
+        if self._retries:
+            times.append(self._retries[0][0])
+        if self._deadlines:
+            times.append(self._deadlines[0][0] + DEADLINE_GRACE_S)
+        scheduled = self.scheduler.next_wakeup(now)
+        if scheduled is not None:
+            times.append(scheduled)
+        return min(times)
+
+    def _enqueue_due_retries(self, now):
+        while self._retries and self._retries[0][0] <= now:
+            _, _, key, index = heapq.heappop(self._retries)
+            job = self.book.get(key)
+            if job is not None and job.is_open:
+                self._enqueue(job, [index])
+
+    def _end_expired(self, now):
+        self.scheduler.expire(now)
+        while self._deadlines and self._deadlines[0][0] + DEADLINE_GRACE_S <= now:
+            _, _, key = heapq.heappop(self._deadlines)
+            job = self.book.get(key)
+            if job is not None and job.is_open and job.deadline <= now:
+                detail = "The job did not end before its deadline."
+                self._fail(job, ResultCode.DEADLINE_EXCEEDED, detail)
+
+    def _start(self, assignment):
+        task, agent_id = assignment.task, assignment.agent_id
+        job = self.book.get(task.key)
+        now_ms = unix_ms()
+        entry = job.tasks[task.index].started(task.attempt, agent_id, now_ms)
+        job.tasks[task.index] = entry
+        left_ms = max(1, round((job.deadline - trio.current_time()) * 1000))
+        start = Start(
+            partition=str(self.partition),
+            epoch=self.tenure.epoch,
+            key=job.key,
+            index=task.index,
+            attempt=task.attempt,
+            kind=job.request.kind,
+            spec=job.request.tasks[task.index],
+            expires_at_ms=now_ms + min(left_ms, START_VALID_MS),
+            timeout_ms=left_ms,
+        )
+        self.metrics.started(self.partition.service, job.request.kind)
+        if not self._links[agent_id].conn.try_send(start):
+            self._apply_result(job, task.index, entry, _not_sent(task))
+
+    def _flush_messages(self):
+        cancels, self._cancels = self._cancels, {}
+        acknowledgements, self._acknowledgements = self._acknowledgements, {}
+        for agent_id, refs in cancels.items():
+            self._send(
+                agent_id,
+                CancelTasks(str(self.partition), self.tenure.epoch, tuple(refs)),
+            )
+        for agent_id, refs in acknowledgements.items():
+            self._send(agent_id, Acknowledge(str(self.partition), tuple(refs)))
+
+    def _send(self, agent_id, body):
+        link = self._links.get(agent_id)
+        if link is not None:
+            link.conn.try_send(body)
+
+
+def _deadline_of_record(record):
+    left_ms = record.accepted_at_ms + record.request.timeout_ms - unix_ms()
+    return trio.current_time() + left_ms / 1000
+
+
+def _of_unknown_copy(result):
+    # The refused copy did not run, but the agent has a record of another one.
+    return replace(
+        result,
+        code=int(ResultCode.OUTCOME_UNKNOWN),
+        run_state=int(RunState.UNKNOWN),
+        detail="The agent holds a record of another start of this task.",
+    )
+
+
+def _not_sent(task):
+    """Return the result of an attempt whose start did not reach the agent."""
+    return TaskResult(
+        task.index,
+        task.attempt,
+        int(ResultCode.NO_FREE_SLOT),
+        int(RunState.NOT_RUN),
+        detail="The start did not reach the agent.",
+    )
+
+
+_OUTCOMES = {
+    ResultCode.OK: Outcome.OK,
+    ResultCode.CANCELLED: Outcome.CANCELLED,
+    ResultCode.OUTCOME_UNKNOWN: Outcome.LOST,
+    ResultCode.STALE_EPOCH: Outcome.REFUSED,
+    ResultCode.AGENT_LEAVING: Outcome.REFUSED,
+    ResultCode.NO_FREE_SLOT: Outcome.REFUSED,
+    ResultCode.DUPLICATE_START: Outcome.REFUSED,
+    ResultCode.START_EXPIRED: Outcome.REFUSED,
+}
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/front.py
@@ -0,0 +1,111 @@
+"""Routing of submissions from the front end to the owners of their partitions."""
+
+from dataclasses import replace
+
+import trio
+
+from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.types import JobAnswer, partition_of
+from hornbeamshore.entry.service import SubmissionService
+from hornbeamshore.wire.connection import CallTimeout, ConnectionLost
+from hornbeamshore.wire.messages import JobCancel, JobQuery, Submit
+
+# The owner answers by the deadline; this is for its last message to arrive.
+ANSWER_GRACE_S = 0.75
+RETRY_AFTER_S = 1.0
+
+log = PartLogger("entry")
+
+
+class Front(SubmissionService):
+    """Sends each submission to the owner of its partition, again after a change.
+
+    Owners deduplicate by key, so that a submission whose answer was lost can be
+    sent again without running twice.
+
+    Parameters
+    ----------
+    entry : EntryState
+        Shared state of the process.
+    """
+
+    def __init__(self, entry):
+        self._entry = entry
+
+    def deployment(self):
+        """Return the configuration in force, or None."""
+        return self._entry.deployment()
+
+    def status(self):
+        """Return the report of this process."""
+        return self._entry.status()
+
+    async def submit(self, request, timeout_s):
+        """Return the whole answer to a submission."""
+        due = trio.current_time() + timeout_s
+
+        def body():
+            left_ms = max(1, round((due - trio.current_time()) * 1000))
+            return Submit(
+                replace(request, timeout_ms=left_ms), self._entry.table.version
+            )
+
+        with self._entry.submission_in_flight():
+            return await self._ask_owner(request.key, body, due + ANSWER_GRACE_S)
+
+    async def query(self, key, timeout_s):
+        """Return the answer of an earlier submission, or code RUNNING or 107."""
+        due = trio.current_time() + timeout_s
+        return await self._ask_owner(key, lambda: JobQuery(key), due)
+
+    async def cancel(self, key):
+        """Cancel a job and return its final answer."""
+        due = trio.current_time() + RETRY_AFTER_S
+        return await self._ask_owner(key, lambda: JobCancel(key), due)
+
+    async def _ask_owner(self, key, make_body, due):
+        service = self._entry.deployment().services.get(key.service)
+        if service is None:
+            return JobAnswer.refused(key, refuse(ResultCode.UNKNOWN_SERVICE))
+        partition = partition_of(key, service.partitions)
+        while trio.current_time() < due:
+            seen = self._entry.owner_of(partition)
+            if seen is not None:
+                answer = await self._ask(seen.entry_id, partition, make_body(), due)
+                if answer is not None:
+                    return answer
+            await self._wait_for_other_owner(partition, seen, due)
+        refusal = refuse(ResultCode.OWNER_UNREACHABLE, retry_after_s=RETRY_AFTER_S)
+        return JobAnswer.refused(key, refusal)
+
+    async def _ask(self, entry_id, partition, body, due):
+        """Return the owner's answer, or None if another owner must be asked."""
+        timeout_s = due - trio.current_time()
+        try:
+            if entry_id == self._entry.entry_id:
+                answer = await self._ask_self(partition, body, timeout_s)
+            else:
+                conn = self._entry.peers.get(entry_id)
+                if conn is None:
+                    return None
+                answer = (await conn.call(body, timeout_s)).answer
+        except (ConnectionLost, CallTimeout) as exc:
+            log.info("Owner %s of %s: %s", entry_id, partition, exc)
+            return None
+        return None if answer.code == ResultCode.NOT_OWNER else answer
+
+    async def _ask_self(self, partition, body, timeout_s):
+        send, receive = trio.open_memory_channel(1)
+        self._entry.serve_owner_call(partition, body, send.send_nowait)
+        with trio.move_on_after(timeout_s):
+            return await receive.receive()
+        raise CallTimeout(f"{partition}: no answer in {timeout_s} s")
+
+    async def _wait_for_other_owner(self, partition, seen, due):
+        """Return when another owner may be known, or after a short pause."""
+        left = due - trio.current_time()
+        await self._entry.owners_changed.wait_until(
+            lambda: self._entry.owner_of(partition) not in (None, seen),
+            min(left, 0.1),
+        )
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -0,0 +1,223 @@
+"""What an entry does with the messages of agents, other entries and operators."""
+
+import json
+
+from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.types import JobAnswer, Partition
+from hornbeamshore.entry.agents import link_of
+from hornbeamshore.wire.connection import MessageHandler
+from hornbeamshore.wire.messages import (
+    Announce,
+    ConfigPull,
+    ConfigUpdate,
+    CopyRecordsReply,
+    Handover,
+    HandoverReply,
+    Heartbeat,
+    JobCancel,
+    JobQuery,
+    Leave,
+    LeaveReply,
+    OwnerNotice,
+    ProcessKind,
+    RosterUpdate,
+    StatusQuery,
+    StatusReply,
+    Submit,
+    SubmitReply,
+    TableUpdate,
+    TaskDone,
+)
+
+log = PartLogger("entry")
+
+
+class EntryHandler(MessageHandler):
+    """Hooks of all connections of an entry.
+
+    Parameters
+    ----------
+    entry : EntryState
+        Shared state of the process.
+    nursery : trio.Nursery
+        Owner of the few replies that take time.
+    """
+
+    def __init__(self, entry, nursery):
+        self._entry = entry
+        self._nursery = nursery
+        self._actions = {
+            Announce: self._announced,
+            TaskDone: self._task_done,
+            Leave: self._agent_leaves,
+            Heartbeat: self._heartbeat,
+            TableUpdate: self._table_update,
+            OwnerNotice: self._owner_notice,
+            ConfigPull: self._config_pull,
+            ConfigUpdate: self._config_update,
+            Submit: self._owner_call,
+            JobQuery: self._owner_call,
+            JobCancel: self._owner_call,
+            Handover: self._handover,
+            RosterUpdate: self._roster_update,
+            StatusQuery: self._status,
+        }
+
+    def opened(self, conn):
+        """Tell a new peer what it may lack."""
+        if conn.peer.kind == ProcessKind.ENTRY:
+            self._entry.peers.opened(conn)
+            for notice in self._entry.own_notices():
+                conn.try_send(notice)
+            self._entry.notify_owners()
+        if self._entry.table.version and conn.peer.kind != ProcessKind.OPERATOR:
+            conn.try_send(TableUpdate(self._entry.table))
+        conn.try_send(self.heartbeat())
+
+    def closed(self, conn):
+        """Forget a connection that ended."""
+        if conn.peer.kind == ProcessKind.ENTRY:
+            self._entry.peers.closed(conn)
+            self._entry.notify_owners()
+        elif conn.peer.kind == ProcessKind.AGENT:
+            self._entry.agents.closed(conn)
+        self._entry.metrics.connection_closed(conn)
+
+    def heartbeat(self):
+        """Return the revisions that this entry has in force."""
+        return Heartbeat(
+            config_revision=self._entry.replica.revision,
+            table_version=self._entry.table.version,
+            leaving=self._entry.leaving,
+        )
+
+    def handle(self, conn, message):
+        """Act on a message; one that this kind of peer may not send ends it."""
+        action = self._actions.get(type(message.body))
+        if action is None or not _may_send(conn.peer.kind, message.body):
+            log.warning(
+                "%s sent an unexpected %s.",
+                conn.peer.process_id,
+                type(message.body).__name__,
+            )
+            conn.close()
+            return
+        action(conn, message)
+
+    # Agents
+
+    def _announced(self, conn, message):
+        self._entry.agents.announced(link_of(conn, message.body))
+
+    def _task_done(self, conn, message):
+        owner = self._owner(message.body.partition)
+        if owner is not None:
+            owner.dispatcher.task_done(conn.peer.process_id, message.body)
+
+    def _agent_leaves(self, conn, message):
+        self._nursery.start_soon(self._keep_leaving_records, conn, message)
+
+    async def _keep_leaving_records(self, conn, message):
+        link = self._entry.agents.get(conn.peer.process_id)
+        kept = False
+        for owner in list(self._entry.owners.values()):
+            if link is not None and link in self._entry.links_of(owner.partition):
+                kept = await owner.agent_left(link, message.body.records) or kept
+        code = ResultCode.OK if kept else ResultCode.NOT_OWNER
+        conn.try_send(LeaveReply(int(code)), message.id)
+
+    # Entries
+
+    def _heartbeat(self, conn, message):
+        beat, entry = message.body, self._entry
+        if conn.peer.kind == ProcessKind.ENTRY and beat.leaving:
+            entry.peers.mark_leaving(conn.peer.process_id)
+            entry.notify_owners()
+        if beat.config_revision > entry.replica.revision:
+            conn.try_send(ConfigPull(entry.replica.revision))
+        if beat.table_version < entry.table.version:
+            conn.try_send(TableUpdate(entry.table))
+
+    def _table_update(self, conn, message):
+        self._entry.take_table(message.body.table)
+
+    def _owner_notice(self, conn, message):
+        self._entry.take_notice(message.body)
+
+    def _config_pull(self, conn, message):
+        replica = self._entry.replica
+        if replica.revision > message.body.known_revision:
+            conn.try_send(ConfigUpdate(replica.revision, replica.content))
+
+    def _config_update(self, conn, message):
+        self._entry.replica.offer(message.body.revision, message.body.content)
+
+    def _owner_call(self, conn, message):
+        body = message.body
+        key = body.request.key if isinstance(body, Submit) else body.key
+        partition = self._entry.partition_of_key(key)
+
+        def reply(answer):
+            conn.try_send(SubmitReply(answer), message.id)
+
+        if partition is None:
+            reply(JobAnswer.refused(key, refuse(ResultCode.NOT_OWNER)))
+        else:
+            self._entry.serve_owner_call(partition, body, reply)
+
+    def _handover(self, conn, message):
+        owner = self._owner(message.body.partition)
+        if owner is None:
+            reply = HandoverReply(int(ResultCode.NOT_CONFIGURED))
+        else:
+            reply = owner.handover_told(message.body)
+        conn.try_send(reply, message.id)
+
+    def _roster_update(self, conn, message):
+        owner = self._owner(message.body.partition)
+        if owner is not None:
+            owner.roster_told(message.body.roster)
+        code = ResultCode.OK if owner is not None else ResultCode.NOT_CONFIGURED
+        conn.try_send(CopyRecordsReply(int(code)), message.id)
+
+    # Operators
+
+    def _status(self, conn, message):
+        if message.body.topic == "burn":
+            report = self._entry.objectives.report()
+        else:
+            report = self._entry.status()
+        conn.try_send(StatusReply(json.dumps(report)), message.id)
+
+    def _owner(self, name):
+        try:
+            return self._entry.owners.get(Partition.parse(name))
+        except ValueError:
+            return None
+
+
+_AGENT_MESSAGES = (Announce, TaskDone, Leave, Heartbeat, TableUpdate)
+_OPERATOR_MESSAGES = (StatusQuery, Heartbeat)
+_ENTRY_MESSAGES = (
+    Heartbeat,
+    TableUpdate,
+    OwnerNotice,
+    ConfigPull,
+    ConfigUpdate,
+    Submit,
+    JobQuery,
+    JobCancel,
+    Handover,
+    RosterUpdate,
+    StatusQuery,
+)
+_ALLOWED = {
+    ProcessKind.AGENT: _AGENT_MESSAGES,
+    ProcessKind.OPERATOR: _OPERATOR_MESSAGES,
+    ProcessKind.ENTRY: _ENTRY_MESSAGES,
+}
+
+
+def _may_send(kind, body):
+    return isinstance(body, _ALLOWED.get(kind, ()))
--- a/packages/entry/src/hornbeamshore/entry/http_answers.py
+++ b/packages/entry/src/hornbeamshore/entry/http_answers.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import msgspec
+
 from hornbeamshore.base.codes import CODE_TABLE, ResultCode, RunState, refuse
 from hornbeamshore.base.types import JobAnswer, JobKey
 from hornbeamshore.entry import http_headers
--- a/packages/entry/src/hornbeamshore/entry/http_api.py
+++ b/packages/entry/src/hornbeamshore/entry/http_api.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote, unquote
 
 import trio
+
 from hornbeamshore.base.codes import ResultCode, RunState, refuse
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import JobAnswer, JobKey
--- a/packages/entry/src/hornbeamshore/entry/http_body.py
+++ b/packages/entry/src/hornbeamshore/entry/http_body.py
@@ -1,6 +1,7 @@
 """Reading of request bodies within bounds of size, time and total memory."""
 
 import trio
+
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.entry.http_errors import RequestRefused
 
--- a/packages/entry/src/hornbeamshore/entry/http_requests.py
+++ b/packages/entry/src/hornbeamshore/entry/http_requests.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs, unquote
 
 import msgspec
+
 from hornbeamshore.base.clock import random_id, unix_ms
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.base.types import (
--- a/packages/entry/src/hornbeamshore/entry/http_server.py
+++ b/packages/entry/src/hornbeamshore/entry/http_server.py
@@ -4,13 +4,14 @@
 from functools import partial
 
 import trio
-from hornbeamshore.base.logs import PartLogger
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
+from hornbeamshore.base.logs import PartLogger
+
 # Callers keep their connections for as long as they have work; hypercorn's default of
 # 1,000 requests would close a busy one every few seconds.
 KEEP_ALIVE_MAX_REQUESTS = 2**31
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/jobs.py
@@ -0,0 +1,273 @@
+"""Job records of a partition's owner."""
+
+import enum
+from dataclasses import dataclass, replace
+
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.base.types import JobAnswer
+from hornbeamshore.wire.messages import (
+    BODY_DROPPED,
+    JobRecord,
+    RecordState,
+    StartRecord,
+)
+
+
+class TaskPhase(enum.Enum):
+    """Where a task of a job stands."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEntry:
+    """State of one task of a job.
+
+    Attributes
+    ----------
+    attempt : int
+        Number of the latest attempt, 0 before the first.
+    agent_id : str
+        Agent that was sent the latest attempt; empty before the first.
+    result : TaskResult or None
+        Outcome, once the task has ended.
+    may_have_run : bool
+        Whether any attempt may have reached the target.
+    ran_before : bool
+        Whether any attempt before the latest may have.
+    """
+
+    phase: TaskPhase
+    attempt: int = 0
+    agent_id: str = ""
+    started_at_ms: int = 0
+    result: object = None
+    may_have_run: bool = False
+    ran_before: bool = False
+
+    def started(self, attempt, agent_id, now_ms):
+        """Return the entry of a new attempt that is being sent to an agent."""
+        return TaskEntry(
+            TaskPhase.RUNNING,
+            attempt,
+            agent_id,
+            now_ms,
+            may_have_run=True,
+            ran_before=self.may_have_run,
+        )
+
+    def ended(self, result):
+        """Return the entry of an attempt whose outcome is known."""
+        if result.run_state == RunState.NOT_RUN:
+            ran = self.ran_before
+        else:
+            ran = True
+        return replace(self, phase=TaskPhase.ENDED, result=result, may_have_run=ran)
+
+    def queued(self):
+        """Return the entry of a task that waits for another attempt."""
+        return replace(self, phase=TaskPhase.QUEUED, result=None)
+
+
+class Job:
+    """Record of one submission.
+
+    Parameters
+    ----------
+    key : JobKey
+        Of the submission.
+    request : JobRequest or None
+        None while only start records of agents are known.
+    accepted_at_ms : int
+        Unix time of the first record.
+    deadline : float
+        Monotonic time by which the answer is due.
+    """
+
+    def __init__(self, key, request, accepted_at_ms, deadline):
+        self.key = key
+        self.request = request
+        self.accepted_at_ms = accepted_at_ms
+        self.deadline = deadline
+        self.tasks = {}
+        self.answer = None
+        self.ended_at_ms = 0
+        self.waiters = []
+        self.unacknowledged = []
+        self.requeues = 0
+
+    @property
+    def is_open(self):
+        """Return whether the job still lacks its answer."""
+        return self.answer is None
+
+    def is_complete(self):
+        """Return whether each task of the request has ended successfully."""
+        if self.request is None:
+            return False
+        return all(
+            index in self.tasks
+            and self.tasks[index].phase is TaskPhase.ENDED
+            and self.tasks[index].result is not None
+            and self.tasks[index].result.ok
+            for index in range(len(self.request.tasks))
+        )
+
+    def running(self):
+        """Return the indexes and entries of the tasks that run."""
+        return [
+            (index, entry)
+            for index, entry in self.tasks.items()
+            if entry.phase is TaskPhase.RUNNING
+        ]
+
+    def run_state(self):
+        """Return what is known of whether any task ran.
+
+        ``not run`` only if no attempt of any task may have reached a target, and
+        ``ran`` only if all that may have were seen to end.
+        """
+        if not any(entry.may_have_run for entry in self.tasks.values()):
+            return RunState.NOT_RUN
+        for entry in self.tasks.values():
+            result = entry.result
+            if entry.phase is TaskPhase.RUNNING:
+                return RunState.UNKNOWN
+            if result is not None and result.run_state == RunState.UNKNOWN:
+                return RunState.UNKNOWN
+        return RunState.RAN
+
+    def end(self, answer, now_ms):
+        """Set the answer, tell all who wait for it and return their number."""
+        self.answer = answer
+        self.ended_at_ms = now_ms
+        waiters, self.waiters = self.waiters, []
+        for reply in waiters:
+            reply(answer)
+        return len(waiters)
+
+    def complete_answer(self):
+        """Return the answer that holds the results of all tasks, in order."""
+        results = [self.tasks[index].result for index in range(len(self.request.tasks))]
+        if any(result.detail == BODY_DROPPED for result in results):
+            return JobAnswer(
+                self.key,
+                int(ResultCode.RESULT_EXPIRED),
+                int(RunState.RAN),
+                BODY_DROPPED,
+            )
+        return JobAnswer.complete(self.key, results)
+
+
+class JobBook:
+    """Job records of one partition, by key.
+
+    Parameters
+    ----------
+    retention_s : float
+        Seconds for which the record of an ended job is kept.
+    max_result_bytes : int
+        Bound of all bodies kept of ended jobs; the oldest are dropped first.
+    """
+
+    def __init__(self, retention_s, max_result_bytes):
+        self.retention_s = retention_s
+        self._max_result_bytes = max_result_bytes
+        self._jobs = {}
+        self._ended = {}
+        self._result_bytes = 0
+
+    def __len__(self):
+        return len(self._jobs)
+
+    def __iter__(self):
+        return iter(self._jobs.values())
+
+    def get(self, key):
+        """Return the job of a key, or None."""
+        return self._jobs.get(key)
+
+    def add(self, job):
+        """Keep the record of a job."""
+        self._jobs[job.key] = job
+
+    def open_jobs(self):
+        """Return the jobs that lack an answer."""
+        return [job for job in self._jobs.values() if job.is_open]
+
+    def note_ended(self, job):
+        """Count the bodies of an ended job, and drop the oldest beyond the bound."""
+        size = _body_bytes(job.answer)
+        self._ended[job.key] = size
+        self._result_bytes += size
+        for key, old_size in list(self._ended.items()):
+            if self._result_bytes <= self._max_result_bytes:
+                break
+            if old_size and key != job.key:
+                self._drop_bodies(key)
+
+    def drop_open(self):
+        """Forget the open jobs, whose state another owner may change, and return them.
+
+        Ended jobs stay: an answer that was given is final.
+        """
+        dropped = self.open_jobs()
+        for job in dropped:
+            del self._jobs[job.key]
+        return dropped
+
+    def expire(self, now_ms):
+        """Forget the jobs that ended, or were last heard of, before the retention."""
+        limit = now_ms - self.retention_s * 1000
+        for job in list(self._jobs.values()):
+            if not job.is_open and job.ended_at_ms < limit or job.request is None and job.accepted_at_ms < limit:
+                self._forget(job.key)
+
+    def _forget(self, key):
+        self._result_bytes -= self._ended.pop(key, 0)
+        self._jobs.pop(key, None)
+
+    def _drop_bodies(self, key):
+        job = self._jobs[key]
+        self._result_bytes -= self._ended[key]
+        self._ended[key] = 0
+        job.answer = JobAnswer(
+            key, int(ResultCode.RESULT_EXPIRED), int(RunState.RAN), BODY_DROPPED
+        )
+
+
+def _body_bytes(answer):
+    return sum(len(result.body) for result in answer.results)
+
+
+def to_record(job):
+    """Return the job as a message that a successor can take over."""
+    return JobRecord(
+        job.key, job.request, job.accepted_at_ms, job.answer, tuple(start_records(job))
+    )
+
+
+def start_records(job, agent_id=None):
+    """Return the start records of a job, of one agent or of all."""
+    return [
+        StartRecord(
+            job.key,
+            index,
+            entry.attempt,
+            int(_RECORD_STATES[entry.phase]),
+            entry.started_at_ms,
+            entry.result,
+            entry.agent_id,
+        )
+        for index, entry in job.tasks.items()
+        if entry.attempt and agent_id in (None, entry.agent_id)
+    ]
+
+
+_RECORD_STATES = {
+    TaskPhase.QUEUED: RecordState.QUEUED,
+    TaskPhase.RUNNING: RecordState.RUNNING,
+    TaskPhase.ENDED: RecordState.ENDED,
+}
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/membership.py
@@ -0,0 +1,163 @@
+"""Membership of the region's entries: presence and owner table in the store.
+
+Both are written only when an entry joins or leaves. While the store cannot be
+reached nothing changes, and ownership goes on with the last table.
+"""
+
+import random
+
+import msgspec
+import trio
+
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.entry import table as tables
+from hornbeamshore.store.base import LeaseNotFound, StoreError, deployment_key
+from hornbeamshore.wire.messages import OwnerTable
+
+OWNERS = "owners"
+PRESENCE = "entries/"
+RETRY_S = 0.5
+MAX_RETRY_S = 5.0
+
+log = PartLogger("store")
+
+
+class EntryMembership:
+    """Keeps this entry in the owner table, and dead ones out of it.
+
+    Parameters
+    ----------
+    store : Store
+        Of the platform.
+    cfg : EntrySettings
+        Of this process.
+    me : TableEntry
+        How this process stands in the table.
+    take_table : callable
+        Called with each table that is read or written.
+    """
+
+    def __init__(self, store, cfg, me, take_table):
+        self._store = store
+        self._cfg = cfg
+        self._me = me
+        self._take_table = take_table
+        self._owners_key = deployment_key(cfg.deployment, OWNERS)
+        self._presence_prefix = deployment_key(cfg.deployment, PRESENCE)
+        self._rng = random.Random(me.incarnation)
+        self._leaving = False
+        self._lease_id = 0
+        self.store_errors = 0
+
+    async def run(self):
+        """Join, renew the presence and remove dead entries, until cancelled."""
+        pause = RETRY_S
+        while not self._leaving:
+            try:
+                await self._join()
+                pause = RETRY_S
+                await self._stay()
+            except LeaseNotFound:
+                log.warning("The presence lease has expired; joining again.")
+            except StoreError as exc:
+                self.store_errors += 1
+                log.warning("Store: %s", exc)
+                await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
+                pause = min(2 * pause, MAX_RETRY_S)
+
+    async def leave(self):
+        """Take this entry out of the table and end its presence."""
+        self._leaving = True
+        name = self._me.entry_id
+        try:
+            await self.change_table(lambda table: tables.without_entries(table, {name}))
+            await self._store.revoke_lease(self._lease_id)
+        except StoreError as exc:
+            log.warning("Could not leave the owner table: %s", exc)
+
+    async def found_partition(self, partition):
+        """Write a new table for a partition that has no roster.
+
+        Returns
+        -------
+        bool or None
+            Whether it is the partition's first owner ever; None if the store
+            could not be reached.
+        """
+        first = []
+
+        def found(table):
+            first[:] = [str(partition) not in table.owned]
+            return tables.with_owned(table, partition)
+
+        try:
+            await self.change_table(found)
+        except StoreError as exc:
+            log.warning("Could not found %s: %s", partition, exc)
+            return None
+        return first[0]
+
+    async def change_table(self, change):
+        """Write a changed table by compare-and-swap and return it.
+
+        A conflict, or an answer lost after the write, leads to another reading:
+        `change` is applied to what the store holds then, and returns the same
+        table if it already took effect.
+        """
+        while True:
+            item = await self._store.get(self._owners_key)
+            table = _decode(item)
+            changed = change(table)
+            if changed is table:
+                self._take_table(table)
+                return table
+            outcome = await self._store.compare_and_swap(
+                self._owners_key,
+                tables.encode_table(changed),
+                item.mod_revision if item is not None else 0,
+            )
+            if outcome.succeeded:
+                self._take_table(changed)
+                return changed
+
+    async def _join(self):
+        lease = await self._store.grant_lease(int(self._cfg.presence_ttl))
+        self._lease_id = lease.lease_id
+        key = self._presence_prefix + self._me.entry_id
+        outcome = await self._store.create(key, _presence(self._me), lease.lease_id)
+        if not outcome.succeeded:
+            # An earlier incarnation, or an answer that was lost after the write.
+            revision = outcome.current.mod_revision if outcome.current else 0
+            await self._store.compare_and_swap(
+                key, _presence(self._me), revision, lease.lease_id
+            )
+        await self.change_table(lambda table: tables.with_entry(table, self._me))
+        log.info("Joined as %s.", self._me.entry_id)
+
+    async def _stay(self):
+        every = self._cfg.presence_ttl / 3
+        while not self._leaving:
+            await trio.sleep(every * self._rng.uniform(0.9, 1.1))
+            await self._store.keep_alive(self._lease_id)
+            await self._remove_absent()
+
+    async def _remove_absent(self):
+        snapshot = await self._store.get_prefix(self._presence_prefix)
+        size = len(self._presence_prefix)
+        present = {item.key[size:] for item in snapshot.items}
+        if self._me.entry_id not in present:
+            raise LeaseNotFound("the presence key is gone")
+
+        def remove(table):
+            absent = {entry.entry_id for entry in table.entries} - present
+            return tables.with_entry(tables.without_entries(table, absent), self._me)
+
+        await self.change_table(remove)
+
+
+def _presence(me):
+    return msgspec.json.encode(me)
+
+
+def _decode(item):
+    return tables.decode_table(item.value) if item is not None else OwnerTable()
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/roster.py
@@ -0,0 +1,98 @@
+"""Roster of a partition: which agents may hold start records.
+
+Functions on the frozen `Roster`; the partition's owner keeps it and agents and
+candidates hold copies.
+"""
+
+import dataclasses
+
+from hornbeamshore.wire.messages import RosterEntry
+
+
+def newest(rosters):
+    """Return the roster with the highest epoch and version."""
+    return max(rosters, key=lambda roster: (roster.epoch, roster.version))
+
+
+def live_ids(roster):
+    """Return the ids of the agents that the roster calls live."""
+    return frozenset(entry.agent_id for entry in roster.entries if entry.live)
+
+
+def lists(roster, agent_id, incarnation):
+    """Return whether the roster calls this incarnation of an agent live."""
+    return any(
+        entry.live and entry.agent_id == agent_id and entry.incarnation == incarnation
+        for entry in roster.entries
+    )
+
+
+def at_epoch(roster, epoch):
+    """Return the roster as the first one of an owner's epoch."""
+    return dataclasses.replace(roster, epoch=epoch, version=roster.version + 1)
+
+
+def with_agent(roster, agent_id, incarnation, rack, now_ms):
+    """Return the roster with a live agent; its older incarnation counts as lost."""
+    entries = [
+        _lost(entry, now_ms) if entry.agent_id == agent_id and entry.live else entry
+        for entry in roster.entries
+        if (entry.agent_id, entry.incarnation) != (agent_id, incarnation)
+    ]
+    entries.append(RosterEntry(agent_id, incarnation, True, True, 0, rack))
+    return _next(roster, entries)
+
+
+def with_lost(roster, agent_id, now_ms, *, accounted_for):
+    """Return the roster in which a live agent is lost.
+
+    Parameters
+    ----------
+    accounted_for : bool
+        Whether other agents hold copies of its start records.
+    """
+    entries = [
+        _lost(entry, now_ms, accounted_for)
+        if entry.agent_id == agent_id and entry.live
+        else entry
+        for entry in roster.entries
+    ]
+    return _next(roster, entries)
+
+
+def without_expired(roster, now_ms, retention_ms):
+    """Return the roster without agents that were lost longer than the retention."""
+    entries = [
+        entry
+        for entry in roster.entries
+        if entry.live or now_ms - entry.lost_at_ms <= retention_ms
+    ]
+    return roster if len(entries) == len(roster.entries) else _next(roster, entries)
+
+
+def unaccounted(roster, granted):
+    """Return the entries whose start records a new owner does not have.
+
+    Parameters
+    ----------
+    granted : dict of str to int
+        Incarnation of each agent that granted the owner's fence.
+    """
+    return tuple(
+        entry
+        for entry in roster.entries
+        if granted.get(entry.agent_id) != entry.incarnation
+        and (entry.live or not entry.accounted_for)
+    )
+
+
+def _lost(entry, now_ms, accounted_for=False):
+    return dataclasses.replace(
+        entry, live=False, accounted_for=accounted_for, lost_at_ms=now_ms
+    )
+
+
+def _next(roster, entries):
+    return dataclasses.replace(
+        roster, version=roster.version + 1, entries=tuple(entries)
+    )
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -0,0 +1,263 @@
+"""State that the parts of an entry process share."""
+
+import contextlib
+from dataclasses import dataclass
+
+import msgspec
+import trio
+
+from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.types import Epoch, JobAnswer, Partition, partition_of
+from hornbeamshore.entry import table as tables
+from hornbeamshore.entry.agents import AgentLinks
+from hornbeamshore.entry.events import Changed
+from hornbeamshore.entry.ownership import PartitionOwner
+from hornbeamshore.wire.messages import (
+    JobCancel,
+    OwnerNotice,
+    OwnerTable,
+    Submit,
+    TableUpdate,
+)
+
+log = PartLogger("entry")
+
+
+@dataclass(frozen=True, slots=True)
+class KnownOwner:
+    """Owner of a partition, as told by itself."""
+
+    epoch: Epoch
+    entry_id: str
+
+
+class EntryState:
+    """What an entry knows: peers, agents, owner table, owners, configuration.
+
+    Parameters
+    ----------
+    cfg : EntrySettings
+        Of this process.
+    identity : Identity
+        Of this process.
+    replica : ConfigReplica
+        Configuration in force.
+    metrics : EntryMetrics
+        Where events are counted.
+    objectives : ObjectiveWindows
+        Good and bad answers of the last hours.
+    """
+
+    def __init__(self, cfg, identity, replica, metrics, objectives):
+        self.cfg = cfg
+        self.identity = identity
+        self.entry_id = identity.process_id
+        self.replica = replica
+        self.metrics = metrics
+        self.objectives = objectives
+        self.agents = AgentLinks()
+        self.peers = None
+        self.membership = None
+        self.table = OwnerTable()
+        self.table_changed = Changed()
+        self.owners_changed = Changed()
+        self.idle = Changed()
+        self.leaving = False
+        self.owners = {}
+        self._known_owners = {}
+        self._in_flight = 0
+
+    def deployment(self):
+        """Return the configuration in force, or None."""
+        return self.replica.deployment
+
+    def partitions(self):
+        """Return all partitions of the configuration in force."""
+        deployment = self.deployment()
+        if deployment is None:
+            return ()
+        return tuple(
+            Partition(name, index)
+            for name, service in deployment.services.items()
+            if service.home_region in ("", self.cfg.region)
+            for index in range(service.partitions)
+        )
+
+    def links_of(self, partition):
+        """Return the links of the connected agents of a partition."""
+        service = self.deployment().services.get(partition.service)
+        if service is None:
+            return ()
+        return self.agents.of_partition(partition, service.partitions)
+
+    # Candidates and owners
+
+    def take_table(self, table):
+        """Take an owner table, unless a newer one is known, and tell the peers."""
+        if table.version <= self.table.version:
+            return
+        self.table = table
+        self.table_changed.notify()
+        self.notify_owners()
+        for conn in self.peers.all():
+            conn.try_send(TableUpdate(table))
+        for link in self.agents.all():
+            link.conn.try_send(TableUpdate(table))
+
+    def notify_owners(self):
+        """Let each partition's task look at the candidates again."""
+        for owner in self.owners.values():
+            owner.changed.notify()
+
+    def first_candidate(self, partition):
+        """Return the id of the entry that should own a partition, or None."""
+        for entry_id in tables.candidates(self.table, partition):
+            if self._may_own(entry_id):
+                return entry_id
+        return None
+
+    def next_candidate(self, partition):
+        """Return the id of the first candidate other than this entry, or None."""
+        for entry_id in tables.candidates(self.table, partition):
+            if entry_id != self.entry_id and self._may_own(entry_id):
+                return entry_id
+        return None
+
+    def _may_own(self, entry_id):
+        if entry_id == self.entry_id:
+            return not self.leaving
+        return self.peers.may_own(entry_id)
+
+    def take_notice(self, notice):
+        """Take the news of who owns a partition."""
+        partition = Partition.parse(notice.partition)
+        epoch = Epoch.unpack(notice.epoch)
+        known = self._known_owners.get(partition)
+        if known is not None and known.epoch > epoch:
+            return
+        self._known_owners[partition] = KnownOwner(epoch, notice.entry_id)
+        owner = self.owners.get(partition)
+        if owner is not None and notice.entry_id != self.entry_id:
+            owner.stale(epoch)
+        self.owners_changed.notify()
+
+    def announce_owner(self, notice):
+        """Take a notice of this entry and tell it to the peers."""
+        self.take_notice(notice)
+        for conn in self.peers.all():
+            conn.try_send(notice)
+
+    def own_notices(self):
+        """Return a notice for each partition that this entry owns."""
+        return [
+            OwnerNotice(str(partition), owner.epoch.pack(), self.entry_id)
+            for partition, owner in self.owners.items()
+            if owner.dispatcher.is_active
+        ]
+
+    def owner_of(self, partition):
+        """Return the `KnownOwner` of a partition, or None while there is none."""
+        known = self._known_owners.get(partition)
+        return known if known is not None and known.entry_id else None
+
+    # Calls for the owner
+
+    def serve_owner_call(self, partition, body, reply):
+        """Give a submission, query or cancellation to the partition's owner here."""
+        owner = self.owners.get(partition)
+        key = body.request.key if isinstance(body, Submit) else body.key
+        if owner is None or not owner.is_active:
+            reply(JobAnswer.refused(key, refuse(ResultCode.NOT_OWNER)))
+        elif isinstance(body, Submit):
+            owner.submit(body.request, reply)
+        elif isinstance(body, JobCancel):
+            owner.dispatcher.cancel(key, reply)
+        else:
+            owner.dispatcher.query(key, reply, wait=body.wait)
+
+    def partition_of_key(self, key):
+        """Return the partition of a key, or None for an unknown service."""
+        deployment = self.deployment()
+        service = deployment.services.get(key.service) if deployment else None
+        return partition_of(key, service.partitions) if service else None
+
+    # Draining
+
+    @contextlib.contextmanager
+    def submission_in_flight(self):
+        """Count a submission that this entry has to answer before it ends."""
+        self._in_flight += 1
+        try:
+            yield
+        finally:
+            self._in_flight -= 1
+            self.idle.notify()
+
+    async def wait_idle(self, timeout_s):
+        """Return whether all submissions were answered within a time."""
+        return await self.idle.wait_until(lambda: not self._in_flight, timeout_s)
+
+    # Reports
+
+    def status(self):
+        """Return the report for operators as plain values."""
+        now = trio.current_time()
+        return {
+            "entry_id": self.entry_id,
+            "incarnation": self.identity.incarnation,
+            "data_centre": self.cfg.data_centre,
+            "draining": self.leaving,
+            "revision": self.replica.revision,
+            "table_version": self.table.version,
+            "entries": [msgspec.to_builtins(entry) for entry in self.table.entries],
+            "peers": sorted(conn.peer.process_id for conn in self.peers.all()),
+            "submissions_in_flight": self._in_flight,
+            "agents": [_agent_status(link) for link in self.agents.all()],
+            "partitions": [
+                _owner_status(owner, now)
+                for owner in self.owners.values()
+                if owner.dispatcher.is_active
+            ],
+        }
+
+    async def run_owners(self, nursery):
+        """Keep one task for each partition of the configuration in force."""
+        while True:
+            wanted = set(self.partitions())
+            for partition in wanted - set(self.owners):
+                self.owners[partition] = PartitionOwner(partition, self)
+                nursery.start_soon(self.owners[partition].run)
+            for partition in set(self.owners) - wanted:
+                self.owners.pop(partition).resign()
+            for owner in self.owners.values():
+                owner.dispatcher.configure(self.deployment())
+            await self.replica.changed.wait()
+
+
+def _agent_status(link):
+    return {
+        "agent_id": link.agent_id,
+        "incarnation": link.conn.peer.incarnation,
+        "service": link.service,
+        "target": link.target,
+        "data_centre": link.data_centre,
+        "rack": link.rack,
+        "slots": link.slots,
+        "leaving": link.leaving,
+        "messages": link.conn.messages_sent + link.conn.messages_received,
+        "bytes": link.conn.bytes_sent + link.conn.bytes_received,
+    }
+
+
+def _owner_status(owner, now):
+    tenure = owner.dispatcher.tenure
+    return {
+        "partition": owner.name,
+        "epoch": str(owner.epoch),
+        "complete": tenure.complete,
+        "since_ms": tenure.since_ms,
+        "jobs": len(owner.dispatcher.book),
+        "roster": [msgspec.to_builtins(item) for item in owner.roster.entries],
+        "scheduler": msgspec.to_builtins(owner.dispatcher.scheduler.snapshot(now)),
+    }
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -36,7 +36,7 @@
 }
 struct Announce {
   1: string service_name, 2: string target, 3: i32 slots, 4: i32 connections,
-  5: list<string> labels, 6: bool leaving
+  5: list<string> labels, 6: bool leaving, 7: i64 records_since
 }
 
 struct Start {
@@ -50,7 +50,7 @@
 
 struct StartRecord {
   1: JobKey key, 2: i32 index, 3: i32 attempt, 4: i32 state, 5: i64 started_at_ms,
-  6: TaskResult result
+  6: TaskResult result, 7: string agent_id
 }
 struct RosterEntry {
   1: string agent_id, 2: i64 incarnation, 3: bool live, 4: bool accounted_for,
@@ -78,7 +78,8 @@
 struct JobCancel { 1: JobKey key }
 
 struct JobRecord {
-  1: JobRequest request, 2: i64 accepted_at_ms, 3: JobAnswer answer, 4: list<StartRecord> tasks
+  1: JobKey key, 2: JobRequest request, 3: i64 accepted_at_ms, 4: JobAnswer answer,
+  5: list<StartRecord> tasks
 }
 struct Handover {
   1: string partition, 2: i64 epoch, 3: list<JobRecord> jobs, 4: Roster roster, 5: bool last,
--- a/packages/wire/src/hornbeamshore/wire/codec.py
+++ b/packages/wire/src/hornbeamshore/wire/codec.py
@@ -8,12 +8,13 @@
 import types
 import typing
 
-from hornbeamshore.wire.gen.hornbeamshore import ttypes
-from hornbeamshore.wire.messages import BODY_FIELDS, Message
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
+from hornbeamshore.wire.gen.hornbeamshore import ttypes
+from hornbeamshore.wire.messages import BODY_FIELDS, Message
+
 MAX_MESSAGES_PER_BATCH = 4096
 
 # ``service`` is a reserved word of the interface definition language.
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 import trio
+
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.wire import codec, framing, handshake
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -1431,6 +1431,7 @@
      - connections
      - labels
      - leaving
+     - records_since
 
     """
 
@@ -1441,16 +1442,18 @@
         'connections',
         'labels',
         'leaving',
+        'records_since',
     )
 
 
-    def __init__(self, service_name=None, target=None, slots=None, connections=None, labels=None, leaving=None,):
+    def __init__(self, service_name=None, target=None, slots=None, connections=None, labels=None, leaving=None, records_since=None,):
         self.service_name = service_name
         self.target = target
         self.slots = slots
         self.connections = connections
         self.labels = labels
         self.leaving = leaving
+        self.records_since = records_since
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1496,6 +1499,11 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.records_since = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1533,6 +1541,10 @@
             oprot.writeFieldBegin('leaving', TType.BOOL, 6)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.records_since is not None:
+            oprot.writeFieldBegin('records_since', TType.I64, 7)
+            oprot.writeI64(self.records_since)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2110,6 +2122,7 @@
      - state
      - started_at_ms
      - result
+     - agent_id
 
     """
 
@@ -2120,16 +2133,18 @@
         'state',
         'started_at_ms',
         'result',
+        'agent_id',
     )
 
 
-    def __init__(self, key=None, index=None, attempt=None, state=None, started_at_ms=None, result=None,):
+    def __init__(self, key=None, index=None, attempt=None, state=None, started_at_ms=None, result=None, agent_id=None,):
         self.key = key
         self.index = index
         self.attempt = attempt
         self.state = state
         self.started_at_ms = started_at_ms
         self.result = result
+        self.agent_id = agent_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2172,6 +2187,11 @@
                     self.result.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.agent_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2206,6 +2226,10 @@
             oprot.writeFieldBegin('result', TType.STRUCT, 6)
             self.result.write(oprot)
             oprot.writeFieldEnd()
+        if self.agent_id is not None:
+            oprot.writeFieldBegin('agent_id', TType.STRING, 7)
+            oprot.writeString(self.agent_id.encode('utf-8') if sys.version_info[0] == 2 else self.agent_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3827,6 +3851,7 @@
 class JobRecord(object):
     """
     Attributes:
+     - key
      - request
      - accepted_at_ms
      - answer
@@ -3835,6 +3860,7 @@
     """
 
     __slots__ = (
+        'key',
         'request',
         'accepted_at_ms',
         'answer',
@@ -3842,7 +3868,8 @@
     )
 
 
-    def __init__(self, request=None, accepted_at_ms=None, answer=None, tasks=None,):
+    def __init__(self, key=None, request=None, accepted_at_ms=None, answer=None, tasks=None,):
+        self.key = key
         self.request = request
         self.accepted_at_ms = accepted_at_ms
         self.answer = answer
@@ -3858,23 +3885,29 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.key = JobKey()
+                    self.key.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
                 if ftype == TType.STRUCT:
                     self.request = JobRequest()
                     self.request.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
+            elif fid == 3:
                 if ftype == TType.I64:
                     self.accepted_at_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
                 if ftype == TType.STRUCT:
                     self.answer = JobAnswer()
                     self.answer.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.tasks = []
                     (_etype101, _size98) = iprot.readListBegin()
@@ -3895,20 +3928,24 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('JobRecord')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRUCT, 1)
+            self.key.write(oprot)
+            oprot.writeFieldEnd()
         if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRUCT, 1)
+            oprot.writeFieldBegin('request', TType.STRUCT, 2)
             self.request.write(oprot)
             oprot.writeFieldEnd()
         if self.accepted_at_ms is not None:
-            oprot.writeFieldBegin('accepted_at_ms', TType.I64, 2)
+            oprot.writeFieldBegin('accepted_at_ms', TType.I64, 3)
             oprot.writeI64(self.accepted_at_ms)
             oprot.writeFieldEnd()
         if self.answer is not None:
-            oprot.writeFieldBegin('answer', TType.STRUCT, 3)
+            oprot.writeFieldBegin('answer', TType.STRUCT, 4)
             self.answer.write(oprot)
             oprot.writeFieldEnd()
         if self.tasks is not None:
-            oprot.writeFieldBegin('tasks', TType.LIST, 4)
+            oprot.writeFieldBegin('tasks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
             for iter104 in self.tasks:
                 iter104.write(oprot)
@@ -5564,6 +5601,7 @@
     (4, TType.I32, 'connections', None, None, ),  # 4
     (5, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
+    (7, TType.I64, 'records_since', None, None, ),  # 7
 )
 all_structs.append(Start)
 Start.thrift_spec = (
@@ -5614,6 +5652,7 @@
     (4, TType.I32, 'state', None, None, ),  # 4
     (5, TType.I64, 'started_at_ms', None, None, ),  # 5
     (6, TType.STRUCT, 'result', [TaskResult, None], None, ),  # 6
+    (7, TType.STRING, 'agent_id', 'UTF8', None, ),  # 7
 )
 all_structs.append(RosterEntry)
 RosterEntry.thrift_spec = (
@@ -5733,10 +5772,11 @@
 all_structs.append(JobRecord)
 JobRecord.thrift_spec = (
     None,  # 0
-    (1, TType.STRUCT, 'request', [JobRequest, None], None, ),  # 1
-    (2, TType.I64, 'accepted_at_ms', None, None, ),  # 2
-    (3, TType.STRUCT, 'answer', [JobAnswer, None], None, ),  # 3
-    (4, TType.LIST, 'tasks', (TType.STRUCT, [StartRecord, None], False), None, ),  # 4
+    (1, TType.STRUCT, 'key', [JobKey, None], None, ),  # 1
+    (2, TType.STRUCT, 'request', [JobRequest, None], None, ),  # 2
+    (3, TType.I64, 'accepted_at_ms', None, None, ),  # 3
+    (4, TType.STRUCT, 'answer', [JobAnswer, None], None, ),  # 4
+    (5, TType.LIST, 'tasks', (TType.STRUCT, [StartRecord, None], False), None, ),  # 5
 )
 all_structs.append(Handover)
 Handover.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -16,6 +16,8 @@
 )
 
 PROTOCOL_VERSION = 1
+# Detail of a result whose body was dropped after its job had been answered.
+BODY_DROPPED = "The result was answered once and is no longer kept."
 
 
 class ProcessKind(enum.StrEnum):
@@ -100,7 +102,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Announce:
-    """What an agent offers to the entry that it is connected to."""
+    """What an agent offers to the entry that it is connected to.
+
+    `records_since` is the incarnation at the start of the agent's process: an agent
+    that was paused has a new incarnation but still has its start records.
+    """
 
     service: str
     target: str
@@ -108,6 +114,7 @@
     connections: int
     labels: tuple[str, ...] = ()
     leaving: bool = False
+    records_since: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +181,7 @@
     state: int
     started_at_ms: int
     result: TaskResult | None = None
+    agent_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -329,9 +337,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """Record of a job as its owner hands it over; `answer` is set once it ended."""
+    """Record of a job as its owner hands it over.
 
-    request: JobRequest
+    `request` is missing where only start records are known; `answer` is set once
+    the job ended.
+    """
+
+    key: JobKey
+    request: JobRequest | None
     accepted_at_ms: int
     answer: JobAnswer | None = None
     tasks: tuple[StartRecord, ...] = ()
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -4,6 +4,7 @@
 import typing
 
 import pytest
+
 from hornbeamshore.wire import codec, messages
 
 
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 import trio.lowlevel
+
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.wire import connection, framing
 from hornbeamshore.wire.handshake import HandshakeError, Identity
