--- /dev/null
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -0,0 +1,416 @@
+"""Agent daemon: announces its target, runs tasks on it, keeps what became of them."""
+
+import dataclasses
+import random
+import signal
+
+import trio
+from hornbeamshore.agent.executor import Executor
+from hornbeamshore.agent.fencing import Fencing
+from hornbeamshore.agent.records import StartRecords
+from hornbeamshore.agent.target import HttpTarget
+from hornbeamshore.agent.uplink import Uplinks, choose_entries
+from hornbeamshore.base.clock import new_incarnation, unix_ms
+from hornbeamshore.base.codes import ResultCode, RunState, refuse
+from hornbeamshore.base.logs import PartLogger, configure_logs
+from hornbeamshore.base.types import TaskResult
+from hornbeamshore.wire.connection import (
+    CallTimeout,
+    ConnectionLost,
+    MessageHandler,
+)
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import (
+    Acknowledge,
+    Announce,
+    CancelTasks,
+    CopyRecords,
+    CopyRecordsReply,
+    Fence,
+    FenceReply,
+    Heartbeat,
+    Leave,
+    OwnerTable,
+    ProcessKind,
+    Reconcile,
+    ReconcileReply,
+    RecordState,
+    Release,
+    Roster,
+    RosterUpdate,
+    Start,
+    TableUpdate,
+    TaskDone,
+    TaskRef,
+)
+
+EXPIRE_EVERY_S = 5.0
+EXIT_OK = 0
+EXIT_CUT_OFF = 1
+
+log = PartLogger("agent")
+
+
+class Agent(MessageHandler):
+    """State and message handling of one agent.
+
+    Parameters
+    ----------
+    cfg : AgentSettings
+        Settings.
+    secret : bytes
+        Of the deployment.
+    target : Target
+        What tasks run on.
+    seed : int or None
+        Of the jitter of redials.
+
+    Attributes
+    ----------
+    identity : Identity
+        Who this process is; it changes with each new incarnation.
+    tasks_started, starts_refused : int
+        Totals since the process started.
+    """
+
+    def __init__(self, cfg, secret, target, seed=None):
+        self.cfg = cfg
+        self.secret = secret
+        self.random = random.Random(seed)
+        self.identity = Identity(
+            cfg.deployment,
+            str(ProcessKind.AGENT),
+            cfg.agent_id,
+            new_incarnation(),
+            cfg.data_centre,
+            cfg.rack,
+        )
+        self.fencing = Fencing(cfg.service, cfg.wire.suspect_after)
+        self.records = StartRecords(cfg.retention)
+        self.copies = StartRecords(cfg.retention)
+        self.executor = Executor(cfg.slots, target, self._report)
+        self.uplinks = None
+        self.roster = Roster()
+        self.table = OwnerTable()
+        self.leaving = False
+        self.tasks_started = self.starts_refused = 0
+        self._conns = {}
+        self._alive_at = self._connected_at = trio.current_time()
+        self._owner_changed = trio.Event()
+        self._handlers = {
+            Start: self._start,
+            CancelTasks: self._cancel,
+            Acknowledge: self._acknowledge,
+            Fence: self._fence,
+            Release: self._release,
+            Reconcile: self._reconcile,
+            CopyRecords: self._copy_records,
+            RosterUpdate: self._update_roster,
+            TableUpdate: self._update_table,
+        }
+
+    async def run(self):
+        """Serve until the process has left, and return its exit code."""
+        async with trio.open_nursery() as nursery:
+            self.uplinks = Uplinks(self, nursery)
+            self.uplinks.choose(self.cfg.entries)
+            nursery.start_soon(self.executor.run)
+            nursery.start_soon(self._tick)
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                exit_code = await self._until_left(signals)
+            nursery.cancel_scope.cancel()
+        return exit_code
+
+    # Connections.
+
+    def opened(self, conn):
+        """Announce the target to an entry; its newest connection is the one used."""
+        if conn.peer.kind != ProcessKind.ENTRY:
+            log.warning("Peer %s is no entry.", conn.peer.process_id)
+            conn.close()
+            return
+        old = self._conns.get(conn.peer.process_id)
+        self._conns[conn.peer.process_id] = conn
+        if old is not None:
+            old.close()
+        self.fencing.opened(_owner(conn), trio.current_time())
+        self._announce(conn)
+
+    def closed(self, conn):
+        """Note that an entry is no longer connected."""
+        if self._conns.get(conn.peer.process_id) is not conn:
+            return
+        del self._conns[conn.peer.process_id]
+        self._connected_at = trio.current_time()
+        self.fencing.closed(_owner(conn), by_peer=conn.ended_by_peer)
+
+    def heartbeat(self):
+        """Return the `Heartbeat` with the version of the owner table."""
+        return Heartbeat(
+            table_version=self.table.version, slots_in_use=self.executor.in_use
+        )
+
+    def handle(self, conn, message):
+        """Act on a message of an entry."""
+        now = trio.current_time()
+        # A message that waited while the process was paused may be long out of
+        # date, and may be read before the next tick.
+        self._check_pause(now)
+        if not conn.is_open:
+            return
+        self.fencing.heard(_owner(conn), now)
+        handler = self._handlers.get(type(message.body))
+        if handler is not None:
+            handler(conn, message, now)
+
+    def _announce(self, conn):
+        cfg = self.cfg
+        conn.try_send(
+            Announce(
+                cfg.service,
+                cfg.target,
+                cfg.slots,
+                cfg.connections,
+                cfg.labels,
+                self.leaving,
+            )
+        )
+
+    def _owner_conn(self):
+        for conn in self._conns.values():
+            if conn.is_open and self.fencing.is_owner(_owner(conn)):
+                return conn
+        return None
+
+    # Starts and their outcomes.
+
+    def _start(self, conn, message, now):
+        start = message.body
+        ref = TaskRef(start.key, start.index, start.attempt)
+        refusal, recorded = self._check_start(conn, start, ref)
+        if refusal is None:
+            self.tasks_started += 1
+            self.records.started(ref, now, unix_ms())
+            self.executor.submit(start)
+            return
+        self.starts_refused += 1
+        result = _refused(ref, refusal)
+        if recorded:
+            self.records.refused(ref, result, now, unix_ms())
+        conn.try_send(TaskDone(start.partition, start.key, result))
+
+    def _check_start(self, conn, start, ref):
+        """Return the refusal of a start, if any, and whether to record it."""
+        # A stale owner's start leaves no record: the present owner may send the
+        # same attempt.
+        if not self.fencing.commands(_owner(conn), start.partition, start.epoch):
+            return refuse(ResultCode.STALE_EPOCH), False
+        if not self._may_start(ref):
+            return refuse(ResultCode.DUPLICATE_START), False
+        if self.records.full:
+            detail = "the agent keeps as many start records as it can"
+            return refuse(ResultCode.NO_FREE_SLOT, detail), False
+        if self.leaving:
+            return refuse(ResultCode.AGENT_LEAVING), True
+        if unix_ms() > start.expires_at_ms or start.timeout_ms <= 0:
+            return refuse(ResultCode.START_EXPIRED), True
+        if not self.executor.has_free_slot:
+            return refuse(ResultCode.NO_FREE_SLOT), True
+        return None, True
+
+    def _may_start(self, ref):
+        own = self.records.attempts(ref.key, ref.index)
+        if any(record.state == RecordState.RUNNING for record in own):
+            return False
+        # The later attempt of a task that ran on a lost agent is its owner's
+        # decision, so a copy only bars the same and earlier attempts.
+        known = own + self.copies.attempts(ref.key, ref.index)
+        return all(record.attempt < ref.attempt for record in known)
+
+    def _report(self, start, result):
+        ref = TaskRef(start.key, start.index, start.attempt)
+        self.records.ended(ref, result, trio.current_time())
+        conn = self._owner_conn()
+        if conn is not None:
+            conn.try_send(TaskDone(self.fencing.partition, start.key, result))
+
+    def _cancel(self, conn, message, _now):
+        body = message.body
+        if self.fencing.commands(_owner(conn), body.partition, body.epoch):
+            for ref in body.tasks:
+                self.executor.cancel(ref)
+
+    def _acknowledge(self, conn, message, now):
+        if self.fencing.is_owner(_owner(conn)):
+            for ref in message.body.tasks:
+                self.records.acknowledge(ref, now)
+
+    # Ownership.
+
+    def _fence(self, conn, message, now):
+        fence = message.body
+        code = self.fencing.grant(fence, _owner(conn), now)
+        epoch = self.fencing.epoch
+        if code != ResultCode.OK:
+            reply = FenceReply(fence.partition, int(code), epoch)
+        else:
+            log.info("Entry %s owns %s.", conn.peer.process_id, fence.partition)
+            self._owner_changed.set()
+            records = self.records.all() + self.copies.all()
+            reply = FenceReply(fence.partition, int(code), epoch, records, self.roster)
+        conn.send(reply, reply_to=message.id)
+
+    def _release(self, conn, message, _now):
+        body = message.body
+        if self.fencing.release(_owner(conn), body.partition, body.epoch):
+            log.info("Entry %s released %s.", conn.peer.process_id, body.partition)
+
+    def _reconcile(self, conn, message, now):
+        body = message.body
+        records, refused = [], []
+        for ref in body.tasks:
+            record = self.records.find(ref)
+            if record is not None:
+                records.append(record)
+                continue
+            refused.append(ref)
+            # Starts of a lower epoch are refused anyway; a record would keep the
+            # present owner from using the same attempt.
+            if body.epoch >= self.fencing.epoch:
+                result = _refused(ref, refuse(ResultCode.START_EXPIRED, "reconciled"))
+                self.records.refused(ref, result, now, unix_ms())
+        reply = ReconcileReply(body.partition, tuple(records), tuple(refused))
+        conn.send(reply, reply_to=message.id)
+
+    def _copy_records(self, conn, message, now):
+        body = message.body
+        code = ResultCode.STALE_EPOCH
+        if self.fencing.commands(_owner(conn), body.partition, body.epoch):
+            code = ResultCode.OK
+            self.copies.copy(body.records, now)
+        conn.send(CopyRecordsReply(int(code)), reply_to=message.id)
+
+    def _update_roster(self, _conn, message, _now):
+        new, old = message.body.roster, self.roster
+        if (new.epoch, new.version) > (old.epoch, old.version):
+            self.roster = new
+
+    def _update_table(self, _conn, message, _now):
+        table = message.body.table
+        if table.version > self.table.version and table.entries:
+            self.table = table
+            self._choose_entries()
+
+    def _choose_entries(self):
+        owner_id = self.fencing.owner[0] if self.fencing.owner else ""
+        chosen = choose_entries(self.table, self.cfg, self.fencing.partition, owner_id)
+        self.uplinks.choose(chosen)
+
+    # Time.
+
+    async def _tick(self):
+        expire_at = trio.current_time() + EXPIRE_EVERY_S
+        while True:
+            await trio.sleep(self.cfg.wire.heartbeat_every)
+            now = trio.current_time()
+            self._check_pause(now)
+            self._alive_at = now
+            if not self._conns and now - self._connected_at > self.cfg.wire.dead_after:
+                # Each entry of the last table may have been replaced meanwhile.
+                self.uplinks.add(self.cfg.entries)
+            if now >= expire_at:
+                expire_at = now + EXPIRE_EVERY_S
+                self.records.expire(now)
+                self.copies.expire(now)
+
+    def _check_pause(self, now):
+        paused_s = now - self._alive_at
+        if paused_s <= self.cfg.wire.dead_after:
+            return
+        log.warning("The process was paused for %.1f s.", paused_s)
+        self._alive_at = now
+        self.identity = dataclasses.replace(
+            self.identity, incarnation=new_incarnation()
+        )
+        self.fencing.forget()
+        for conn in list(self._conns.values()):
+            conn.close()
+        self.uplinks.reset()
+
+    # Planned stop.
+
+    async def _until_left(self, signals):
+        await anext(signals)
+        log.info("Leaving.")
+        self.leaving = True
+        for conn in self._conns.values():
+            self._announce(conn)
+        exit_code = EXIT_OK
+        async with trio.open_nursery() as nursery:
+
+            async def end_at_once():
+                nonlocal exit_code
+                await anext(signals)
+                exit_code = EXIT_CUT_OFF
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_at_once)
+            await self._leave()
+            nursery.cancel_scope.cancel()
+        return exit_code
+
+    async def _leave(self):
+        with trio.move_on_after(self.cfg.drain_timeout) as drain:
+            await self.executor.idle()
+        if drain.cancelled_caught:
+            log.warning("%d tasks are cut off.", self.executor.in_use)
+            self.executor.cancel_all()
+            await self.executor.idle()
+        with trio.move_on_after(self.cfg.leave_timeout) as limit:
+            while not await self._hand_over():
+                pass
+        if limit.cancelled_caught:
+            log.warning("No owner took the %d start records.", len(self.records))
+
+    async def _hand_over(self):
+        conn = self._owner_conn()
+        if conn is None:
+            self._owner_changed = trio.Event()
+            await self._owner_changed.wait()
+            return False
+        try:
+            leave = Leave(self.records.all() + self.copies.all())
+            reply = await conn.call(leave, self.cfg.leave_timeout)
+        except (ConnectionLost, CallTimeout) as exc:
+            log.info("Handing the start records over failed: %s", exc)
+            return False
+        return getattr(reply, "code", None) == ResultCode.OK
+
+
+def _owner(conn):
+    return conn.peer.process_id, conn.peer.incarnation
+
+
+def _refused(ref, refusal):
+    return TaskResult(
+        ref.index,
+        ref.attempt,
+        int(refusal.code),
+        int(RunState.NOT_RUN),
+        detail=refusal.detail,
+    )
+
+
+def run(cfg, secret):
+    """Run the agent until it has left and return its exit code."""
+    configure_logs(cfg.log_level)
+    return trio.run(_run, cfg, secret)
+
+
+async def _run(cfg, secret):
+    agent = Agent(cfg, secret, HttpTarget(cfg))
+    if cfg.metrics_address:
+        from hornbeamshore.agent.metrics import serve_metrics
+
+        serve_metrics(agent, cfg.metrics_address)
+    return await agent.run()
--- /dev/null
+++ b/packages/agent/src/hornbeamshore/agent/fencing.py
@@ -0,0 +1,115 @@
+"""Which entry owns the agent's partition, and whose orders the agent takes."""
+
+from hornbeamshore.base.codes import ResultCode
+
+
+class Fencing:
+    """Fencing epoch that the agent granted, and signs of life of its holder.
+
+    All times are arguments, in seconds of one monotonic clock.
+
+    Parameters
+    ----------
+    service : str
+        Service of the agent; partitions of another one are refused.
+    suspect_after : float
+        Silence of the owner after which another candidate is granted a fence.
+
+    Attributes
+    ----------
+    partition : str
+        Partition that the owner named; empty before the first fence.
+    epoch : int
+        Highest epoch that was ever granted.
+    owner : tuple
+        Process id and incarnation of the entry that was granted the epoch; None
+        before the first fence and after `forget`. A restarted entry is another
+        owner, since it knows nothing of the jobs of its predecessor.
+    """
+
+    def __init__(self, service, suspect_after):
+        self.partition = ""
+        self.epoch = 0
+        self.owner = None
+        self._service = service
+        self._suspect_after = suspect_after
+        self._released = False
+        self._closed_by_owner = False
+        self._heard_at = 0.0
+
+    def opened(self, peer, now):
+        """Note a new connection to an entry."""
+        if peer == self.owner:
+            self._closed_by_owner = False
+            self._heard_at = now
+
+    def closed(self, peer, *, by_peer):
+        """Note the end of the last connection to an entry."""
+        if peer == self.owner and by_peer:
+            self._closed_by_owner = True
+
+    def heard(self, peer, now):
+        """Note a message of an entry."""
+        if peer == self.owner:
+            self._heard_at = now
+
+    def release(self, peer, partition, epoch):
+        """Note that the owner gave the partition up; return whether it was its."""
+        if not self.commands(peer, partition, epoch):
+            return False
+        self._released = True
+        return True
+
+    def forget(self):
+        """Take no order until an owner has fenced the agent anew.
+
+        The epoch stays as a lower bound, so that an owner that was deposed before
+        the pause cannot come back.
+        """
+        self.owner = None
+        self._released = False
+
+    def commands(self, peer, partition, epoch):
+        """Return whether an entry holds the granted epoch and has not released it."""
+        return (
+            peer == self.owner
+            and partition == self.partition
+            and epoch == self.epoch
+            and not self._released
+        )
+
+    def is_owner(self, peer):
+        """Return whether an entry is the present owner."""
+        return self.owner is not None and peer == self.owner
+
+    def grant(self, fence, peer, now):
+        """Decide a `Fence` and return a `ResultCode`; OK means that it is granted.
+
+        A repeated fence of the owner at its own epoch is granted again, since the
+        reply to the first may have been lost.
+        """
+        code = self._check(fence, peer, now)
+        if code == ResultCode.OK:
+            self.partition, self.epoch, self.owner = fence.partition, fence.epoch, peer
+            self._released = self._closed_by_owner = False
+            self._heard_at = now
+        return code
+
+    def _check(self, fence, peer, now):
+        if fence.partition.rpartition("/")[0] != self._service:
+            return ResultCode.UNKNOWN_SERVICE
+        # After a pause the owner may fence again at the epoch that it still holds.
+        renewed = self.owner is None or (peer == self.owner and not self._released)
+        if fence.epoch < self.epoch or (fence.epoch == self.epoch and not renewed):
+            return ResultCode.STALE_EPOCH
+        if peer != self.owner and not fence.forced and not self._owner_gone(now):
+            return ResultCode.OWNER_ALIVE
+        return ResultCode.OK
+
+    def _owner_gone(self, now):
+        return (
+            self.owner is None
+            or self._released
+            or self._closed_by_owner
+            or now - self._heard_at >= self._suspect_after
+        )
--- /dev/null
+++ b/packages/agent/src/hornbeamshore/agent/records.py
@@ -0,0 +1,257 @@
+"""Start records: what became of each attempt that this agent was sent.
+
+Records that the owner has settled are packed into blocks of bytes, since 11,100
+records as Python objects would take several times their share of the 32 MB that
+an agent has.
+"""
+
+import bisect
+import sys
+from array import array
+from collections import deque
+from dataclasses import dataclass, replace
+
+import msgspec
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.base.types import JobKey, TaskResult
+from hornbeamshore.wire.messages import RecordState, StartRecord, TaskRef
+
+# One block costs a bisection in each look-up; 512 keeps both the number of blocks
+# and the share of unpacked records small.
+RECORDS_PER_BLOCK = 512
+# Bound of about 6 MB; at 37 starts/s and a retention of 300 s 11,100 are kept.
+MAX_RECORDS = 60_000
+# Results that no owner has taken yet.
+MAX_KEPT_BODY_BYTES = 4 * 1024 * 1024
+
+_HASH_MASK = (1 << 64) - 1
+
+
+@dataclass(slots=True)
+class _Live:
+    record: StartRecord
+    changed_at: float
+    settled: bool
+
+
+class _Block:
+    """Packed records that no longer change, in the order of their hashes."""
+
+    def __init__(self, records, ended_at):
+        packed = sorted(
+            (_hash(record.key, record.index), _pack(record)) for record in records
+        )
+        self.ended_at = ended_at
+        self._hashes = array("Q", (item[0] for item in packed))
+        self._ends = array("I")
+        end = 0
+        for _, data in packed:
+            end += len(data)
+            self._ends.append(end)
+        self._data = b"".join(item[1] for item in packed)
+
+    def __len__(self):
+        return len(self._hashes)
+
+    def __iter__(self):
+        for place in range(len(self)):
+            yield self._unpack(place)
+
+    def find(self, wanted, key, index):
+        """Return the records of a task."""
+        place = bisect.bisect_left(self._hashes, wanted)
+        found = []
+        while place < len(self) and self._hashes[place] == wanted:
+            record = self._unpack(place)
+            if record.key == key and record.index == index:
+                found.append(record)
+            place += 1
+        return found
+
+    def _unpack(self, place):
+        start = self._ends[place - 1] if place else 0
+        return _unpack(memoryview(self._data)[start : self._ends[place]])
+
+
+class StartRecords:
+    """Start records, each with its time in seconds of one monotonic clock.
+
+    Parameters
+    ----------
+    retention : float
+        Seconds that a record is kept after its last change.
+    """
+
+    def __init__(self, retention):
+        self._retention = retention
+        self._live = {}
+        self._blocks = deque()
+        self._settled = 0
+        self._body_bytes = 0
+
+    def __len__(self):
+        live = sum(len(attempts) for attempts in self._live.values())
+        return live + sum(len(block) for block in self._blocks)
+
+    @property
+    def full(self):
+        """Return whether the bound of the memory for records is reached."""
+        return len(self) >= MAX_RECORDS
+
+    def all(self):
+        """Return each record that is kept."""
+        packed = [record for block in self._blocks for record in block]
+        live = [item.record for items in self._live.values() for item in items]
+        return tuple(packed + live)
+
+    def attempts(self, key, index):
+        """Return the records of a task."""
+        wanted = _hash(key, index)
+        found = [
+            record
+            for block in self._blocks
+            for record in block.find(wanted, key, index)
+        ]
+        return found + [item.record for item in self._live.get((key, index), ())]
+
+    def find(self, ref):
+        """Return the record of one attempt, or None."""
+        for record in self.attempts(ref.key, ref.index):
+            if record.attempt == ref.attempt:
+                return record
+        return None
+
+    def started(self, ref, now, unix_ms):
+        """Keep that an attempt runs."""
+        self._add(_record(ref, RecordState.RUNNING, unix_ms), now, settled=False)
+
+    def refused(self, ref, result, now, unix_ms):
+        """Keep that an attempt was refused and never starts here."""
+        record = _record(ref, RecordState.REFUSED, unix_ms, result)
+        self._add(record, now, settled=True)
+
+    def ended(self, ref, result, now):
+        """Keep the outcome of a running attempt until its owner has it."""
+        item = self._item(ref)
+        if item is None:
+            return
+        item.record = replace(item.record, state=RecordState.ENDED, result=result)
+        item.changed_at = now
+        self._body_bytes += len(result.body)
+        if self._body_bytes > MAX_KEPT_BODY_BYTES:
+            self._drop_oldest_bodies()
+
+    def acknowledge(self, ref, now):
+        """Drop the body of a result that the owner has."""
+        item = self._item(ref)
+        if item is None or item.settled or item.record.state != RecordState.ENDED:
+            return
+        self._drop_body(item)
+        item.settled, item.changed_at = True, now
+        self._note_settled(now)
+
+    def copy(self, records, now):
+        """Keep the records of another agent."""
+        for record in records:
+            if self.find(TaskRef(record.key, record.index, record.attempt)) is None:
+                self._add(_without_body(record), now, settled=True)
+
+    def expire(self, now):
+        """Drop the records whose retention has passed; running ones stay."""
+        limit = now - self._retention
+        while self._blocks and self._blocks[0].ended_at <= limit:
+            self._blocks.popleft()
+        self._remove(
+            lambda item: (
+                item.changed_at <= limit and item.record.state != RecordState.RUNNING
+            )
+        )
+
+    def _item(self, ref):
+        for item in self._live.get((ref.key, ref.index), ()):
+            if item.record.attempt == ref.attempt:
+                return item
+        return None
+
+    def _add(self, record, now, *, settled):
+        items = self._live.setdefault((record.key, record.index), [])
+        items.append(_Live(record, now, settled))
+        if settled:
+            self._note_settled(now)
+
+    def _note_settled(self, now):
+        self._settled += 1
+        if self._settled >= RECORDS_PER_BLOCK:
+            settled = self._remove(lambda item: item.settled)
+            self._blocks.append(_Block(settled, now))
+
+    def _remove(self, chosen):
+        removed = []
+        for task, items in list(self._live.items()):
+            kept = [item for item in items if not chosen(item)]
+            removed += [item for item in items if chosen(item)]
+            if kept:
+                self._live[task] = kept
+            else:
+                del self._live[task]
+        self._settled -= sum(item.settled for item in removed)
+        self._body_bytes -= sum(_body_size(item.record) for item in removed)
+        return [item.record for item in removed]
+
+    def _drop_oldest_bodies(self):
+        for items in self._live.values():
+            for item in items:
+                if self._body_bytes <= MAX_KEPT_BODY_BYTES:
+                    return
+                self._drop_body(item)
+
+    def _drop_body(self, item):
+        self._body_bytes -= _body_size(item.record)
+        item.record = _without_body(item.record)
+
+
+def _record(ref, state, unix_ms, result=None):
+    return StartRecord(ref.key, ref.index, ref.attempt, state, unix_ms, result)
+
+
+def _body_size(record):
+    return len(record.result.body) if record.result else 0
+
+
+def _without_body(record):
+    """Return the record with a result that no longer passes for a whole one."""
+    result = record.result
+    if result is None:
+        return record
+    code = ResultCode.RESULT_EXPIRED if result.ok else result.code
+    result = replace(result, code=int(code), headers=(), body=b"", detail="")
+    return replace(record, result=result)
+
+
+def _hash(key, index):
+    # Neighbouring values for the tasks of one job keep their records together.
+    return (int.from_bytes(key.digest[:8], "big") + index) & _HASH_MASK
+
+
+def _pack(record):
+    key, result = record.key, record.result
+    fields = (key.team, key.service, key.job_id, record.index, record.attempt)
+    fields += (int(record.state), record.started_at_ms)
+    if result is not None:
+        fields += (int(result.code), int(result.run_state))
+        fields += (result.status, result.run_time_us)
+    return msgspec.msgpack.encode(fields)
+
+
+def _unpack(data):
+    team, service, job_id, index, attempt, state, started, *outcome = (
+        msgspec.msgpack.decode(data)
+    )
+    result = None
+    if outcome:
+        code, run_state, status, run_time_us = outcome
+        result = TaskResult(
+            index, attempt, code, run_state, status, run_time_us=run_time_us
+        )
+    key = JobKey(sys.intern(team), sys.intern(service), job_id)
+    return StartRecord(key, index, attempt, state, started, result)
--- /dev/null
+++ b/packages/agent/src/hornbeamshore/agent/target.py
@@ -0,0 +1,206 @@
+"""Requests to the target, and what is known of each when it fails."""
+
+import abc
+from dataclasses import dataclass
+
+import httpcore
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.base.types import Header
+
+# These belong to one connection, or are set anew for the target (RFC 9110, 7.6.1).
+HOP_HEADERS = frozenset(
+    [
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TargetResponse:
+    """Whole response of the target."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+class TargetFailure(Exception):  # noqa: N818
+    """The target gave no usable response.
+
+    Attributes
+    ----------
+    code : ResultCode
+        Numbered reason.
+    run_state : RunState
+        What is known of the work.
+    status : int
+        HTTP status where the target gave one.
+    """
+
+    def __init__(self, code, run_state, detail, status=0):
+        super().__init__(detail)
+        self.code = code
+        self.run_state = run_state
+        self.status = status
+
+
+class SlotConnection(abc.ABC):
+    """Connection of one slot to the target.
+
+    Attributes
+    ----------
+    request_sent : bool
+        Whether any byte of the present request may have reached the target.
+    """
+
+    request_sent = False
+
+    @abc.abstractmethod
+    async def exchange(self, spec, headers):
+        """Send a request once and return its `TargetResponse`.
+
+        Raises
+        ------
+        TargetFailure
+            If there is no whole response.
+        """
+
+    @abc.abstractmethod
+    async def aclose(self):
+        """Close the connection; the next exchange opens it anew."""
+
+
+class Target(abc.ABC):
+    """What the slots of an agent run their tasks on."""
+
+    @abc.abstractmethod
+    def open_slot(self):
+        """Return a new `SlotConnection`."""
+
+
+class HttpTarget(Target):
+    """Target that takes HTTP/1.1 requests.
+
+    Parameters
+    ----------
+    cfg : AgentSettings
+        Address, base path and bounds.
+    """
+
+    def __init__(self, cfg):
+        host, _, port = cfg.target.rpartition(":")
+        self.cfg = cfg
+        self.host = host.strip("[]").encode()
+        self.port = int(port)
+
+    def open_slot(self):
+        """Return a new `HttpSlotConnection`."""
+        return HttpSlotConnection(self)
+
+    def url(self, path):
+        """Return the URL of a path below the base path."""
+        target = (self.cfg.base_path + path).encode()
+        return httpcore.URL(
+            scheme=b"http", host=self.host, port=self.port, target=target
+        )
+
+
+class HttpSlotConnection(SlotConnection):
+    """Kept-alive HTTP/1.1 connection of one slot."""
+
+    def __init__(self, target):
+        self._target = target
+        self._conn = None
+
+    async def exchange(self, spec, headers):
+        """Send a request once; see `SlotConnection.exchange`."""
+        self.request_sent = False
+        if self._conn is not None and (
+            self._conn.has_expired() or self._conn.is_closed()
+        ):
+            await self.aclose()
+        try:
+            return await self._exchange(self._request(spec, headers))
+        except httpcore.LocalProtocolError as exc:
+            # Raised while the head is built, before a byte of it is written.
+            raise self._failure(ResultCode.MALFORMED_REQUEST, exc, sent=False) from exc
+        except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
+            raise self._failure(ResultCode.TARGET_UNREACHABLE, exc) from exc
+        except httpcore.ProtocolError as exc:
+            raise self._failure(ResultCode.TARGET_UNREACHABLE, exc) from exc
+
+    async def aclose(self):
+        """Close the connection; the next exchange opens it anew."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await conn.aclose()
+
+    def _request(self, spec, headers):
+        passed = [
+            (header.name.encode(), header.value.encode())
+            for header in spec.headers
+            if header.name.lower() not in HOP_HEADERS
+        ]
+        url = self._target.url(spec.path)
+        own = [
+            (b"Host", b"%s:%d" % (url.host, url.port)),
+            (b"Content-Length", b"%d" % len(spec.body)),
+        ]
+        timeout = {"connect": self._target.cfg.connect_timeout}
+        return httpcore.Request(
+            spec.method.encode(),
+            url,
+            headers=own + passed + headers,
+            content=spec.body,
+            extensions={"trace": self._trace, "timeout": timeout},
+        )
+
+    async def _trace(self, event, _info):
+        if event == "http11.send_request_headers.started":
+            self.request_sent = True
+
+    async def _exchange(self, req):
+        if self._conn is None:
+            self._conn = httpcore.AsyncHTTPConnection(req.url.origin)
+        response = await self._conn.handle_async_request(req)
+        try:
+            body = await self._read(response)
+        finally:
+            await response.aclose()
+        headers = tuple(
+            Header(name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in response.headers
+            if name.decode("latin-1").lower() not in HOP_HEADERS
+        )
+        return TargetResponse(response.status, headers, body)
+
+    async def _read(self, response):
+        body = bytearray()
+        async for chunk in response.aiter_stream():
+            body += chunk
+            if len(body) > self._target.cfg.max_result_size:
+                raise TargetFailure(
+                    ResultCode.RESULT_TOO_LARGE,
+                    RunState.RAN,
+                    f"response exceeds {self._target.cfg.max_result_size} bytes",
+                    response.status,
+                )
+        return bytes(body)
+
+    def _failure(self, code, exc, sent=None):
+        sent = self.request_sent if sent is None else sent
+        detail = f"{self._target.cfg.target}: {exc or type(exc).__name__}"
+        if sent:
+            return TargetFailure(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, detail)
+        return TargetFailure(code, RunState.NOT_RUN, detail)
