--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -251,7 +251,8 @@
             return
         if known is not None and known.attempt > record.attempt:
             return
-        if known is not None and known.phase is TaskPhase.ENDED:
+        is_newer = known is None or known.attempt < record.attempt
+        if not is_newer and known.phase is TaskPhase.ENDED:
             return
         entry = TaskEntry(
             TaskPhase.RUNNING,
@@ -260,7 +261,7 @@
             record.started_at_ms,
             may_have_run=True,
         )
-        if known is None or known.attempt < record.attempt:
+        if is_newer:
             job.tasks[record.index] = entry
         if record.state == RecordState.ENDED and record.result is not None:
             self._apply_result(job, record.index, entry, record.result)
@@ -307,8 +308,12 @@
             reply(JobAnswer.refused(key, refuse(code)))
         elif job.answer is not None:
             reply(job.answer)
-        elif wait:
+        elif wait and job.request is not None:
             job.waiters.append(reply)
+        elif job.request is None:
+            detail = "The owner changed; submit the job again for its answer."
+            refusal = refuse(ResultCode.OUTCOME_UNKNOWN, detail)
+            reply(JobAnswer.refused(key, refusal))
         else:
             reply(JobAnswer.refused(key, refuse(ResultCode.RUNNING)))
 
@@ -429,6 +434,9 @@
         job.unacknowledged.append(
             (entry.agent_id, TaskRef(job.key, index, entry.attempt))
         )
+        if job.request is None:
+            # The caller's resubmission decides; a later attempt may still be found.
+            return
         if not job.is_open:
             self._acknowledge_job(job)
         elif result.ok:
--- a/packages/entry/src/hornbeamshore/entry/jobs.py
+++ b/packages/entry/src/hornbeamshore/entry/jobs.py
@@ -222,7 +222,12 @@
         """Forget the jobs that ended, or were last heard of, before the retention."""
         limit = now_ms - self.retention_s * 1000
         for job in list(self._jobs.values()):
-            if not job.is_open and job.ended_at_ms < limit or job.request is None and job.accepted_at_ms < limit:
+            if (
+                not job.is_open
+                and job.ended_at_ms < limit
+                or job.request is None
+                and job.accepted_at_ms < limit
+            ):
                 self._forget(job.key)
 
     def _forget(self, key):
--- /dev/null
+++ b/tests/ownership/test_roster.py
@@ -0,0 +1,95 @@
+"""Roster and owner table: what a new owner must account for."""
+
+import pytest
+
+from hornbeamshore.entry import roster as rosters
+from hornbeamshore.entry import table as tables
+from hornbeamshore.wire.messages import OwnerTable, Roster, TableEntry
+
+MINUTE_MS = 60_000
+
+
+def _roster(*agents):
+    roster = Roster(epoch=5)
+    for agent_id, incarnation in agents:
+        roster = rosters.with_agent(roster, agent_id, incarnation, "rack-1", 0)
+    return roster
+
+
+@pytest.mark.parametrize(
+    ("granted", "missing"),
+    [
+        ({"a": 1, "b": 1}, []),
+        ({"a": 1}, ["b"]),
+        ({"a": 1, "b": 2}, ["b"]),
+        ({}, ["a", "b"]),
+    ],
+    ids=["all", "one silent", "one restarted", "none"],
+)
+def test_silent_or_restarted_agents_are_unaccounted_for(granted, missing):
+    """Guards against a start of a key whose record only a lost agent had."""
+    found = rosters.unaccounted(_roster(("a", 1), ("b", 1)), granted)
+    assert [entry.agent_id for entry in found] == missing
+
+
+@pytest.mark.parametrize(
+    ("copied", "lost_at_ms", "missing"),
+    [(True, 0, []), (False, 0, ["b"]), (False, -10 * MINUTE_MS, [])],
+    ids=["records copied", "records lost", "older than the retention"],
+)
+def test_lost_agents_count_until_copied_or_expired(copied, lost_at_ms, missing):
+    """Guards against forgetting an agent whose records were never copied."""
+    roster = rosters.with_lost(
+        _roster(("a", 1), ("b", 1)), "b", lost_at_ms, accounted_for=copied
+    )
+    roster = rosters.without_expired(roster, MINUTE_MS, 5 * MINUTE_MS)
+    found = rosters.unaccounted(roster, {"a": 1})
+    assert [entry.agent_id for entry in found] == missing
+
+
+def test_new_incarnation_makes_the_old_one_lost():
+    """Guards against counting the records of a restarted agent as kept."""
+    roster = rosters.with_agent(_roster(("a", 1)), "a", 2, "rack-1", 7)
+    assert rosters.lists(roster, "a", 2)
+    assert not rosters.lists(roster, "a", 1)
+    assert [entry.incarnation for entry in rosters.unaccounted(roster, {"a": 2})] == [1]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "newer"),
+    [((1, 9), (2, 1), (2, 1)), ((2, 3), (2, 2), (2, 3)), ((0, 0), (0, 1), (0, 1))],
+)
+def test_newest_roster_is_by_epoch_then_version(first, second, newer):
+    """Guards against a deposed owner's roster that replaces its successor's."""
+    found = rosters.newest([Roster(*first), Roster(*second)])
+    assert (found.epoch, found.version) == newer
+
+
+def _table(*names):
+    table = OwnerTable()
+    for name in names:
+        entry = TableEntry(name, 1, f"{name}:1", "dc", "rack")
+        table = tables.with_entry(table, entry)
+    return table
+
+
+@pytest.mark.parametrize("removed", ["e1", "e2", "e3"])
+def test_leaving_entry_moves_only_its_own_partitions(removed):
+    """Guards against owner changes of partitions that nothing happened to."""
+    table = _table("e1", "e2", "e3")
+    smaller = tables.without_entries(table, {removed})
+    for number in range(50):
+        order = tables.candidates(table, f"service/{number}")
+        rest = [name for name in order if name != removed]
+        assert tables.candidates(smaller, f"service/{number}") == rest
+
+
+def test_table_survives_the_store_and_its_version_rises_only_with_changes():
+    """Guards against a table that reverts, or is written again without a change."""
+    table = _table("e1", "e2")
+    assert tables.decode_table(tables.encode_table(table)) == table
+    assert tables.with_entry(table, table.entries[0]) is table
+    assert tables.without_entries(table, {"e9"}) is table
+    owned = tables.with_owned(table, "service/0")
+    assert owned.version == table.version + 1
+    assert owned.owned == ("service/0",)
