--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/workload.py
@@ -0,0 +1,193 @@
+"""Seeded arrivals and targets for the offline replay."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.base.types import JobKey
+from hornbeamshore.config.model import Deployment, Kind, Service, Team, Urgency
+from hornbeamshore.policy.types import TargetInfo
+
+SERVICE = "orders"
+DATA_CENTRES = ("north", "middle", "south")
+TARGETS_PER_RACK = 3
+# Run times on a mean target are multiplied by 0.5 (fast hosts) to 2 (slow ones).
+SLOWNESS_RANGE = (0.5, 2.0)
+DECLARED_ERROR = 10.0
+# Spread of the logarithm of the run times of one kind.
+RUN_TIME_SIGMA = 0.35
+MAX_JOB_TASKS = 40
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Steady demand of one team for one kind.
+
+    Attributes
+    ----------
+    run_s : float
+        Median run time of a task on a mean target.
+    mean_tasks : float
+        Mean number of tasks of a job.
+    share : float
+        Share of the offered work.
+    deadline_s : float
+        Time within which an answer counts.
+    """
+
+    team: str
+    kind: str
+    urgency: Urgency
+    run_s: float
+    mean_tasks: float
+    share: float
+    deadline_s: float
+
+
+STREAMS = (
+    Stream("sales", "quote", Urgency.URGENT, 0.08, 4, 0.10, 2.0),
+    Stream("members", "quote", Urgency.URGENT, 0.08, 4, 0.08, 2.0),
+    Stream("members", "hold", Urgency.URGENT, 0.05, 1, 0.02, 2.0),
+    Stream("sales", "plan", Urgency.URGENT, 0.4, 8, 0.15, 4.0),
+    Stream("members", "preview", Urgency.NORMAL, 0.25, 4, 0.15, 4.0),
+    Stream("shops", "preview", Urgency.NORMAL, 0.25, 4, 0.15, 4.0),
+    Stream("shops", "check", Urgency.NORMAL, 0.8, 8, 0.13, 8.0),
+    Stream("members", "survey", Urgency.NORMAL, 4.0, 1, 0.07, 20.0),
+    Stream("sales", "report", Urgency.BACKGROUND, 0.5, 12, 0.10, 20.0),
+    Stream("shops", "lookup", Urgency.BACKGROUND, 0.1, 4, 0.05, 10.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """One replay.
+
+    Attributes
+    ----------
+    load : float
+        Offered work of the steady streams over the capacity of the fleet.
+    flood : str
+        ``team/kind`` of the stream that floods; empty for none.
+    flood_load : float
+        Work of the flood over the capacity of the fleet.
+    flood_from, flood_to : float
+        Seconds in which the flood arrives.
+    measured_from : float
+        Second from which steady jobs are counted.
+    failing : int
+        Targets that fail each task after 2 ms from `flood_from` on.
+    stalling : int
+        Targets on which no task ends from `flood_from` on.
+    """
+
+    seed: int = 1
+    targets: int = 11
+    slots: int = 8
+    seconds: float = 60.0
+    load: float = 0.8
+    flood: str = ""
+    flood_load: float = 10.0
+    flood_from: float = 30.0
+    flood_to: float = 50.0
+    measured_from: float = 10.0
+    failing: int = 0
+    stalling: int = 0
+    far_delay_s: float = 0.0015
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """Target of the replay and its true slowness."""
+
+    info: TargetInfo
+    slowness: float
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """Arrival.
+
+    Attributes
+    ----------
+    sizes : tuple of float
+        True run times of the tasks on a mean target.
+    """
+
+    arrival: float
+    key: JobKey
+    stream: Stream
+    sizes: tuple[float, ...]
+    flood: bool
+
+
+def make_hosts(scenario):
+    """Return the hosts, their slowness spread evenly in its logarithm."""
+    low, high = (math.log(value) for value in SLOWNESS_RANGE)
+    step = (high - low) / max(1, scenario.targets - 1)
+    slowness = [math.exp(low + step * i) for i in range(scenario.targets)]
+    random.Random(scenario.seed).shuffle(slowness)
+    return tuple(
+        Host(
+            TargetInfo(
+                f"agent-{i}",
+                DATA_CENTRES[i % len(DATA_CENTRES)],
+                f"rack-{i // TARGETS_PER_RACK}",
+                scenario.slots,
+            ),
+            value,
+        )
+        for i, value in enumerate(slowness)
+    )
+
+
+def make_deployment(scenario):
+    """Return a deployment whose declared run times are off by up to 10 times."""
+    rng = random.Random(scenario.seed + 1)
+    kinds = {}
+    for stream in STREAMS:
+        error = DECLARED_ERROR ** rng.uniform(-1, 1)
+        kinds[stream.kind] = Kind(
+            urgency=stream.urgency, expected_run=Duration(stream.run_s * error)
+        )
+    slots = scenario.targets * scenario.slots
+    teams = {stream.team: Team("", slots) for stream in STREAMS}
+    return Deployment("replay", {SERVICE: Service(kinds)}, teams)
+
+
+def make_jobs(scenario, hosts):
+    """Return the arrivals in the order of time."""
+    rng = random.Random(scenario.seed + 2)
+    capacity = sum(host.info.slots / host.slowness for host in hosts)
+    jobs = []
+    for stream in STREAMS:
+        work = scenario.load * capacity * stream.share
+        jobs += _arrivals(rng, stream, work, 0.0, scenario.seconds, False)
+        if f"{stream.team}/{stream.kind}" == scenario.flood:
+            work = scenario.flood_load * capacity
+            span = scenario.flood_from, scenario.flood_to
+            jobs += _arrivals(rng, stream, work, *span, True)
+    return sorted(jobs, key=lambda job: job.arrival)
+
+
+def _arrivals(rng, stream, work, start, end, flood):
+    mean_run = stream.run_s * math.exp(RUN_TIME_SIGMA**2 / 2)
+    rate = work / (mean_run * stream.mean_tasks)
+    moment = start + rng.expovariate(rate)
+    while moment < end:
+        count = _job_size(rng, stream.mean_tasks)
+        sizes = tuple(_run_time(rng, stream) for _ in range(count))
+        name = f"{stream.kind}-{moment:.9f}{'-flood' if flood else ''}"
+        key = JobKey(stream.team, SERVICE, name)
+        yield Job(moment, key, stream, sizes, flood)
+        moment += rng.expovariate(rate)
+
+
+def _job_size(rng, mean):
+    if mean <= 1:
+        return 1
+    return min(MAX_JOB_TASKS, 1 + int(rng.expovariate(1 / (mean - 0.5))))
+
+
+def _run_time(rng, stream):
+    return stream.run_s * math.exp(rng.gauss(0, RUN_TIME_SIGMA))
--- a/packages/policy/src/hornbeamshore/policy/admission.py
+++ b/packages/policy/src/hornbeamshore/policy/admission.py
@@ -5,6 +5,9 @@
 
 from hornbeamshore.base.codes import ResultCode, refuse
 
+# A shorter Retry-After lets refused callers come back before anything changed.
+MIN_PAUSE_S = 0.05
+
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
@@ -12,25 +15,28 @@
 
     Attributes
     ----------
-    runnable, known : int
-        Slots of the targets that are up, and of all known ones, with the labels
-        that the kind requires.
-    wait_s : float
-        Expected time until the last task of the submission starts.
+    capacity : float
+        Work that open targets with the labels that the kind requires do each second.
+    runnable : bool
+        Whether a known target, open or not, has these labels.
+    wait_s, last_wait_s : float
+        Expected time until the first and the last task of the submission start.
     run_time_s : float
-        Expected run time of a task; 0 while only a declared one is known.
+        Expected run time on the fastest target; 0 while only a declared one is known.
     quota_slots : int
         Slots that the team may use.
-    quota_wait_s : float
-        The part of the wait that the team's quota causes.
+    quota_wait_s, last_quota_wait_s : float
+        The same waits as far as the team's quota causes them.
     """
 
-    runnable: int
-    known: int
-    wait_s: float
-    run_time_s: float
-    quota_slots: int
-    quota_wait_s: float
+    capacity: float
+    runnable: bool
+    wait_s: float = 0.0
+    last_wait_s: float = 0.0
+    run_time_s: float = 0.0
+    quota_slots: int = 0
+    quota_wait_s: float = 0.0
+    last_quota_wait_s: float = 0.0
 
 
 class Admission(abc.ABC):
@@ -56,34 +62,35 @@
         )
 
     def _check_targets(self, load, forecast):
-        if forecast.runnable:
-            return None
-        if forecast.known == 0:
+        if not forecast.runnable:
             return refuse(
                 ResultCode.NEVER_RUNNABLE,
                 f"kind {load.kind}: no target has the labels that it requires",
             )
-        return refuse(
-            ResultCode.NO_TARGETS, retry_after_s=float(self._cfg.no_target_retry)
-        )
+        if forecast.capacity <= 0:
+            pause = float(self._cfg.no_target_retry)
+            return refuse(ResultCode.NO_TARGETS, retry_after_s=pause)
+        return None
 
     def _check_quota(self, load, forecast):
-        bound = min(load.timeout_s, self._cfg.max_wait)
-        if forecast.quota_slots and forecast.quota_wait_s <= bound:
+        detail = f"team {load.team}: quota of {forecast.quota_slots} slots is used up"
+        if not forecast.quota_slots:
+            return refuse(ResultCode.QUOTA_EXCEEDED, detail)
+        late = forecast.last_quota_wait_s + forecast.run_time_s - load.timeout_s
+        late = max(late, forecast.quota_wait_s - self._cfg.max_wait)
+        if late <= 0 or not forecast.quota_wait_s:
             return None
-        return refuse(
-            ResultCode.QUOTA_EXCEEDED,
-            f"team {load.team}: quota of {forecast.quota_slots} slots is used up",
-            retry_after_s=_pause(forecast.quota_wait_s - bound),
-        )
+        return refuse(ResultCode.QUOTA_EXCEEDED, detail, retry_after_s=_pause(late))
 
     def _check_wait(self, load, forecast):
-        late = forecast.wait_s + forecast.run_time_s - load.timeout_s
+        late = forecast.last_wait_s + forecast.run_time_s - load.timeout_s
         if late > 0:
+            # Waiting helps only where the queue, not the work itself, is too long.
+            pause = _pause(late) if forecast.wait_s else 0.0
             return refuse(
                 ResultCode.DEADLINE_UNREACHABLE,
-                f"expected {late:.3f} s after the deadline",
-                retry_after_s=_pause(late),
+                f"expected to end {late:.3f} s after the deadline",
+                retry_after_s=pause,
             )
         if forecast.wait_s > self._cfg.max_wait:
             return refuse(
@@ -95,4 +102,4 @@
 
 
 def _pause(seconds):
-    return max(0.05, seconds)
+    return max(MIN_PAUSE_S, seconds)
--- a/packages/policy/src/hornbeamshore/policy/fleet.py
+++ b/packages/policy/src/hornbeamshore/policy/fleet.py
@@ -3,19 +3,35 @@
 from hornbeamshore.policy.outliers import Health
 
 PROBE_SLOTS = 1
+# Bounds how unattractive failures make a target that may not be ejected.
+MIN_SUCCESS_RATE = 0.1
 
 
 class Running:
-    """Task in a slot."""
+    """Task in a slot.
 
-    __slots__ = ("task", "agent_id", "started", "end", "cost")
+    Attributes
+    ----------
+    end : float
+        When it is expected to end.
+    cost : float
+        Work charged for it, in seconds on a mean target.
+    speed : float
+        Work that its slot does each second.
+    probe : bool
+        Whether it was started to probe an ejected target.
+    """
 
-    def __init__(self, task, agent_id, started, run_time_s, cost):
+    __slots__ = ("task", "flow", "started", "end", "cost", "speed", "probe")
+
+    def __init__(self, task, flow, started, cost, slowness):
         self.task = task
-        self.agent_id = agent_id
+        self.flow = flow
         self.started = started
-        self.end = started + run_time_s
+        self.end = started + cost * slowness
         self.cost = cost
+        self.speed = 1.0 / slowness
+        self.probe = False
 
 
 class Target:
@@ -23,23 +39,32 @@
 
     Attributes
     ----------
+    factor : float
+        Slowness, raised for a target that fails; placement multiplies by it.
+    open : bool
+        Whether new work may start here at all.
+    reserve : int
+        Free slots that flows above their entitlement must leave.
     usable : int
         Free slots that placement may use now.
     """
 
-    __slots__ = ("info", "labels", "running", "draining", "health", "usable", "_next")
+    __slots__ = (
+        "agent_id", "info", "labels", "running", "draining", "health", "delay",
+        "slowness", "factor", "open", "reserve", "usable", "_next",
+    )  # fmt: skip
 
     def __init__(self, info):
+        self.agent_id = info.agent_id
         self.running = {}
         self.draining = False
         self.health = Health.OK
+        self.delay = 0.0
+        self.slowness = 1.0
+        self.factor = 1.0
+        self.reserve = 0
         self.announce(info)
 
-    @property
-    def agent_id(self):
-        """Return the identifier of the target's agent."""
-        return self.info.agent_id
-
     def announce(self, info):
         """Take what the agent announced."""
         self.info = info
@@ -48,45 +73,137 @@
 
     def update(self):
         """Recompute the free slots after a change of state."""
-        slots = self.info.slots
-        if self.draining or self.health is Health.EJECTED:
-            slots = 0
-        elif self.health is Health.PROBING:
-            slots = min(slots, PROBE_SLOTS)
-        self.usable = max(0, slots - len(self.running))
+        self.open = not self.draining and self.health is not Health.EJECTED
         self._next = None
+        if not self.open:
+            self.usable = 0
+            return
+        self.usable = max(0, self.info.slots - len(self.running))
+        if self.health is Health.PROBING:
+            probes = sum(entry.probe for entry in self.running.values())
+            self.usable = min(self.usable, max(0, PROBE_SLOTS - probes))
+
+    def rate(self, slowness, success_rate):
+        """Take what was learned of the target."""
+        self.slowness = slowness
+        self.factor = slowness / max(success_rate, MIN_SUCCESS_RATE)
+
+    def next_free(self, now, overrun_share):
+        """Return when the first of its busy slots is expected to become free."""
+        if self._next is None or self._next <= now:
+            ends = self.expected_ends(now, overrun_share)
+            self._next = min(ends, default=float("inf"))
+        return self._next
+
+    def expected_ends(self, now, overrun_share):
+        """Return when each running task is expected to end.
+
+        A task that overran its estimate is expected to run on for a share of the
+        time that it took so far.
+        """
+        return [
+            entry.end
+            if entry.end > now
+            else now + overrun_share * (now - entry.started)
+            for entry in self.running.values()
+        ]
+
 
-    def start(self, running):
+class Fleet:
+    """Targets of one partition.
+
+    Attributes
+    ----------
+    free : int
+        Usable slots of all targets.
+    speed : float
+        Work that all running tasks do each second.
+    version : int
+        Changes when a target joins, leaves, opens or closes.
+    """
+
+    def __init__(self):
+        self._targets = {}
+        self.free = 0
+        self.speed = 0.0
+        self.version = 0
+
+    def get(self, agent_id):
+        """Return a `Target` or None."""
+        return self._targets.get(agent_id)
+
+    def targets(self):
+        """Return all targets."""
+        return self._targets.values()
+
+    def add(self, info):
+        """Add a target, or take its new announcement; return the `Target`."""
+        target = self._targets.get(info.agent_id)
+        if target is None:
+            target = self._targets[info.agent_id] = Target(info)
+            self.free += target.usable
+        else:
+            target.draining = False
+            self.change(target, target.announce, info)
+        self.version += 1
+        return target
+
+    def remove(self, agent_id):
+        """Forget a target; return it or None."""
+        target = self._targets.pop(agent_id, None)
+        if target is not None:
+            self.free -= target.usable
+            self.speed -= sum(entry.speed for entry in target.running.values())
+            self.version += 1
+        return target
+
+    def drain(self, target):
+        """Start nothing more on a target."""
+        target.draining = True
+        self.change(target, target.update)
+
+    def set_health(self, target, health):
+        """Take the health of a target."""
+        target.health = health
+        self.change(target, target.update)
+
+    def change(self, target, act, *args):
+        """Change a target and keep the sums."""
+        before, was_open = target.usable, target.open
+        act(*args)
+        self.free += target.usable - before
+        self.version += was_open != target.open
+
+    def start(self, target, running):
         """Put a task into a slot."""
-        self.running[task_id(running.task)] = running
-        self.usable = max(0, self.usable - 1)
-        self._next = None
+        running.probe = target.health is Health.PROBING
+        target.running[task_id(running.task)] = running
+        self.speed += running.speed
+        self.change(target, target.update)
 
-    def end(self, task):
+    def end(self, target, task):
         """Free the slot of a task; return its `Running` or None."""
-        running = self.running.pop(task_id(task), None)
+        running = target.running.pop(task_id(task), None)
         if running is not None:
-            self.update()
+            self.speed -= running.speed
+            self.change(target, target.update)
         return running
 
-    def next_free(self, now, overrun_share):
-        """Return when a slot is expected to become free."""
-        if self.usable:
-            return now
-        if self._next is None or self._next < now:
-            self._next = min(
-                (_expected_end(r, now, overrun_share) for r in self.running.values()),
-                default=float("inf"),
-            )
-        return self._next
+    def capacity(self, requires):
+        """Return the work that open targets with the labels do each second."""
+        return sum(
+            target.info.slots / target.slowness
+            for target in self._targets.values()
+            if target.open and requires <= target.labels
+        )
+
+    def reserve(self, slots):
+        """Keep free slots, two at most on each target, the fastest ones first."""
+        for target in sorted(self._targets.values(), key=lambda t: t.factor):
+            target.reserve = min(2, slots, target.info.slots // 2) * target.open
+            slots -= target.reserve
 
 
 def task_id(task):
     """Return what tells apart the attempts of all tasks."""
     return task.key, task.index, task.attempt
-
-
-def _expected_end(running, now, overrun_share):
-    if running.end > now:
-        return running.end
-    return now + overrun_share * (now - running.started)
--- a/packages/policy/src/hornbeamshore/policy/outliers.py
+++ b/packages/policy/src/hornbeamshore/policy/outliers.py
@@ -29,6 +29,10 @@
     def ended(self, agent_id, kind, outcome, now):
         """Note how a task ended on a target."""
 
+    @abc.abstractmethod
+    def stalled(self, agent_id, now):
+        """Note that the tasks of a target run far beyond their estimates."""
+
     @abc.abstractmethod
     def health(self, agent_id):
         """Return the `Health` of a target."""
@@ -59,12 +63,17 @@
 
 
 class FailureOutliers(Outliers):
-    """Ejects by failures in a row and by success rate; probes with growing pauses."""
+    """Ejects by failures in a row and by success rate; probes with growing pauses.
+
+    A refusal counts as a failure here: a target that refuses everything at once
+    looks as idle as one that fails everything.
+    """
 
     def __init__(self, cfg):
         self._cfg = cfg
         self._records = {}
         self._out = set()
+        self._kind_failures = {}
 
     def add(self, agent_id):
         """Watch a target."""
@@ -80,12 +89,21 @@
         record = self._records.get(agent_id)
         if record is None or outcome is Outcome.CANCELLED:
             return
-        succeeded = outcome is Outcome.OK
-        record.rate += (succeeded - record.rate) / self._cfg.window
-        if succeeded:
-            self._note_success(agent_id, record)
+        failure = self._kind_failures.get(kind, 0.0)
+        failed = outcome is not Outcome.OK
+        if outcome is not Outcome.REFUSED:
+            gain = (failed - failure) / self._cfg.kind_window
+            self._kind_failures[kind] = failure + gain
+        if failed:
+            self._note_failure(agent_id, record, 1.0 - failure, now)
         else:
-            self._note_failure(agent_id, record, now)
+            self._note_success(agent_id, record)
+
+    def stalled(self, agent_id, now):
+        """Note that the tasks of a target run far beyond their estimates."""
+        record = self._records[agent_id]
+        if record.health is Health.OK and self._may_eject():
+            self._eject(agent_id, record, now)
 
     def health(self, agent_id):
         """Return the `Health` of a target."""
@@ -115,6 +133,7 @@
 
     def _note_success(self, agent_id, record):
         record.row = 0.0
+        record.rate += (1.0 - record.rate) / self._cfg.window
         if record.health is not Health.PROBING:
             return
         record.probes += 1
@@ -124,8 +143,10 @@
             record.pause = 0.0
             self._out.discard(agent_id)
 
-    def _note_failure(self, agent_id, record, now):
-        record.row += 1
+    def _note_failure(self, agent_id, record, weight, now):
+        # A kind that fails everywhere says little about the target.
+        record.row += weight
+        record.rate -= weight * record.rate / self._cfg.window
         failing = (
             record.row >= self._cfg.consecutive_failures
             or record.rate < self._cfg.min_success_rate
--- a/packages/policy/src/hornbeamshore/policy/queueing.py
+++ b/packages/policy/src/hornbeamshore/policy/queueing.py
@@ -2,6 +2,8 @@
 
 import abc
 import heapq
+import itertools
+import math
 from collections import deque
 
 from hornbeamshore.config.model import Urgency
@@ -10,11 +12,28 @@
 
 
 class Flow:
-    """Queued tasks of one team and kind, grouped by job."""
+    """Queued tasks of one team and kind, grouped by job.
+
+    Work is counted in seconds on a mean target.
+
+    Attributes
+    ----------
+    excess : bool
+        Whether the flow is above its entitlement and gets what others leave.
+    tokens : float
+        Work that it may still start within its entitlement.
+    entitlement : float
+        Work each second that it gets before the excess of others.
+    served : float
+        Work each second that it got lately.
+    """
 
     __slots__ = (
-        "team", "kind", "urgency", "weight", "requires",
-        "batches", "queued", "running", "tag", "active",
+        "team", "kind", "urgency", "weight", "requires", "base",
+        "batches", "queued", "running", "speed",
+        "tag", "excess_tag", "entry", "excess", "blocked",
+        "tokens", "tokens_at", "entitlement",
+        "arrived", "recent", "usual", "served", "last_used",
     )  # fmt: skip
 
     def __init__(self, team, kind):
@@ -23,11 +42,21 @@
         self.urgency = Urgency.NORMAL
         self.weight = 1.0
         self.requires = frozenset()
+        self.base = 0.0
         self.batches = deque()
         self.queued = 0
         self.running = 0
-        self.tag = 0.0
-        self.active = False
+        self.speed = 0.0
+        self.tag = self.excess_tag = 0.0
+        self.entry = None
+        self.excess = False
+        self.blocked = False
+        self.tokens = 0.0
+        self.tokens_at = 0.0
+        self.entitlement = 0.0
+        self.arrived = 0
+        self.recent = self.usual = self.served = 0.0
+        self.last_used = 0.0
 
     def head(self):
         """Return the first batch that has tasks, or None."""
@@ -35,6 +64,12 @@
             self.batches.popleft()
         return self.batches[0] if self.batches else None
 
+    def refill(self, now, burst_s):
+        """Add the tokens earned since the last call."""
+        earned = self.entitlement * (now - self.tokens_at)
+        self.tokens = min(self.entitlement * burst_s, self.tokens + earned)
+        self.tokens_at = now
+
 
 class _Batch:
     """Queued tasks of one job with one deadline."""
@@ -49,6 +84,26 @@
         self.tasks = deque()
 
 
+class _Lane:
+    """Flows served by start-time fair queueing.
+
+    Attributes
+    ----------
+    share : float
+        Share of the work started by lanes before this one that it is owed.
+    credit : float
+        Work owed so far.
+    """
+
+    __slots__ = ("flows", "virtual", "share", "credit")
+
+    def __init__(self, share):
+        self.flows = []
+        self.virtual = 0.0
+        self.share = share
+        self.credit = 0.0
+
+
 class TaskQueue(abc.ABC):
     """Holds queued tasks and decides which flow is served next."""
 
@@ -56,6 +111,14 @@
     def configure(self, deployment, service):
         """Take weights, urgencies and labels of the flows."""
 
+    @abc.abstractmethod
+    def flow(self, team, kind):
+        """Return the `Flow` of a team and kind."""
+
+    @abc.abstractmethod
+    def flows(self):
+        """Return all flows."""
+
     @abc.abstractmethod
     def add(self, tasks, now):
         """Queue tasks."""
@@ -73,8 +136,8 @@
         """Return the `Flow` to serve next, or None."""
 
     @abc.abstractmethod
-    def take(self, flow, cost, now):
-        """Remove and return a task of the picked flow, charged with its cost."""
+    def take(self, flow, now):
+        """Remove and return a task of the picked flow, charged to it."""
 
     @abc.abstractmethod
     def set_aside(self, flow):
@@ -85,12 +148,28 @@
         """Bring back the flows that were set aside."""
 
     @abc.abstractmethod
-    def flow(self, team, kind):
-        """Return the `Flow` of a team and kind."""
+    def block(self, flow):
+        """Leave the picked flow out until `unblock` of its team."""
 
     @abc.abstractmethod
-    def flows(self):
-        """Return all flows."""
+    def unblock(self, team):
+        """Bring back the blocked flows of a team."""
+
+    @abc.abstractmethod
+    def correct(self, flow, work):
+        """Charge a flow for work that its task took beyond what was expected."""
+
+    @abc.abstractmethod
+    def learn(self, now, capacity):
+        """Update entitlements; called a few times each second."""
+
+    @abc.abstractmethod
+    def ahead(self, flow, now):
+        """Return the work that is served before the next task of a flow."""
+
+    @abc.abstractmethod
+    def team_work(self, team):
+        """Return the queued work of a team."""
 
     @abc.abstractmethod
     def next_deadline(self):
@@ -98,19 +177,39 @@
 
 
 class FairQueue(TaskQueue):
-    """Classes by urgency, and start-time fair queueing by flow in each class."""
+    """Urgency classes, entitlements and start-time fair queueing by flow.
+
+    A flow earns tokens at the rate of its entitlement, which follows its usual
+    demand. Flows with tokens are served by class; flows without get what these
+    leave. Each lane is owed a small share of the work of the lanes before it, so
+    that none starves.
+    """
 
-    def __init__(self, cfg):
+    def __init__(self, cfg, run_times):
         self._cfg = cfg
+        self._run_times = run_times
         self._service = None
         self._teams = {}
         self._flows = {}
+        self._by_team = {}
         self._jobs = {}
         self._deadlines = []
-        self._sequence = 0
-        self._heaps = {urgency: [] for urgency in CLASSES}
-        self._virtual = dict.fromkeys(CLASSES, 0.0)
+        self._sequence = itertools.count()
+        shares = (0.0, cfg.normal_share, cfg.background_share)
+        self._lanes = {
+            urgency: _Lane(share)
+            for urgency, share in zip(CLASSES, shares, strict=True)
+        }
+        self._excess = _Lane(cfg.excess_share)
+        self._order = (*self._lanes.values(), self._excess)
+        self._refills = []
         self._aside = []
+        self._blocked = {}
+        self._learned_at = None
+        self._calm_from = 0.0
+        self._capacity = 1.0
+        self._ahead = {}
+        self._ahead_until = -math.inf
 
     def configure(self, deployment, service):
         """Take weights, urgencies and labels of the flows."""
@@ -118,6 +217,25 @@
         self._teams = deployment.teams
         for flow in self._flows.values():
             self._set_up(flow)
+            if flow.entry is not None:
+                self._push(flow)
+
+    def flow(self, team, kind):
+        """Return the `Flow` of a team and kind."""
+        flow = self._flows.get((team, kind))
+        if flow is None:
+            flow = self._flows[team, kind] = Flow(team, kind)
+            self._by_team.setdefault(team, []).append(flow)
+            self._set_up(flow)
+            flow.base = self._run_times.base(kind)
+            flow.tokens_at = self._learned_at or 0.0
+            self._entitle(flow, self._total_weight())
+            flow.tokens = flow.entitlement * self._cfg.burst
+        return flow
+
+    def flows(self):
+        """Return all flows."""
+        return self._flows.values()
 
     def add(self, tasks, now):
         """Queue tasks."""
@@ -130,6 +248,7 @@
                 batch = self._new_batch(task, now)
             batch.tasks.append(task)
             batch.flow.queued += 1
+            batch.flow.arrived += 1
 
     def cancel(self, key):
         """Remove the tasks of a job; return them."""
@@ -149,25 +268,32 @@
 
     def pick(self, now):
         """Return the `Flow` to serve next, or None."""
-        for urgency in CLASSES:
-            heap = self._heaps[urgency]
-            while heap:
-                _, _, flow = heapq.heappop(heap)
-                if flow.queued:
-                    return flow
-                flow.active = False
-        return None
-
-    def take(self, flow, cost, now):
-        """Remove and return a task of the picked flow, charged with its cost."""
+        self._promote(now)
+        first = None
+        for lane in self._order:
+            flow = self._first(lane, now)
+            if flow is None:
+                lane.credit = 0.0
+                continue
+            if lane.credit >= flow.base:
+                first = flow
+                break
+            first = first or flow
+        if first is not None:
+            self._pop(self._lane(first))
+        return first
+
+    def take(self, flow, now):
+        """Remove and return a task of the picked flow, charged to it."""
         batch = flow.head()
         task = batch.tasks.popleft()
         if not batch.tasks:
             self._forget(batch)
         flow.queued -= 1
-        self._virtual[flow.urgency] = flow.tag
-        flow.tag += cost / flow.weight
-        self._push(flow)
+        flow.tokens -= flow.base
+        self._charge(flow)
+        if flow.queued:
+            self._push(flow)
         return task
 
     def set_aside(self, flow):
@@ -180,17 +306,45 @@
             self._push(flow)
         self._aside.clear()
 
-    def flow(self, team, kind):
-        """Return the `Flow` of a team and kind."""
-        flow = self._flows.get((team, kind))
-        if flow is None:
-            flow = self._flows[team, kind] = Flow(team, kind)
-            self._set_up(flow)
-        return flow
+    def block(self, flow):
+        """Leave the picked flow out until `unblock` of its team."""
+        flow.blocked = True
+        self._blocked.setdefault(flow.team, []).append(flow)
 
-    def flows(self):
-        """Return all flows."""
-        return self._flows.values()
+    def unblock(self, team):
+        """Bring back the blocked flows of a team."""
+        for flow in self._blocked.pop(team, ()):
+            flow.blocked = False
+            self._push(flow)
+
+    def correct(self, flow, work):
+        """Charge a flow for work that its task took beyond what was expected."""
+        flow.tokens -= work
+
+    def learn(self, now, capacity):
+        """Update entitlements; called a few times each second."""
+        if self._learned_at is None:
+            self._learned_at = self._calm_from = now
+        passed = now - self._learned_at
+        self._learned_at = now
+        self._capacity = max(capacity, 1e-9)
+        if passed > 0:
+            self._learn_demand(now, passed)
+        total_weight = self._total_weight()
+        for flow in self._flows.values():
+            flow.refill(now, self._cfg.burst)
+            self._entitle(flow, total_weight)
+
+    def ahead(self, flow, now):
+        """Return the work that is served before the next task of a flow."""
+        if now >= self._ahead_until:
+            self._count_ahead()
+            self._ahead_until = now + self._cfg.count_every
+        return self._ahead.get(flow.urgency, 0.0)
+
+    def team_work(self, team):
+        """Return the queued work of a team."""
+        return sum(flow.queued * flow.base for flow in self._by_team.get(team, ()))
 
     def next_deadline(self):
         """Return a moment not later than the first deadline, or None."""
@@ -200,25 +354,88 @@
 
     def _new_batch(self, task, now):
         flow = self.flow(task.team, task.kind)
+        flow.last_used = now
         batch = _Batch(flow, task, now)
         self._jobs.setdefault(task.key, []).append(batch)
-        self._sequence += 1
-        heapq.heappush(self._deadlines, (task.deadline, self._sequence, batch))
+        entry = task.deadline, next(self._sequence), batch
+        heapq.heappush(self._deadlines, entry)
         if task.attempt > 1:
             # A retry has less time left than the tasks behind which it would wait.
             flow.batches.appendleft(batch)
         else:
             flow.batches.append(batch)
-        if not flow.active:
-            flow.active = True
-            flow.tag = max(flow.tag, self._virtual[flow.urgency])
+        if flow.entry is None and not flow.blocked:
             self._push(flow)
         return batch
 
+    def _lane(self, flow):
+        return self._excess if flow.excess else self._lanes[flow.urgency]
+
     def _push(self, flow):
-        self._sequence += 1
-        entry = (flow.tag, self._sequence, flow)
-        heapq.heappush(self._heaps[flow.urgency], entry)
+        """Put a flow into its lane, not before the flows that are served there."""
+        lane = self._lane(flow)
+        if flow.excess:
+            tag = flow.excess_tag = max(flow.excess_tag, lane.virtual)
+        else:
+            tag = flow.tag = max(flow.tag, lane.virtual)
+        flow.entry = next(self._sequence)
+        heapq.heappush(lane.flows, (tag, flow.entry, flow))
+
+    def _pop(self, lane):
+        heapq.heappop(lane.flows)[2].entry = None
+
+    def _first(self, lane, now):
+        """Return the first flow of a lane; move those out that do not belong."""
+        while lane.flows:
+            _, entry, flow = lane.flows[0]
+            if flow.entry != entry:
+                heapq.heappop(lane.flows)
+            elif not flow.queued:
+                self._pop(lane)
+            elif flow.excess or flow.tokens > 0:
+                return flow
+            else:
+                flow.refill(now, self._cfg.burst)
+                if flow.tokens > 0:
+                    return flow
+                self._demote(flow, lane, now)
+        return None
+
+    def _demote(self, flow, lane, now):
+        self._pop(lane)
+        flow.excess = True
+        self._push(flow)
+        wanted = flow.base - flow.tokens + flow.entitlement * self._cfg.promote_after
+        moment = now + wanted / max(flow.entitlement, 1e-9)
+        heapq.heappush(self._refills, (moment, next(self._sequence), flow))
+
+    def _promote(self, now):
+        while self._refills and self._refills[0][0] <= now:
+            flow = heapq.heappop(self._refills)[2]
+            flow.refill(now, self._cfg.burst)
+            if flow.tokens <= 0:
+                moment = now + self._cfg.promote_after
+                heapq.heappush(self._refills, (moment, next(self._sequence), flow))
+                continue
+            flow.excess = False
+            if flow.entry is not None:
+                self._push(flow)
+
+    def _charge(self, flow):
+        lane = self._lane(flow)
+        work = flow.base / flow.weight
+        if flow.excess:
+            lane.virtual = flow.excess_tag
+            flow.excess_tag += work / self._cfg.class_weight(flow.urgency)
+        else:
+            lane.virtual = flow.tag
+            flow.tag += work
+        if lane.credit >= flow.base:
+            lane.credit -= flow.base
+            return
+        behind = self._order[self._order.index(lane) + 1 :]
+        for other in behind:
+            other.credit += other.share * flow.base
 
     def _drop(self, batch):
         tasks = tuple(batch.tasks)
@@ -242,3 +459,48 @@
             flow.urgency = kind.urgency
             flow.requires = frozenset(kind.requires)
         flow.weight = (kind.weight if kind else 1.0) * (team.weight if team else 1.0)
+
+    def _learn_demand(self, now, passed):
+        cfg = self._cfg
+        recent_gain = 1 - math.exp(-passed / cfg.recent)
+        served_gain = 1 - math.exp(-passed / cfg.served)
+        demand = 0.0
+        for flow in self._flows.values():
+            flow.base = self._run_times.base(flow.kind)
+            rate, flow.arrived = flow.arrived / passed, 0
+            flow.recent += recent_gain * (rate - flow.recent)
+            flow.served += served_gain * (flow.speed - flow.served)
+            demand += flow.recent * flow.base
+        if self._excess.flows or demand > cfg.calm_load * self._capacity:
+            # What arrives during an overload must not become the usual demand, nor
+            # must what is still part of the recent one after it.
+            self._calm_from = now + 3 * cfg.recent
+        calm = now >= self._calm_from
+        for flow in self._flows.values():
+            self._learn_usual(flow, calm, passed)
+
+    def _learn_usual(self, flow, calm, passed):
+        gap = flow.recent - flow.usual
+        if gap < 0:
+            flow.usual += gap * passed / self._cfg.forget if calm else 0.0
+        elif calm:
+            flow.usual += gap * (1 - math.exp(-passed / self._cfg.recent))
+        else:
+            flow.usual += min(gap, flow.usual) * passed / self._cfg.forget
+
+    def _entitle(self, flow, total_weight):
+        fair = self._capacity * flow.weight / total_weight
+        usual = flow.usual * flow.base
+        flow.entitlement = max(fair * self._cfg.fair_floor, usual * self._cfg.headroom)
+
+    def _total_weight(self):
+        """Return the weight of all flows used lately."""
+        return sum(flow.weight for flow in self._flows.values()) or 1.0
+
+    def _count_ahead(self):
+        total = 0.0
+        for urgency in CLASSES:
+            for flow in self._flows.values():
+                if flow.urgency is urgency and flow.queued and not flow.excess:
+                    total += min(flow.queued * flow.base, max(0.0, flow.tokens))
+            self._ahead[urgency] = total
--- a/packages/policy/src/hornbeamshore/policy/runtimes.py
+++ b/packages/policy/src/hornbeamshore/policy/runtimes.py
@@ -7,6 +7,8 @@
 # ten times its usual run time, and one of them must not move the estimate.
 MAX_RESIDUAL_DEVIATIONS = 2.5
 MIN_RUN_TIME_S = 0.0001
+# Stands in for a kind that the configuration no longer names.
+DEFAULT_RUN_TIME_S = 0.2
 
 
 class RunTimes(abc.ABC):
@@ -29,8 +31,8 @@
         """Return the run times on a target over those on a mean one."""
 
     @abc.abstractmethod
-    def estimate(self, kind, agent_id):
-        """Return the expected run time of a kind on a target."""
+    def departures(self, kind):
+        """Return, by agent id, how far a kind departs from a target's slowness."""
 
     @abc.abstractmethod
     def is_learned(self, kind):
@@ -40,103 +42,115 @@
     def forget_target(self, agent_id):
         """Drop what is known of a target that left."""
 
+    def estimate(self, kind, agent_id):
+        """Return the expected run time of a kind on a target."""
+        departure = self.departures(kind).get(agent_id, 1.0)
+        return self.base(kind) * self.slowness(agent_id) * departure
+
 
 class _Belief:
-    """Mean and variance of a logarithm."""
+    """Normal belief about the logarithm of a factor."""
 
-    __slots__ = ("mean", "variance", "count")
+    __slots__ = ("mean", "variance", "factor")
 
-    def __init__(self, mean, deviation):
-        self.mean = mean
+    def __init__(self, factor, deviation):
+        self.mean = math.log(factor)
         self.variance = deviation * deviation
-        self.count = 0
+        self.factor = factor
+
+    def move(self, gain, residual, drift):
+        self.mean += gain * residual
+        self.variance = (1.0 - gain) * self.variance + drift
+        self.factor = math.exp(self.mean)
 
 
 class LearnedRunTimes(RunTimes):
     """Run time of a task as the product of kind, target and a small departure.
 
-    Each factor is a normal belief about a logarithm. A task that ended moves each
-    of them in proportion to its variance, so the first task of a new kind on known
-    targets teaches the kind, and one of a known kind on a new target the target.
+    A task that ended moves each factor in proportion to the doubt about it, so the
+    first task of a new kind on known targets teaches the kind, and one of a known
+    kind on a new target teaches the target.
     """
 
     def __init__(self, cfg):
         self._cfg = cfg
+        self._declared = {}
+        self._learned = set()
         self._kinds = {}
         self._targets = {}
         self._pairs = {}
-        self._declared = {}
+        self._departures = {}
+        self._noise = cfg.noise**2
+        self._drift = cfg.drift**2
+        # Mean of a log-normal run time over its median.
+        self._mean_over_median = math.exp(self._noise / 2)
 
     def declare(self, kind, run_time_s):
         """Set the declared run time of a kind, used until one is learned."""
+        run_time_s = max(run_time_s, MIN_RUN_TIME_S)
         if self._declared.get(kind) == run_time_s:
             return
         self._declared[kind] = run_time_s
-        if kind not in self._kinds or not self._kinds[kind].count:
-            mean = math.log(max(run_time_s, MIN_RUN_TIME_S))
-            self._kinds[kind] = _Belief(mean, self._cfg.declared_deviation)
+        if kind not in self._learned:
+            deviation = self._cfg.declared_deviation
+            self._kinds[kind] = _Belief(run_time_s, deviation)
 
     def observe(self, kind, agent_id, run_time_s):
         """Learn from a task that ended."""
         beliefs = self._beliefs(kind, agent_id)
-        noise = self._cfg.noise**2
-        total = sum(belief.variance for belief in beliefs) + noise
+        total = self._noise
         residual = math.log(max(run_time_s, MIN_RUN_TIME_S))
-        residual -= sum(belief.mean for belief in beliefs)
+        for belief in beliefs:
+            total += belief.variance
+            residual -= belief.mean
         limit = MAX_RESIDUAL_DEVIATIONS * math.sqrt(total)
         residual = max(-limit, min(limit, residual))
-        drift = self._cfg.drift**2
         for belief in beliefs:
-            gain = belief.variance / total
-            belief.mean += gain * residual
-            belief.variance = (1 - gain) * belief.variance + drift
-            belief.count += 1
+            belief.move(belief.variance / total, residual, self._drift)
+        if len(beliefs) == 3:
+            self._departures[kind][agent_id] = beliefs[2].factor
+        self._learned.add(kind)
 
     def base(self, kind):
         """Return the expected run time of a kind on a mean target."""
-        return math.exp(self._kind(kind).mean + self._cfg.noise**2 / 2)
+        return self._kind(kind).factor * self._mean_over_median
 
     def slowness(self, agent_id):
         """Return the run times on a target over those on a mean one."""
         belief = self._targets.get(agent_id)
-        return 1.0 if belief is None else math.exp(belief.mean)
+        return 1.0 if belief is None else belief.factor
 
-    def estimate(self, kind, agent_id):
-        """Return the expected run time of a kind on a target."""
-        mean = self._kind(kind).mean + self._cfg.noise**2 / 2
-        target = self._targets.get(agent_id)
-        if target is not None:
-            mean += target.mean
-        pair = self._pairs.get((kind, agent_id))
-        if pair is not None:
-            mean += pair.mean
-        return math.exp(mean)
+    def departures(self, kind):
+        """Return, by agent id, how far a kind departs from a target's slowness."""
+        return self._departures.get(kind, {})
 
     def is_learned(self, kind):
         """Return whether the estimate of a kind rests on tasks that ended."""
-        return self._kind(kind).count > 0
+        return kind in self._learned
 
     def forget_target(self, agent_id):
         """Drop what is known of a target that left."""
         self._targets.pop(agent_id, None)
-        for pair in [pair for pair in self._pairs if pair[1] == agent_id]:
-            del self._pairs[pair]
+        for kind, departures in self._departures.items():
+            departures.pop(agent_id, None)
+            self._pairs.pop((kind, agent_id), None)
 
     def _kind(self, kind):
         belief = self._kinds.get(kind)
         if belief is None:
-            self.declare(kind, 0.2)
+            self.declare(kind, DEFAULT_RUN_TIME_S)
             belief = self._kinds[kind]
         return belief
 
     def _beliefs(self, kind, agent_id):
         target = self._targets.get(agent_id)
         if target is None:
-            target = _Belief(0.0, self._cfg.target_deviation)
+            target = _Belief(1.0, self._cfg.target_deviation)
             self._targets[agent_id] = target
         pair = self._pairs.get((kind, agent_id))
         if pair is None and len(self._pairs) < self._cfg.max_pairs:
-            pair = _Belief(0.0, self._cfg.pair_deviation)
+            pair = _Belief(1.0, self._cfg.pair_deviation)
             self._pairs[kind, agent_id] = pair
-        beliefs = [self._kind(kind), target]
-        return beliefs if pair is None else [*beliefs, pair]
+            self._departures.setdefault(kind, {})
+        known = self._kind(kind), target
+        return known if pair is None else (*known, pair)
--- a/packages/policy/src/hornbeamshore/policy/scheduler.py
+++ b/packages/policy/src/hornbeamshore/policy/scheduler.py
@@ -1,9 +1,11 @@
 """All decisions of one dispatcher, composed of the single policies."""
 
+import math
 import random
 
-from hornbeamshore.policy.admission import Forecast, TimeBound
-from hornbeamshore.policy.fleet import Running, Target
+from hornbeamshore.policy.admission import TimeBound
+from hornbeamshore.policy.fleet import Fleet, Running
+from hornbeamshore.policy.forecast import Forecaster
 from hornbeamshore.policy.outliers import FailureOutliers
 from hornbeamshore.policy.placement import EarliestEnd
 from hornbeamshore.policy.queueing import FairQueue
@@ -17,8 +19,9 @@
     TargetStatus,
 )
 
-# Quota of a team that the configuration no longer names: what it has queued ends.
-UNKNOWN_TEAM_SLOTS = 1
+LEARN_EVERY_S = 0.25
+# Overruns are looked at again no sooner than this; less only adds wakeups.
+MIN_RECHECK_S = 0.005
 
 
 class Scheduler:
@@ -35,47 +38,50 @@
     def __init__(self, cfg, rng=None):
         self._cfg = cfg
         self._rng = rng or random.Random()
+        self._fleet = Fleet()
         self._run_times = self._make_run_times()
         self._outliers = self._make_outliers()
         self._queue = self._make_queue()
         self._placement = self._make_placement()
         self._admission = self._make_admission()
         self._retries = self._make_retries()
-        self._deployment = None
-        self._service = None
-        self._targets = {}
+        self._forecaster = Forecaster(self._fleet, self._run_times, self._queue)
+        self._teams = {}
+        self._quotas = {}
         self._team_running = {}
         self._refusals = {}
         self._recheck = None
+        self._learn_at = -math.inf
 
     def configure(self, deployment, service):
         """Take a deployment's configuration for one service; may be repeated."""
-        self._deployment = deployment
-        self._service = deployment.services[service]
-        for name, kind in self._service.kinds.items():
+        known = deployment.services[service]
+        for name, kind in known.kinds.items():
             self._run_times.declare(name, float(kind.expected_run))
+        self._teams = deployment.teams
+        # The quota of a removed team stays, so that what it has queued can end.
+        for name, team in deployment.teams.items():
+            self._quotas[name] = -(-team.quota_slots // known.partitions)
+            self._queue.unblock(name)
         self._queue.configure(deployment, service)
-        self._retries.configure(self._service.retry)
+        self._retries.configure(known.retry)
 
     def add_target(self, info):
-        """Add a target, or take its new announcement."""
-        target = self._targets.get(info.agent_id)
-        if target is None:
-            self._targets[info.agent_id] = Target(info)
-            self._outliers.add(info.agent_id)
-            return
-        target.draining = False
-        target.announce(info)
+        """Add a target, or take its new announcement, which ends its draining."""
+        self._fleet.add(info)
+        self._outliers.add(info.agent_id)
+        self._learn_at = -math.inf
 
     def remove_target(self, agent_id):
         """Forget a target; return the tasks that were running on it.
 
         A later `ended` for one of them is ignored.
         """
-        target = self._targets.pop(agent_id, None)
+        target = self._fleet.remove(agent_id)
         if target is None:
             return ()
         self._outliers.remove(agent_id)
+        self._run_times.forget_target(agent_id)
         running = tuple(target.running.values())
         for entry in running:
             self._release(entry)
@@ -83,14 +89,17 @@
 
     def set_draining(self, agent_id):
         """Start nothing more on a target that is leaving."""
-        target = self._targets.get(agent_id)
+        target = self._fleet.get(agent_id)
         if target is not None:
-            target.draining = True
-            target.update()
+            self._fleet.drain(target)
 
     def admit(self, load, now):
         """Return a `Refusal` of a submission, or None if it may be queued."""
-        refusal = self._admission.check(load, self._forecast(load, now))
+        self._learn(now)
+        quota = self._quota(load.team) if load.team in self._teams else 0
+        running = self._team_running.get(load.team, 0)
+        forecast = self._forecaster.forecast(load, quota, running, now)
+        refusal = self._admission.check(load, forecast)
         if refusal is not None:
             name = refusal.code.name
             self._refusals[name] = self._refusals.get(name, 0) + 1
@@ -98,6 +107,7 @@
 
     def enqueue(self, tasks, now):
         """Queue tasks that were admitted, or that may be placed again."""
+        self._learn(now)
         if tasks and tasks[0].attempt == 1:
             self._retries.count_request()
         self._queue.add(tasks, now)
@@ -112,42 +122,51 @@
 
     def assign(self, now):
         """Return the tasks to start now, each as an `Assignment`."""
+        self._learn(now)
         self._recheck = None
-        self._update_health(now)
         self._placement.begin(now)
         out = []
-        while self._has_free_slot():
+        while self._fleet.free:
             flow = self._queue.pick(now)
             if flow is None:
                 break
-            target = self._target_for(flow, now)
+            if self._team_running.get(flow.team, 0) >= self._quota(flow.team):
+                self._queue.block(flow)
+                continue
+            target = self._placement.choose(flow, now)
             if target is None:
                 self._queue.set_aside(flow)
                 continue
-            cost = self._run_times.base(flow.kind)
-            task = self._queue.take(flow, cost, now)
+            task = self._queue.take(flow, now)
             self._start(task, target, now)
             out.append(Assignment(task, target.agent_id))
         self._queue.restore()
+        awaited = self._placement.awaited()
+        if awaited is not None:
+            self._recheck = max(awaited, now + MIN_RECHECK_S)
         return tuple(out)
 
     def adopt(self, agent_id, task, now):
         """Note a task that runs already, found after a takeover."""
-        target = self._targets.get(agent_id)
+        target = self._fleet.get(agent_id)
         if target is not None:
             self._start(task, target, now)
 
     def ended(self, agent_id, task, outcome, run_time_s, now):
         """Note how a task ended; a refusal frees its slot and teaches no run time."""
-        target = self._targets.get(agent_id)
-        running = None if target is None else target.end(task)
+        target = self._fleet.get(agent_id)
+        running = None if target is None else self._fleet.end(target, task)
         if running is None:
             return
         self._release(running)
         if outcome is Outcome.OK:
             self._run_times.observe(task.kind, agent_id, run_time_s)
+            done = run_time_s / target.slowness
+            self._queue.correct(running.flow, done - running.cost)
+        elif outcome is Outcome.REFUSED:
+            self._queue.correct(running.flow, -running.cost)
         self._outliers.ended(agent_id, task.kind, outcome, now)
-        self._update_target(target)
+        self._rate(target)
 
     def may_retry(self, now):
         """Return whether a retry is allowed, and take it from the budget."""
@@ -159,28 +178,28 @@
 
     def next_wakeup(self, now):
         """Return when `assign` or `expire` could change without an event, or None."""
-        moments = [
+        moments = (
             self._queue.next_deadline(),
             self._outliers.next_change(),
             self._recheck,
-        ]
-        moments = [moment for moment in moments if moment is not None]
-        return min(moments, default=None)
+        )
+        return min((moment for moment in moments if moment is not None), default=None)
 
     def snapshot(self, now):
         """Return a `SchedulerStatus`."""
-        flows = tuple(self._flow_status(flow, now) for flow in self._queue.flows())
+        flows = tuple(_flow_status(flow, now) for flow in self._queue.flows())
         queued, wait_s = {}, {}
         for flow in flows:
             queued[flow.urgency] = queued.get(flow.urgency, 0) + flow.queued
             wait_s[flow.urgency] = max(wait_s.get(flow.urgency, 0.0), flow.wait_s)
+        targets = self._fleet.targets()
         return SchedulerStatus(
             queued,
             wait_s,
             flows,
-            tuple(self._target_status(target) for target in self._targets.values()),
-            sum(target.info.slots for target in self._targets.values()),
-            sum(len(target.running) for target in self._targets.values()),
+            tuple(self._target_status(target) for target in targets),
+            sum(target.info.slots for target in targets),
+            sum(len(target.running) for target in targets),
             self._retries.used,
             self._retries.denied,
             dict(self._refusals),
@@ -193,11 +212,11 @@
         return FailureOutliers(self._cfg.outliers)
 
     def _make_queue(self):
-        return FairQueue(self._cfg.queue)
+        return FairQueue(self._cfg.queue, self._run_times)
 
     def _make_placement(self):
         cfg = self._cfg
-        return EarliestEnd(cfg.placement, self._run_times, cfg.data_centre)
+        return EarliestEnd(cfg.placement, self._run_times, self._fleet, cfg.data_centre)
 
     def _make_admission(self):
         return TimeBound(self._cfg.admission)
@@ -205,83 +224,60 @@
     def _make_retries(self):
         return BudgetedRetries(self._cfg.retries, self._rng)
 
-    def _forecast(self, load, now):
-        flow = self._queue.flow(load.team, load.kind)
-        runnable = known = 0
-        for target in self._targets.values():
-            if flow.requires <= target.labels:
-                known += target.info.slots
-                runnable += 0 if target.draining else target.info.slots
-        if not self._targets:
-            known = 1
-        base = self._run_times.base(load.kind)
-        work = (flow.queued + load.task_count - 1) * base
-        learned = self._run_times.is_learned(load.kind)
-        quota = self._quota(load.team)
-        return Forecast(
-            runnable,
-            known,
-            work / max(1, runnable),
-            base if learned else 0.0,
-            quota,
-            work / max(1, quota),
-        )
-
     def _quota(self, team):
-        known = self._deployment.teams.get(team) if self._deployment else None
-        if known is None:
-            return UNKNOWN_TEAM_SLOTS
-        return -(-known.quota_slots // self._service.partitions)
-
-    def _has_free_slot(self):
-        return any(target.usable for target in self._targets.values())
-
-    def _target_for(self, flow, now):
-        if self._team_running.get(flow.team, 0) >= self._quota(flow.team):
-            return None
-        target = self._placement.choose(
-            flow.kind, flow.requires, self._targets.values(), now
-        )
-        if target is None:
-            self._recheck = now + 0.01
-        return target
+        return self._quotas.get(team, 0)
 
     def _start(self, task, target, now):
-        estimate = self._run_times.estimate(task.kind, target.agent_id)
+        flow = self._queue.flow(task.team, task.kind)
         cost = self._run_times.base(task.kind)
-        target.start(Running(task, target.agent_id, now, estimate, cost))
-        team = task.team
-        self._team_running[team] = self._team_running.get(team, 0) + 1
-        self._queue.flow(team, task.kind).running += 1
+        departure = self._run_times.departures(task.kind).get(target.agent_id, 1.0)
+        running = Running(task, flow, now, cost, target.slowness * departure)
+        self._fleet.start(target, running)
+        self._team_running[task.team] = self._team_running.get(task.team, 0) + 1
+        flow.running += 1
+        flow.speed += running.speed
 
     def _release(self, running):
-        task = running.task
-        self._team_running[task.team] -= 1
-        self._queue.flow(task.team, task.kind).running -= 1
+        team = running.task.team
+        self._team_running[team] -= 1
+        running.flow.running -= 1
+        running.flow.speed -= running.speed
+        self._queue.unblock(team)
+
+    def _learn(self, now):
+        if now < self._learn_at:
+            return
+        self._learn_at = now + LEARN_EVERY_S
+        self._outliers.due(now)
+        for target in self._fleet.targets():
+            self._note_stall(target, now)
+            self._rate(target)
+        self._fleet.reserve(self._reserved_slots())
+        self._queue.learn(now, self._forecaster.capacity(frozenset()))
+        self._forecaster.refresh(now)
+
+    def _reserved_slots(self):
+        slots = sum(target.info.slots for target in self._fleet.targets())
+        return round(self._cfg.placement.reserve_share * slots)
+
+    def _note_stall(self, target, now):
+        late = sum(
+            now - entry.started > self._stalled_after(entry)
+            for entry in target.running.values()
+        )
+        if late >= max(2, len(target.running) / 2):
+            self._outliers.stalled(target.agent_id, now)
 
-    def _update_health(self, now):
-        if self._outliers.due(now):
-            for target in self._targets.values():
-                self._update_target(target)
+    def _stalled_after(self, entry):
+        cfg = self._cfg.outliers
+        return max(cfg.stall_after, cfg.stall_factor * (entry.end - entry.started))
 
-    def _update_target(self, target):
+    def _rate(self, target):
+        slowness = self._run_times.slowness(target.agent_id)
+        target.rate(slowness, self._outliers.success_rate(target.agent_id))
         health = self._outliers.health(target.agent_id)
         if health is not target.health:
-            target.health = health
-            target.update()
-
-    def _flow_status(self, flow, now):
-        head = flow.head()
-        wait_s = now - head.since if head else 0.0
-        return FlowStatus(
-            flow.team,
-            flow.kind,
-            flow.urgency.value,
-            flow.queued,
-            flow.running,
-            wait_s,
-            0.0,
-        )
+            self._fleet.set_health(target, health)
 
     def _target_status(self, target):
         return TargetStatus(
@@ -291,5 +287,18 @@
             target.draining,
             target.health.value,
             self._outliers.success_rate(target.agent_id),
-            self._run_times.slowness(target.agent_id),
+            target.slowness,
         )
+
+
+def _flow_status(flow, now):
+    head = flow.head()
+    return FlowStatus(
+        flow.team,
+        flow.kind,
+        flow.urgency.value,
+        flow.queued,
+        flow.running,
+        now - head.since if head else 0.0,
+        flow.entitlement,
+    )
--- a/packages/policy/src/hornbeamshore/policy/settings.py
+++ b/packages/policy/src/hornbeamshore/policy/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from hornbeamshore.base.settings import Duration
+from hornbeamshore.config.model import Urgency
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,16 +47,66 @@
         run on for.
     look_ahead : int
         Tasks that may wait for faster slots before a flow is set aside.
+    reserve_share : float
+        Share of the slots, on the fastest targets, that flows above their
+        entitlement leave free for others.
     """
 
     far_delay: Duration = Duration(0.003)
     overrun_share: float = 0.3
     look_ahead: int = 16
+    reserve_share: float = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class QueueSettings:
-    """How the queue shares slots."""
+    """How the queue shares slots.
+
+    Attributes
+    ----------
+    normal_share, background_share, excess_share : float
+        Share of the work of the lanes before it that a waiting lane is owed.
+    urgent_weight, normal_weight : float
+        Weights among flows above their entitlement; background has 1.
+    headroom : float
+        Entitlement of a flow over its usual demand.
+    fair_floor : float
+        Entitlement of a flow without usual demand, over its fair share.
+    burst : Duration
+        Time for which unused entitlement is kept.
+    promote_after : Duration
+        Entitlement that a flow must have earned to be served by class again;
+        without it a flooding flow changes its lane with each task.
+    recent, served : Duration
+        Time over which demand and service are averaged.
+    forget : Duration
+        Time over which usual demand falls, or grows during an overload.
+    calm_load : float
+        Demand over capacity from which a time counts as overload.
+    count_every : Duration
+        Age up to which the count of work ahead is used again.
+    """
+
+    normal_share: float = 0.1
+    background_share: float = 0.05
+    excess_share: float = 0.02
+    urgent_weight: float = 4.0
+    normal_weight: float = 2.0
+    headroom: float = 1.3
+    fair_floor: float = 0.5
+    burst: Duration = Duration(5.0)
+    promote_after: Duration = Duration(0.2)
+    recent: Duration = Duration(10.0)
+    served: Duration = Duration(2.0)
+    forget: Duration = Duration(300.0)
+    calm_load: float = 0.95
+    count_every: Duration = Duration(0.02)
+
+    def class_weight(self, urgency):
+        """Return the weight of a class among flows above their entitlement."""
+        if urgency is Urgency.URGENT:
+            return self.urgent_weight
+        return self.normal_weight if urgency is Urgency.NORMAL else 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +155,12 @@
         Recent share of successes under which a target is ejected.
     window : float
         Tasks over which the success rate is averaged.
+    kind_window : float
+        Tasks over which the failures of a kind are averaged.
+    stall_after : Duration
+        Least run time of a task that counts as stalled.
+    stall_factor : float
+        Run time over its estimate from which a task counts as stalled.
     first_pause, max_pause : Duration
         Pause before the first probe; it doubles for each failed probe.
     probes : int
@@ -114,6 +171,9 @@
     consecutive_failures: float = 3.0
     min_success_rate: float = 0.5
     window: float = 20.0
+    kind_window: float = 50.0
+    stall_after: Duration = Duration(2.0)
+    stall_factor: float = 8.0
     first_pause: Duration = Duration(1.0)
     max_pause: Duration = Duration(60.0)
     probes: int = 3
