Send each request to the target in one piece

Cause: httpcore writes the head, the body and an empty end of a request one by one, and its trace hooks run ten times a task; a task took 1.12 ms of processor time, 4.2% of a core at 37 starts/s. Change: the slot's stream gathers the writes and sends them before the first read, which is also where a request counts as sent; a restarted owner counts as gone; copies of records are bounded.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -135,6 +135,7 @@
             old.close()
         self.fencing.opened(_owner(conn), trio.current_time())
         self._announce(conn)
+        self._choose_entries()
 
     def closed(self, conn):
         """Note that an entry is no longer connected."""
@@ -256,6 +257,7 @@
         else:
             log.info("Entry %s owns %s.", conn.peer.process_id, fence.partition)
             self._owner_changed.set()
+            self._choose_entries()
             records = self.records.all() + self.copies.all()
             reply = FenceReply(fence.partition, int(code), epoch, records, self.roster)
         conn.send(reply, reply_to=message.id)
@@ -273,19 +275,24 @@
             if record is not None:
                 records.append(record)
                 continue
-            refused.append(ref)
             # Starts of a lower epoch are refused anyway; a record would keep the
             # present owner from using the same attempt.
             if body.epoch >= self.fencing.epoch:
+                if self.records.full:
+                    continue
                 result = _refused(ref, refuse(ResultCode.START_EXPIRED, "reconciled"))
                 self.records.refused(ref, result, now, unix_ms())
+            refused.append(ref)
         reply = ReconcileReply(body.partition, tuple(records), tuple(refused))
         conn.send(reply, reply_to=message.id)
 
     def _copy_records(self, conn, message, now):
         body = message.body
-        code = ResultCode.STALE_EPOCH
-        if self.fencing.commands(_owner(conn), body.partition, body.epoch):
+        if not self.fencing.commands(_owner(conn), body.partition, body.epoch):
+            code = ResultCode.STALE_EPOCH
+        elif self.copies.full:
+            code = ResultCode.OVERLOADED
+        else:
             code = ResultCode.OK
             self.copies.copy(body.records, now)
         conn.send(CopyRecordsReply(int(code)), reply_to=message.id)
@@ -302,6 +309,8 @@
             self._choose_entries()
 
     def _choose_entries(self):
+        if self.uplinks is None or not self.table.entries:
+            return
         owner_id = self.fencing.owner[0] if self.fencing.owner else ""
         chosen = choose_entries(self.table, self.cfg, self.fencing.partition, owner_id)
         self.uplinks.choose(chosen)
@@ -368,7 +377,7 @@
             await self.executor.idle()
         with trio.move_on_after(self.cfg.leave_timeout) as limit:
             while not await self._hand_over():
-                pass
+                await trio.sleep(self.cfg.wire.redial_after)
         if limit.cancelled_caught:
             log.warning("No owner took the %d start records.", len(self.records))
 
--- a/packages/agent/src/hornbeamshore/agent/fencing.py
+++ b/packages/agent/src/hornbeamshore/agent/fencing.py
@@ -21,27 +21,36 @@
         Partition that the owner named; empty before the first fence.
     epoch : int
         Highest epoch that was ever granted.
-    owner : tuple
-        Process id and incarnation of the entry that was granted the epoch; None
-        before the first fence and after `forget`. A restarted entry is another
-        owner, since it knows nothing of the jobs of its predecessor.
+    holder : tuple or None
+        Process id and incarnation of the entry that was granted the epoch. A
+        restarted entry is another one, since it knows nothing of the jobs of its
+        predecessor.
     """
 
     def __init__(self, service, suspect_after):
         self.partition = ""
         self.epoch = 0
-        self.owner = None
+        self.holder = None
+        self._fenced = False
         self._service = service
         self._suspect_after = suspect_after
         self._released = False
         self._closed_by_owner = False
         self._heard_at = 0.0
 
+    @property
+    def owner(self):
+        """Return the present owner; None before a fence and after `forget`."""
+        return self.holder if self._fenced else None
+
     def opened(self, peer, now):
         """Note a new connection to an entry."""
         if peer == self.owner:
             self._closed_by_owner = False
             self._heard_at = now
+        elif self.owner is not None and peer[0] == self.owner[0]:
+            # A restarted entry shows that its predecessor has ended.
+            self._closed_by_owner |= peer[1] > self.owner[1]
 
     def closed(self, peer, *, by_peer):
         """Note the end of the last connection to an entry."""
@@ -66,13 +75,12 @@
         The epoch stays as a lower bound, so that an owner that was deposed before
         the pause cannot come back.
         """
-        self.owner = None
-        self._released = False
+        self._fenced = False
 
     def commands(self, peer, partition, epoch):
         """Return whether an entry holds the granted epoch and has not released it."""
         return (
-            peer == self.owner
+            self.is_owner(peer)
             and partition == self.partition
             and epoch == self.epoch
             and not self._released
@@ -85,12 +93,14 @@
     def grant(self, fence, peer, now):
         """Decide a `Fence` and return a `ResultCode`; OK means that it is granted.
 
-        A repeated fence of the owner at its own epoch is granted again, since the
-        reply to the first may have been lost.
+        A repeated fence of the holder at its own epoch is granted again: the reply
+        to the first may have been lost, or the agent was paused.
         """
         code = self._check(fence, peer, now)
         if code == ResultCode.OK:
-            self.partition, self.epoch, self.owner = fence.partition, fence.epoch, peer
+            self.partition, self.epoch = fence.partition, fence.epoch
+            self.holder = peer
+            self._fenced = True
             self._released = self._closed_by_owner = False
             self._heard_at = now
         return code
@@ -98,8 +108,7 @@
     def _check(self, fence, peer, now):
         if fence.partition.rpartition("/")[0] != self._service:
             return ResultCode.UNKNOWN_SERVICE
-        # After a pause the owner may fence again at the epoch that it still holds.
-        renewed = self.owner is None or (peer == self.owner and not self._released)
+        renewed = peer == self.holder and not self._released
         if fence.epoch < self.epoch or (fence.epoch == self.epoch and not renewed):
             return ResultCode.STALE_EPOCH
         if peer != self.owner and not fence.forced and not self._owner_gone(now):
--- a/packages/agent/src/hornbeamshore/agent/target.py
+++ b/packages/agent/src/hornbeamshore/agent/target.py
@@ -26,6 +26,13 @@
 )
 
 
+_HTTP_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+
 @dataclass(frozen=True, slots=True)
 class TargetResponse:
     """Whole response of the target."""
@@ -133,11 +140,8 @@
         try:
             return await self._exchange(self._request(spec, headers))
         except httpcore.LocalProtocolError as exc:
-            # Raised while the head is built, before a byte of it is written.
-            raise self._failure(ResultCode.MALFORMED_REQUEST, exc, sent=False) from exc
-        except (httpcore.NetworkError, httpcore.TimeoutException) as exc:
-            raise self._failure(ResultCode.TARGET_UNREACHABLE, exc) from exc
-        except httpcore.ProtocolError as exc:
+            raise self._failure(ResultCode.MALFORMED_REQUEST, exc) from exc
+        except _HTTP_ERRORS as exc:
             raise self._failure(ResultCode.TARGET_UNREACHABLE, exc) from exc
 
     async def aclose(self):
@@ -163,16 +167,14 @@
             url,
             headers=own + passed + headers,
             content=spec.body,
-            extensions={"trace": self._trace, "timeout": timeout},
+            extensions={"timeout": timeout},
         )
 
-    async def _trace(self, event, _info):
-        if event == "http11.send_request_headers.started":
-            self.request_sent = True
-
     async def _exchange(self, req):
         if self._conn is None:
-            self._conn = httpcore.AsyncHTTPConnection(req.url.origin)
+            self._conn = httpcore.AsyncHTTPConnection(
+                req.url.origin, network_backend=_SlotBackend(self)
+            )
         response = await self._conn.handle_async_request(req)
         try:
             body = await self._read(response)
@@ -198,9 +200,48 @@
                 )
         return bytes(body)
 
-    def _failure(self, code, exc, sent=None):
-        sent = self.request_sent if sent is None else sent
+    def _failure(self, code, exc):
         detail = f"{self._target.cfg.target}: {exc or type(exc).__name__}"
-        if sent:
+        if self.request_sent:
             return TargetFailure(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, detail)
         return TargetFailure(code, RunState.NOT_RUN, detail)
+
+
+class _SlotBackend(httpcore.AsyncNetworkBackend):
+    """Opens the connections of one slot."""
+
+    def __init__(self, slot):
+        self._slot = slot
+        self._backend = httpcore.TrioBackend()
+
+    async def connect_tcp(self, *args, **options):
+        stream = await self._backend.connect_tcp(*args, **options)
+        return _SlotStream(stream, self._slot)
+
+
+class _SlotStream(httpcore.AsyncNetworkStream):
+    """Stream that sends a request as one piece, and tells its slot before.
+
+    httpcore writes the head, the body and an empty end one by one.
+    """
+
+    def __init__(self, stream, slot):
+        self._stream = stream
+        self._slot = slot
+        self._unsent = bytearray()
+
+    async def write(self, buffer, timeout=None):
+        self._unsent += buffer
+
+    async def read(self, max_bytes, timeout=None):
+        if self._unsent:
+            data, self._unsent = bytes(self._unsent), bytearray()
+            self._slot.request_sent = True
+            await self._stream.write(data, timeout)
+        return await self._stream.read(max_bytes, timeout)
+
+    async def aclose(self):
+        await self._stream.aclose()
+
+    def get_extra_info(self, info):
+        return self._stream.get_extra_info(info)
