--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -135,6 +135,7 @@
             old.close()
         self.fencing.opened(_owner(conn), trio.current_time())
         self._announce(conn)
+        self._owner_changed.set()
         self._choose_entries()
 
     def closed(self, conn):
@@ -377,7 +378,7 @@
             await self.executor.idle()
         with trio.move_on_after(self.cfg.leave_timeout) as limit:
             while not await self._hand_over():
-                await trio.sleep(self.cfg.wire.redial_after)
+                pass
         if limit.cancelled_caught:
             log.warning("No owner took the %d start records.", len(self.records))
 
@@ -390,10 +391,13 @@
         try:
             leave = Leave(self.records.all() + self.copies.all())
             reply = await conn.call(leave, self.cfg.leave_timeout)
+            if getattr(reply, "code", None) == ResultCode.OK:
+                return True
+            log.info("The owner refused the start records.")
         except (ConnectionLost, CallTimeout) as exc:
             log.info("Handing the start records over failed: %s", exc)
-            return False
-        return getattr(reply, "code", None) == ResultCode.OK
+        await trio.sleep(self.cfg.wire.redial_after)
+        return False
 
 
 def _owner(conn):
--- /dev/null
+++ b/tests/agent/test_fencing.py
@@ -0,0 +1,91 @@
+"""Fencing rules: who may own the agent's partition, and when."""
+
+import pytest
+from hornbeamshore.agent.fencing import Fencing
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.wire.messages import Fence
+
+OLD, NEW = ("entry-1", 1), ("entry-2", 1)
+OLD_RESTARTED = ("entry-1", 2)
+OK, ALIVE, STALE = ResultCode.OK, ResultCode.OWNER_ALIVE, ResultCode.STALE_EPOCH
+
+
+def fence(epoch, *, forced=False, partition="desk/0"):
+    return Fence(partition, epoch, forced)
+
+
+# Each event happens after OLD was granted epoch 5 at time 0.
+CASES = {
+    "first sign of life": ([], 1.0, NEW, fence(6), ALIVE),
+    "silent owner": ([], 1.5, NEW, fence(6), OK),
+    "owner heard meanwhile": ([("heard", OLD, 1.0)], 2.0, NEW, fence(6), ALIVE),
+    "other entry heard": ([("heard", NEW, 1.0)], 2.0, NEW, fence(6), OK),
+    "released": ([("release", OLD, "desk/0", 5)], 0.1, NEW, fence(6), OK),
+    "released by another": ([("release", NEW, "desk/0", 5)], 0.1, NEW, fence(6), ALIVE),
+    "old release": ([("release", OLD, "desk/0", 4)], 0.1, NEW, fence(6), ALIVE),
+    "closed by owner": ([("closed", OLD, True)], 0.1, NEW, fence(6), OK),
+    "closed by agent": ([("closed", OLD, False)], 0.1, NEW, fence(6), ALIVE),
+    "closed and opened anew": (
+        [("closed", OLD, True), ("opened", OLD, 0.1)],
+        0.2,
+        NEW,
+        fence(6),
+        ALIVE,
+    ),
+    "owner restarted": ([("opened", OLD_RESTARTED, 0.1)], 0.2, NEW, fence(6), OK),
+    "restarted owner, same epoch": ([], 9, OLD_RESTARTED, fence(5), STALE),
+    "forced": ([], 0.1, NEW, fence(6, forced=True), OK),
+    "forced, lower epoch": ([], 9, NEW, fence(4, forced=True), STALE),
+    "silent owner, same epoch": ([], 9, NEW, fence(5), STALE),
+    "owner, higher epoch": ([], 0.1, OLD, fence(7), OK),
+    "owner, reply lost": ([], 0.1, OLD, fence(5), OK),
+    "owner, lower epoch": ([], 0.1, OLD, fence(4), STALE),
+    "released, same epoch": ([("release", OLD, "desk/0", 5)], 1, OLD, fence(5), STALE),
+    "paused, holder": ([("forget",)], 0.1, OLD, fence(5), OK),
+    "paused, candidate": ([("forget",)], 0.1, NEW, fence(6), OK),
+    "paused, deposed owner": ([("forget",)], 0.1, NEW, fence(4), STALE),
+    "other service": (
+        [],
+        9,
+        NEW,
+        fence(6, partition="dies/0"),
+        ResultCode.UNKNOWN_SERVICE,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("events", "now", "peer", "request_", "code"), CASES.values(), ids=CASES
+)
+def test_fence_is_granted_only_for_a_gone_owner(events, now, peer, request_, code):
+    """Guards against two owners at a time and against ownership that flaps."""
+    fencing = Fencing("desk", 1.5)
+    assert fencing.grant(fence(5), OLD, 0.0) == OK
+    for name, *args in events:
+        options = {"by_peer": args.pop()} if name == "closed" else {}
+        getattr(fencing, name)(*args, **options)
+    assert fencing.grant(request_, peer, now) == code
+    assert fencing.epoch == (request_.epoch if code == OK else 5)
+    assert fencing.commands(peer, request_.partition, request_.epoch) == (code == OK)
+
+
+@pytest.mark.parametrize(
+    ("peer", "partition", "epoch", "events"),
+    [
+        (OLD, "desk/0", 4, []),
+        (OLD, "desk/0", 6, []),
+        (OLD, "desk/1", 5, []),
+        (NEW, "desk/0", 5, []),
+        (OLD_RESTARTED, "desk/0", 5, []),
+        (OLD, "desk/0", 5, ["forget"]),
+    ],
+    ids=["lower", "never granted", "partition", "entry", "incarnation", "paused"],
+)
+def test_orders_of_others_are_refused(peer, partition, epoch, events):
+    """Guards against work that a deposed or foreign owner starts."""
+    fencing = Fencing("desk", 1.5)
+    fencing.grant(fence(5), OLD, 0.0)
+    assert fencing.commands(OLD, "desk/0", 5)
+    for name in events:
+        getattr(fencing, name)()
+    assert not fencing.commands(peer, partition, epoch)
