--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -135,6 +135,8 @@
             old.close()
         self.fencing.opened(_owner(conn), trio.current_time())
         self._announce(conn)
+        self._owner_changed.set()
+        self._choose_entries()
 
     def closed(self, conn):
         """Note that an entry is no longer connected."""
@@ -256,6 +258,7 @@
         else:
             log.info("Entry %s owns %s.", conn.peer.process_id, fence.partition)
             self._owner_changed.set()
+            self._choose_entries()
             records = self.records.all() + self.copies.all()
             reply = FenceReply(fence.partition, int(code), epoch, records, self.roster)
         conn.send(reply, reply_to=message.id)
@@ -273,19 +276,24 @@
             if record is not None:
                 records.append(record)
                 continue
-            refused.append(ref)
             # Starts of a lower epoch are refused anyway; a record would keep the
             # present owner from using the same attempt.
             if body.epoch >= self.fencing.epoch:
+                if self.records.full:
+                    continue
                 result = _refused(ref, refuse(ResultCode.START_EXPIRED, "reconciled"))
                 self.records.refused(ref, result, now, unix_ms())
+            refused.append(ref)
         reply = ReconcileReply(body.partition, tuple(records), tuple(refused))
         conn.send(reply, reply_to=message.id)
 
     def _copy_records(self, conn, message, now):
         body = message.body
-        code = ResultCode.STALE_EPOCH
-        if self.fencing.commands(_owner(conn), body.partition, body.epoch):
+        if not self.fencing.commands(_owner(conn), body.partition, body.epoch):
+            code = ResultCode.STALE_EPOCH
+        elif self.copies.full:
+            code = ResultCode.OVERLOADED
+        else:
             code = ResultCode.OK
             self.copies.copy(body.records, now)
         conn.send(CopyRecordsReply(int(code)), reply_to=message.id)
@@ -302,6 +310,8 @@
             self._choose_entries()
 
     def _choose_entries(self):
+        if self.uplinks is None or not self.table.entries:
+            return
         owner_id = self.fencing.owner[0] if self.fencing.owner else ""
         chosen = choose_entries(self.table, self.cfg, self.fencing.partition, owner_id)
         self.uplinks.choose(chosen)
@@ -381,10 +391,13 @@
         try:
             leave = Leave(self.records.all() + self.copies.all())
             reply = await conn.call(leave, self.cfg.leave_timeout)
+            if getattr(reply, "code", None) == ResultCode.OK:
+                return True
+            log.info("The owner refused the start records.")
         except (ConnectionLost, CallTimeout) as exc:
             log.info("Handing the start records over failed: %s", exc)
-            return False
-        return getattr(reply, "code", None) == ResultCode.OK
+        await trio.sleep(self.cfg.wire.redial_after)
+        return False
 
 
 def _owner(conn):
@@ -401,13 +414,9 @@
     )
 
 
-def run(cfg, secret):
-    """Run the agent until it has left and return its exit code."""
+async def serve(cfg, secret):
+    """Run an agent until it has left and return its exit code."""
     configure_logs(cfg.log_level)
-    return trio.run(_run, cfg, secret)
-
-
-async def _run(cfg, secret):
     agent = Agent(cfg, secret, HttpTarget(cfg))
     if cfg.metrics_address:
         from hornbeamshore.agent.metrics import serve_metrics
