Let owners renew leases of agents, and agents confirm rosters

Cause: the agent knew neither the renewal of leases nor the confirmation of a roster, and granted a fence as soon as the owner's connection had closed. Change: Renew, confirmed RosterUpdate, records_since in Announce; a fence after a closed connection needs a refused redial too; a restarted agent grants nothing for the time of a lease.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -5,6 +5,7 @@
 import signal
 
 import trio
+
 from hornbeamshore.agent.executor import Executor
 from hornbeamshore.agent.fencing import Fencing
 from hornbeamshore.agent.records import StartRecords
@@ -36,6 +37,8 @@
     ReconcileReply,
     RecordState,
     Release,
+    Renew,
+    RenewReply,
     Roster,
     RosterUpdate,
     Start,
@@ -85,7 +88,8 @@
             cfg.data_centre,
             cfg.rack,
         )
-        self.fencing = Fencing(cfg.service, cfg.wire.suspect_after)
+        self.records_since = self.identity.incarnation
+        self.fencing = Fencing(cfg.service, cfg.wire.suspect_after, trio.current_time())
         self.records = StartRecords(cfg.retention)
         self.copies = StartRecords(cfg.retention)
         self.executor = Executor(cfg.slots, target, self._report)
@@ -102,6 +106,7 @@
             CancelTasks: self._cancel,
             Acknowledge: self._acknowledge,
             Fence: self._fence,
+            Renew: self._renew,
             Release: self._release,
             Reconcile: self._reconcile,
             CopyRecords: self._copy_records,
@@ -146,6 +151,10 @@
         self._connected_at = trio.current_time()
         self.fencing.closed(_owner(conn), by_peer=conn.ended_by_peer)
 
+    def refused(self, peer):
+        """Note that the host of an entry refused a new connection."""
+        self.fencing.refused((peer.process_id, peer.incarnation))
+
     def heartbeat(self):
         """Return the `Heartbeat` with the version of the owner table."""
         return Heartbeat(
@@ -175,6 +184,7 @@
                 cfg.connections,
                 cfg.labels,
                 self.leaving,
+                self.records_since,
             )
         )
 
@@ -263,6 +273,12 @@
             reply = FenceReply(fence.partition, int(code), epoch, records, self.roster)
         conn.send(reply, reply_to=message.id)
 
+    def _renew(self, conn, message, _now):
+        body = message.body
+        holds = self.fencing.commands(_owner(conn), body.partition, body.epoch)
+        code = ResultCode.OK if holds else ResultCode.STALE_EPOCH
+        conn.send(RenewReply(int(code), self.fencing.epoch), reply_to=message.id)
+
     def _release(self, conn, message, _now):
         body = message.body
         if self.fencing.release(_owner(conn), body.partition, body.epoch):
@@ -298,10 +314,14 @@
             self.copies.copy(body.records, now)
         conn.send(CopyRecordsReply(int(code)), reply_to=message.id)
 
-    def _update_roster(self, _conn, message, _now):
+    def _update_roster(self, conn, message, _now):
         new, old = message.body.roster, self.roster
-        if (new.epoch, new.version) > (old.epoch, old.version):
-            self.roster = new
+        code = ResultCode.STALE_EPOCH
+        if new.epoch >= self.fencing.epoch:
+            code = ResultCode.OK
+            if (new.epoch, new.version) > (old.epoch, old.version):
+                self.roster = new
+        conn.send(CopyRecordsReply(int(code)), reply_to=message.id)
 
     def _update_table(self, _conn, message, _now):
         table = message.body.table
--- a/packages/agent/src/hornbeamshore/agent/executor.py
+++ b/packages/agent/src/hornbeamshore/agent/executor.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 import trio
+
 from hornbeamshore.agent.target import TargetFailure
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.logs import PartLogger
--- a/packages/agent/src/hornbeamshore/agent/fencing.py
+++ b/packages/agent/src/hornbeamshore/agent/fencing.py
@@ -14,6 +14,9 @@
         Service of the agent; partitions of another one are refused.
     suspect_after : float
         Silence of the owner after which another candidate is granted a fence.
+    now : float
+        Start of the process. A process that has just started does not know what its
+        predecessor granted, so it grants nothing until those leases have ended.
 
     Attributes
     ----------
@@ -27,7 +30,7 @@
         predecessor.
     """
 
-    def __init__(self, service, suspect_after):
+    def __init__(self, service, suspect_after, now=float("-inf")):
         self.partition = ""
         self.epoch = 0
         self.holder = None
@@ -36,7 +39,9 @@
         self._suspect_after = suspect_after
         self._released = False
         self._closed_by_owner = False
+        self._owner_ended = False
         self._heard_at = 0.0
+        self._grants_from = now + suspect_after
 
     @property
     def owner(self):
@@ -46,17 +51,26 @@
     def opened(self, peer, now):
         """Note a new connection to an entry."""
         if peer == self.owner:
-            self._closed_by_owner = False
+            self._closed_by_owner = self._owner_ended = False
             self._heard_at = now
         elif self.owner is not None and peer[0] == self.owner[0]:
             # A restarted entry shows that its predecessor has ended.
-            self._closed_by_owner |= peer[1] > self.owner[1]
+            self._owner_ended |= peer[1] > self.owner[1]
 
     def closed(self, peer, *, by_peer):
         """Note the end of the last connection to an entry."""
         if peer == self.owner and by_peer:
             self._closed_by_owner = True
 
+    def refused(self, peer):
+        """Note that the host of an entry refused a new connection.
+
+        After a connection that the owner's side closed this shows that its process
+        has ended; a middlebox that drops connections does not refuse new ones.
+        """
+        if peer == self.owner and self._closed_by_owner:
+            self._owner_ended = True
+
     def heard(self, peer, now):
         """Note a message of an entry."""
         if peer == self.owner:
@@ -101,7 +115,8 @@
             self.partition, self.epoch = fence.partition, fence.epoch
             self.holder = peer
             self._fenced = True
-            self._released = self._closed_by_owner = False
+            self._released = False
+            self._closed_by_owner = self._owner_ended = False
             self._heard_at = now
         return code
 
@@ -111,7 +126,9 @@
         renewed = peer == self.holder and not self._released
         if fence.epoch < self.epoch or (fence.epoch == self.epoch and not renewed):
             return ResultCode.STALE_EPOCH
-        if peer != self.owner and not fence.forced and not self._owner_gone(now):
+        if now < self._grants_from:
+            return ResultCode.OWNER_ALIVE
+        if peer != self.owner and not self._owner_gone(now):
             return ResultCode.OWNER_ALIVE
         return ResultCode.OK
 
@@ -119,6 +136,6 @@
         return (
             self.owner is None
             or self._released
-            or self._closed_by_owner
+            or self._owner_ended
             or now - self._heard_at >= self._suspect_after
         )
--- a/packages/agent/src/hornbeamshore/agent/main.py
+++ b/packages/agent/src/hornbeamshore/agent/main.py
@@ -5,6 +5,7 @@
 import sys
 
 import fire
+
 from hornbeamshore.agent import settings
 from hornbeamshore.base.settings import SettingsError
 
--- a/packages/agent/src/hornbeamshore/agent/process.py
+++ b/packages/agent/src/hornbeamshore/agent/process.py
@@ -35,6 +35,7 @@
         # prometheus_client needs the real module.
         _leave_out_openssl()
     import trio
+
     from hornbeamshore.agent import daemon
     from hornbeamshore.agent.settings import AgentSettings, read_secret
     from hornbeamshore.base.settings import convert
--- a/packages/agent/src/hornbeamshore/agent/records.py
+++ b/packages/agent/src/hornbeamshore/agent/records.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, replace
 
 import msgspec
+
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.base.types import JobKey, TaskResult
 from hornbeamshore.wire.messages import RecordState, StartRecord, TaskRef
--- a/packages/agent/src/hornbeamshore/agent/settings.py
+++ b/packages/agent/src/hornbeamshore/agent/settings.py
@@ -4,6 +4,8 @@
 from pathlib import Path
 from typing import Annotated
 
+from msgspec import Meta
+
 from hornbeamshore.base.settings import (
     ByteSize,
     Duration,
@@ -12,7 +14,6 @@
     load_yaml,
 )
 from hornbeamshore.wire.connection import WireSettings
-from msgspec import Meta
 
 MIN_SECRET_BYTES = 16
 
--- a/packages/agent/src/hornbeamshore/agent/target.py
+++ b/packages/agent/src/hornbeamshore/agent/target.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import httpcore
+
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.types import Header
 
--- a/packages/agent/src/hornbeamshore/agent/uplink.py
+++ b/packages/agent/src/hornbeamshore/agent/uplink.py
@@ -1,9 +1,14 @@
 """Connections to the entries: one task for each, which redials for good."""
 
 import trio
+
 from hornbeamshore.base.hashing import rendezvous_order
 from hornbeamshore.base.logs import PartLogger
-from hornbeamshore.wire.connection import ConnectionLost, open_connection
+from hornbeamshore.wire.connection import (
+    ConnectionLost,
+    ConnectionRefused,
+    open_connection,
+)
 from hornbeamshore.wire.handshake import HandshakeError
 
 log = PartLogger("agent")
@@ -32,6 +37,7 @@
         self.address = address
         self.retired = False
         self.conn = None
+        self._peer = None
         self._agent = agent
         self._scope = trio.CancelScope()
 
@@ -69,9 +75,12 @@
                     log.debug("Entry %s has two addresses.", conn.peer.process_id)
                     return False
                 self.conn = conn
+                self._peer = conn.peer
                 await conn.run(agent)
                 return True
         except (ConnectionLost, HandshakeError) as exc:
+            if isinstance(exc, ConnectionRefused) and self._peer is not None:
+                agent.refused(self._peer)
             log_at("Entry %s cannot be reached: %s", self.address, exc)
             return False
 
--- a/packages/bench/src/hornbeamshore/bench/replay.py
+++ b/packages/bench/src/hornbeamshore/bench/replay.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 import fire
+
 from hornbeamshore.bench.dispatchers import IdealDispatcher, PlainDispatcher
 from hornbeamshore.bench.workload import (
     DATA_CENTRES,
--- a/packages/entry/src/hornbeamshore/entry/handler.py
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -113,7 +113,7 @@
     def _task_done(self, conn, message):
         owner = self._owner(message.body.partition)
         if owner is not None:
-            owner.dispatcher.task_done(conn.peer.process_id, message.body)
+            owner.task_done(conn.peer.process_id, message.body)
 
     def _agent_leaves(self, conn, message):
         self._nursery.start_soon(self._keep_leaving_records, conn, message)
--- a/packages/entry/src/hornbeamshore/entry/jobs.py
+++ b/packages/entry/src/hornbeamshore/entry/jobs.py
@@ -60,10 +60,7 @@
 
     def ended(self, result):
         """Return the entry of an attempt whose outcome is known."""
-        if result.run_state == RunState.NOT_RUN:
-            ran = self.ran_before
-        else:
-            ran = True
+        ran = result.run_state != RunState.NOT_RUN or self.ran_before
         return replace(self, phase=TaskPhase.ENDED, result=result, may_have_run=ran)
 
     def queued(self):
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -464,8 +464,8 @@
 
     async def _without_agent(self, agent_id):
         log.warning("Agent %s is lost.", agent_id)
-        records = self.dispatcher.records_of(agent_id)
         self.dispatcher.agent_lost(agent_id)
+        records = self.dispatcher.records_of(agent_id)
         copied = await self.copy_records(agent_id, records)
         return rosters.with_lost(self.roster, agent_id, unix_ms(), accounted_for=copied)
 
@@ -535,13 +535,21 @@
         if not self.is_active:
             return False
         self.dispatcher.merge_records(link.agent_id, records)
+        self.dispatcher.agent_lost(link.agent_id)
         kept = self.dispatcher.records_of(link.agent_id)
         copied = await self.copy_records(link.agent_id, kept)
-        self.dispatcher.agent_lost(link.agent_id)
         self._left[link.agent_id] = copied
         self.changed.notify()
         return True
 
+    def task_done(self, agent_id, body):
+        """Give an outcome to the dispatcher; a stale epoch ends the agent's use."""
+        if body.result.code == ResultCode.STALE_EPOCH:
+            self.dispatcher.agent_gone(agent_id)
+            self._leases.drop(agent_id)
+            self.changed.notify()
+        self.dispatcher.task_done(agent_id, body)
+
     def submit(self, req, reply):
         """Give a submission to the dispatcher while the lease quorum holds."""
         if not self.is_active:
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -27,6 +27,10 @@
     """The connection ended before the operation did."""
 
 
+class ConnectionRefused(ConnectionLost):
+    """The host of the peer refused the connection: nothing listens there."""
+
+
 class CallTimeout(Exception):  # noqa: N818
     """The peer did not reply in time; what became of the call is unknown."""
 
@@ -276,7 +280,8 @@
     Raises
     ------
     ConnectionLost
-        If the address cannot be reached in time.
+        If the address cannot be reached in time; its subclass `ConnectionRefused`
+        if the host answered that nothing listens there.
     HandshakeError
         If one side refuses the other.
     """
@@ -289,11 +294,22 @@
                 reader = _handshake_reader(stream)
                 send, receive = _handshake_channel(stream, reader)
                 peer = await handshake.greet(send, receive, identity, secret)
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+        except OSError as exc:
+            kind = ConnectionRefused if _is_refusal(exc) else ConnectionLost
+            raise kind(f"{address}: {exc}") from exc
+        except (trio.TooSlowError, trio.BrokenResourceError) as exc:
             raise ConnectionLost(f"{address}: {exc}") from exc
         yield Connection(stream, peer, cfg, reader)
 
 
+def _is_refusal(exc):
+    if isinstance(exc, ConnectionRefusedError):
+        return True
+    # trio groups the failures of all addresses of a name in the cause.
+    causes = getattr(exc.__cause__, "exceptions", (exc.__cause__,))
+    return all(isinstance(cause, ConnectionRefusedError) for cause in causes)
+
+
 async def serve_connections(listeners, identity, secret, cfg, handler):
     """Accept connections for good; one task runs each of them.
 
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -8,6 +8,7 @@
 
 import pytest
 import trio
+
 from hornbeamshore.agent.daemon import Agent
 from hornbeamshore.agent.settings import AgentSettings
 from hornbeamshore.agent.target import HttpTarget
--- a/tests/agent/test_records.py
+++ b/tests/agent/test_records.py
@@ -3,6 +3,7 @@
 import tracemalloc
 
 import pytest
+
 from hornbeamshore.agent import records as records_module
 from hornbeamshore.agent.records import RECORDS_PER_BLOCK, StartRecords
 from hornbeamshore.base.codes import ResultCode, RunState
