Encode the text of a rendezvous weight

Cause: xxhash 4 takes only bytes, so each call of rendezvous_order raised TypeError. Change: the text is encoded before it is hashed. Result: an agent that is sent an owner table connects to its entries; the test of the agent's owner table fails before and passes after.

--- a/packages/base/src/hornbeamshore/base/hashing.py
+++ b/packages/base/src/hornbeamshore/base/hashing.py
@@ -23,4 +23,4 @@
 
 
 def _weight(key, name):
-    return xxhash.xxh64_intdigest(f"{key}\0{name}"), name
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
