Let the agent of a test grant its first fence at once

Cause: a restarted agent waits for old leases, which the process tests need not do. Change: the fixture gives the agent a fencing state without that wait.

--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -10,6 +10,7 @@
 import trio
 
 from hornbeamshore.agent.daemon import Agent
+from hornbeamshore.agent.fencing import Fencing
 from hornbeamshore.agent.settings import AgentSettings
 from hornbeamshore.agent.target import HttpTarget
 from hornbeamshore.base.settings import Duration
@@ -118,6 +119,8 @@
             )
             nursery.start_soon(target.serve, doors[1])
             agent = Agent(cfg, SECRET, HttpTarget(cfg), seed=1)
+            # The agent of a test does not wait for the leases of a predecessor.
+            agent.fencing = Fencing(cfg.service, cfg.wire.suspect_after)
             world = SimpleNamespace(
                 entry=entry, target=target, agent=agent, doors=doors, exit_code=None
             )
