Serve by due time, count entitlements only in an overload, place in one pass

Cause: at 0.8 of capacity bursts spent their tokens and were served last, fair queueing by flow delayed single tasks behind large jobs of the same flow, and planning each waiting task made a choice cost up to 850 us a task. Change: batches are served by arrival plus their own expected time; tokens count while work is refused or 1 s of work is queued (bursts queue up to 0.7 s); a free target is compared with the number of tasks that busy ones can still end.

--- a/packages/bench/src/hornbeamshore/bench/dispatchers.py
+++ b/packages/bench/src/hornbeamshore/bench/dispatchers.py
@@ -7,7 +7,7 @@
 from hornbeamshore.config.model import Urgency
 from hornbeamshore.policy.admission import Admission
 from hornbeamshore.policy.outliers import FailureOutliers
-from hornbeamshore.policy.placement import Placement
+from hornbeamshore.policy.placement import Choice, Placement
 from hornbeamshore.policy.queueing import FairQueue
 from hornbeamshore.policy.scheduler import Scheduler
 from hornbeamshore.policy.types import Assignment
@@ -34,9 +34,9 @@
         """Start a round; nothing is kept between choices."""
 
     def choose(self, flow, now):
-        """Return a random target with a free slot."""
+        """Return a random target with a free slot, or None."""
         free = [target for target in self._fleet.targets() if target.usable]
-        return self._rng.choice(free) if free else None
+        return Choice(self._rng.choice(free)) if free else None
 
 
 class FirstComeQueue(FairQueue):
--- a/packages/policy/src/hornbeamshore/policy/fleet.py
+++ b/packages/policy/src/hornbeamshore/policy/fleet.py
@@ -51,7 +51,7 @@
 
     __slots__ = (
         "agent_id", "info", "labels", "running", "draining", "health", "delay",
-        "slowness", "factor", "open", "reserve", "usable", "_next",
+        "slowness", "factor", "open", "reserve", "usable", "_ends",
     )  # fmt: skip
 
     def __init__(self, info):
@@ -74,7 +74,7 @@
     def update(self):
         """Recompute the free slots after a change of state."""
         self.open = not self.draining and self.health is not Health.EJECTED
-        self._next = None
+        self._ends = None
         if not self.open:
             self.usable = 0
             return
@@ -88,25 +88,20 @@
         self.slowness = slowness
         self.factor = slowness / max(success_rate, MIN_SUCCESS_RATE)
 
-    def next_free(self, now, overrun_share):
-        """Return when the first of its busy slots is expected to become free."""
-        if self._next is None or self._next <= now:
-            ends = self.expected_ends(now, overrun_share)
-            self._next = min(ends, default=float("inf"))
-        return self._next
-
-    def expected_ends(self, now, overrun_share):
-        """Return when each running task is expected to end.
+    def ends(self, now, overrun_share):
+        """Return when each running task is expected to end, in order.
 
         A task that overran its estimate is expected to run on for a share of the
         time that it took so far.
         """
-        return [
-            entry.end
-            if entry.end > now
-            else now + overrun_share * (now - entry.started)
-            for entry in self.running.values()
-        ]
+        if self._ends is None or (self._ends and self._ends[0] <= now):
+            self._ends = sorted(
+                entry.end
+                if entry.end > now
+                else now + overrun_share * (now - entry.started)
+                for entry in self.running.values()
+            )
+        return self._ends
 
 
 class Fleet:
@@ -116,6 +111,8 @@
     ----------
     free : int
         Usable slots of all targets.
+    unreserved : int
+        Those of them that flows above their entitlement may use.
     speed : float
         Work that all running tasks do each second.
     version : int
@@ -125,6 +122,7 @@
     def __init__(self):
         self._targets = {}
         self.free = 0
+        self.unreserved = 0
         self.speed = 0.0
         self.version = 0
 
@@ -141,7 +139,7 @@
         target = self._targets.get(info.agent_id)
         if target is None:
             target = self._targets[info.agent_id] = Target(info)
-            self.free += target.usable
+            self._count(target, 1)
         else:
             target.draining = False
             self.change(target, target.announce, info)
@@ -152,7 +150,7 @@
         """Forget a target; return it or None."""
         target = self._targets.pop(agent_id, None)
         if target is not None:
-            self.free -= target.usable
+            self._count(target, -1)
             self.speed -= sum(entry.speed for entry in target.running.values())
             self.version += 1
         return target
@@ -169,9 +167,10 @@
 
     def change(self, target, act, *args):
         """Change a target and keep the sums."""
-        before, was_open = target.usable, target.open
+        was_open = target.open
+        self._count(target, -1)
         act(*args)
-        self.free += target.usable - before
+        self._count(target, 1)
         self.version += was_open != target.open
 
     def start(self, target, running):
@@ -200,8 +199,13 @@
     def reserve(self, slots):
         """Keep free slots, two at most on each target, the fastest ones first."""
         for target in sorted(self._targets.values(), key=lambda t: t.factor):
-            target.reserve = min(2, slots, target.info.slots // 2) * target.open
-            slots -= target.reserve
+            reserve = min(2, slots, target.info.slots // 2) * target.open
+            slots -= reserve
+            self.change(target, setattr, target, "reserve", reserve)
+
+    def _count(self, target, sign):
+        self.free += sign * target.usable
+        self.unreserved += sign * max(0, target.usable - target.reserve)
 
 
 def task_id(task):
--- a/packages/policy/src/hornbeamshore/policy/placement.py
+++ b/packages/policy/src/hornbeamshore/policy/placement.py
@@ -1,7 +1,9 @@
 """Choice of a target for a task."""
 
 import abc
-import heapq
+from dataclasses import dataclass
+
+from hornbeamshore.policy.fleet import Target
 
 # A kind departs from the slowness of its target by less than this factor, which
 # lets the search stop at targets that are too slow even if they are free.
@@ -9,6 +11,21 @@
 REORDER_EVERY_S = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """Target for one task of a flow.
+
+    Attributes
+    ----------
+    last : bool
+        Whether the last task in the queue of the flow should take it, since those
+        before it end earlier by waiting for a faster target.
+    """
+
+    target: Target
+    last: bool = False
+
+
 class Placement(abc.ABC):
     """Chooses targets."""
 
@@ -18,7 +35,7 @@
 
     @abc.abstractmethod
     def choose(self, flow, now):
-        """Return the `Target` on which a task of a flow should start now, or None."""
+        """Return a `Choice` for a task of a flow to start now, or None to wait."""
 
     def awaited(self):
         """Return when the first slot that a task waits for should be free, or None."""
@@ -28,8 +45,10 @@
 class EarliestEnd(Placement):
     """Takes the target that ends the task first, a busy one included.
 
-    A task whose best target is busy stays in the queue and reserves the slot for
-    the rest of the round, so that tasks behind it see what it will take.
+    The best free target is taken unless busy ones that are faster can end all
+    waiting tasks of the flow earlier, after the work that waits before them. This
+    counts the tasks that each busy slot can still end in time instead of planning
+    each task, so that a long queue costs no more than a short one.
     """
 
     def __init__(self, cfg, run_times, fleet, data_centre):
@@ -40,28 +59,30 @@
         self._order = []
         self._order_until = float("-inf")
         self._version = None
-        self._plans = {}
+        self._waiting_work = 0.0
         self._awaited = None
 
     def begin(self, now):
         """Start a round of decisions at one moment."""
-        self._plans.clear()
+        self._waiting_work = 0.0
         self._awaited = None
         if now >= self._order_until or self._version != self._fleet.version:
             self._reorder(now)
 
     def choose(self, flow, now):
-        """Return the `Target` on which a task of a flow should start now, or None."""
+        """Return a `Choice` for a task of a flow to start now, or None to wait."""
         base = self._run_times.base(flow.kind)
         departures = self._run_times.departures(flow.kind)
-        for _ in range(min(flow.queued, self._cfg.look_ahead)):
-            best, free, end = self._best(flow, base, departures, now)
-            if best is None:
-                return None
-            if free <= now:
-                return best
-            self._reserve(best, free, end, now)
-        return None
+        target, end = self._best_free(flow, base, departures, now)
+        if target is None:
+            return None
+        ahead = self._waiting_work / base
+        needed = ahead + flow.queued
+        better = self._ends_before(end, needed, flow, base, departures, now)
+        if better >= needed:
+            self._waiting_work += flow.queued * base
+            return None
+        return Choice(target, better >= ahead + 1)
 
     def awaited(self):
         """Return when the first slot that a task waits for should be free, or None."""
@@ -76,37 +97,45 @@
         is_open = [target for target in self._fleet.targets() if target.open]
         self._order = sorted(is_open, key=lambda target: target.factor)
 
-    def _best(self, flow, base, departures, now):
-        best, best_free, best_end = None, 0.0, float("inf")
-        requires, excess, plans = flow.requires, flow.excess, self._plans
-        overrun_share = self._cfg.overrun_share
+    def _best_free(self, flow, base, departures, now):
+        best, best_end = None, float("inf")
+        requires, excess = flow.requires, flow.excess
         for target in self._order:
+            usable = target.usable
+            if not usable or (excess and usable <= target.reserve):
+                continue
             run = base * target.factor
             if now + run * MIN_DEPARTURE >= best_end:
                 break
             if requires and not requires <= target.labels:
                 continue
-            usable = target.usable
-            if usable and excess:
-                usable -= target.reserve
-                if usable <= 0:
-                    continue
-            if usable > 0:
-                free = now
-            else:
-                plan = plans.get(target)
-                free = plan[0] if plan else target.next_free(now, overrun_share)
-            end = free + run * departures.get(target.agent_id, 1.0) + target.delay
+            end = now + run * departures.get(target.agent_id, 1.0) + target.delay
             if end < best_end:
-                best, best_free, best_end = target, free, end
-        return best, best_free, best_end
-
-    def _reserve(self, target, free, end, now):
-        plan = self._plans.get(target)
-        if plan is None:
-            plan = target.expected_ends(now, self._cfg.overrun_share)
-            heapq.heapify(plan)
-            self._plans[target] = plan
-        heapq.heapreplace(plan, end)
-        if self._awaited is None or free < self._awaited:
-            self._awaited = free
+                best, best_end = target, end
+        return best, best_end
+
+    def _ends_before(self, end, needed, flow, base, departures, now):
+        """Return how many tasks busy slots can end before a moment, up to `needed`."""
+        count = 0
+        requires = flow.requires
+        share = self._cfg.overrun_share
+        for target in self._order:
+            run = base * target.factor
+            if now + run * MIN_DEPARTURE >= end:
+                break
+            if target.usable or (requires and not requires <= target.labels):
+                continue
+            run *= departures.get(target.agent_id, 1.0)
+            spare = end - target.delay - run
+            for free in target.ends(now, share):
+                if free >= spare:
+                    break
+                count += 1 + int((spare - free) / run)
+                if count >= needed:
+                    self._await(free)
+                    return count
+        return count
+
+    def _await(self, moment):
+        if self._awaited is None or moment < self._awaited:
+            self._awaited = moment
--- a/packages/policy/src/hornbeamshore/policy/queueing.py
+++ b/packages/policy/src/hornbeamshore/policy/queueing.py
@@ -1,6 +1,7 @@
 """Order in which queued tasks get slots."""
 
 import abc
+import bisect
 import heapq
 import itertools
 import math
@@ -12,7 +13,7 @@
 
 
 class Flow:
-    """Queued tasks of one team and kind, grouped by job.
+    """Queued tasks of one team and kind, grouped by job and sorted by due time.
 
     Work is counted in seconds on a mean target.
 
@@ -31,7 +32,7 @@
     __slots__ = (
         "team", "kind", "urgency", "weight", "requires", "base",
         "batches", "queued", "running", "speed",
-        "tag", "excess_tag", "entry", "excess", "blocked",
+        "tag", "entry", "excess", "blocked",
         "tokens", "tokens_at", "entitlement",
         "arrived", "recent", "usual", "served", "last_used",
     )  # fmt: skip
@@ -43,11 +44,11 @@
         self.weight = 1.0
         self.requires = frozenset()
         self.base = 0.0
-        self.batches = deque()
+        self.batches = []
         self.queued = 0
         self.running = 0
         self.speed = 0.0
-        self.tag = self.excess_tag = 0.0
+        self.tag = 0.0
         self.entry = None
         self.excess = False
         self.blocked = False
@@ -58,12 +59,25 @@
         self.recent = self.usual = self.served = 0.0
         self.last_used = 0.0
 
+    def add(self, batch, now):
+        """Queue a batch."""
+        bisect.insort(self.batches, batch, key=_due)
+        self.queued += len(batch.tasks)
+        self.arrived += len(batch.tasks)
+        self.last_used = now
+
     def head(self):
         """Return the first batch that has tasks, or None."""
         while self.batches and not self.batches[0].tasks:
-            self.batches.popleft()
+            del self.batches[0]
         return self.batches[0] if self.batches else None
 
+    def tail(self):
+        """Return the last batch that has tasks, or None."""
+        while self.batches and not self.batches[-1].tasks:
+            self.batches.pop()
+        return self.batches[-1] if self.batches else None
+
     def refill(self, now, burst_s):
         """Add the tokens earned since the last call."""
         earned = self.entitlement * (now - self.tokens_at)
@@ -72,23 +86,32 @@
 
 
 class _Batch:
-    """Queued tasks of one job with one deadline."""
+    """Queued tasks of one job with one deadline.
 
-    __slots__ = ("key", "flow", "deadline", "since", "tasks")
+    Attributes
+    ----------
+    due : float
+        Arrival plus the time that the job would take on an idle fleet. Served by
+        due time, each job waits in proportion to its size.
+    """
 
-    def __init__(self, flow, task, since):
-        self.key = task.key
+    __slots__ = ("key", "flow", "deadline", "since", "due", "tasks")
+
+    def __init__(self, flow, key, deadline, since, tasks):
+        self.key = key
         self.flow = flow
-        self.deadline = task.deadline
-        self.since = since
-        self.tasks = deque()
+        self.deadline = deadline
+        self.since = self.due = since
+        self.tasks = deque(tasks)
 
 
 class _Lane:
-    """Flows served by start-time fair queueing.
+    """Flows that wait, in the order of service.
 
     Attributes
     ----------
+    virtual : float
+        Virtual time of start-time fair queueing.
     share : float
         Share of the work started by lanes before this one that it is owed.
     credit : float
@@ -104,6 +127,14 @@
         self.credit = 0.0
 
 
+def _due(batch):
+    return batch.due
+
+
+def _job_and_deadline(task):
+    return task.key, task.deadline
+
+
 class TaskQueue(abc.ABC):
     """Holds queued tasks and decides which flow is served next."""
 
@@ -136,8 +167,8 @@
         """Return the `Flow` to serve next, or None."""
 
     @abc.abstractmethod
-    def take(self, flow, now):
-        """Remove and return a task of the picked flow, charged to it."""
+    def take(self, flow, now, last=False):
+        """Remove and return the first or last task of the picked flow."""
 
     @abc.abstractmethod
     def set_aside(self, flow):
@@ -163,6 +194,10 @@
     def learn(self, now, capacity):
         """Update entitlements; called a few times each second."""
 
+    @abc.abstractmethod
+    def note_overload(self, now):
+        """Note that work had to be refused."""
+
     @abc.abstractmethod
     def ahead(self, flow, now):
         """Return the work that is served before the next task of a flow."""
@@ -180,9 +215,11 @@
     """Urgency classes, entitlements and start-time fair queueing by flow.
 
     A flow earns tokens at the rate of its entitlement, which follows its usual
-    demand. Flows with tokens are served by class; flows without get what these
-    leave. Each lane is owed a small share of the work of the lanes before it, so
-    that none starves.
+    demand and its weight. Flows with tokens are served by class and due time;
+    flows without share what these leave by start-time fair queueing. Tokens count
+    only during an overload: below it a burst takes slots that nobody else wants,
+    and putting it last would only delay it. Each lane is owed a small share of the
+    work of the lanes before it, so that none starves.
     """
 
     def __init__(self, cfg, run_times):
@@ -210,6 +247,8 @@
         self._capacity = 1.0
         self._ahead = {}
         self._ahead_until = -math.inf
+        self._backlog = 0.0
+        self._overload_until = -math.inf
 
     def configure(self, deployment, service):
         """Take weights, urgencies and labels of the flows."""
@@ -239,16 +278,10 @@
 
     def add(self, tasks, now):
         """Queue tasks."""
-        batch = None
-        for task in tasks:
-            if batch is None or (task.key, task.deadline) != (
-                batch.key,
-                batch.deadline,
-            ):
-                batch = self._new_batch(task, now)
-            batch.tasks.append(task)
-            batch.flow.queued += 1
-            batch.flow.arrived += 1
+        for (key, deadline), group in itertools.groupby(tasks, _job_and_deadline):
+            self._add_batch(tuple(group), key, deadline, now)
+        if self._backlog > self._cfg.overload_backlog * self._capacity:
+            self.note_overload(now)
 
     def cancel(self, key):
         """Remove the tasks of a job; return them."""
@@ -283,13 +316,14 @@
             self._pop(self._lane(first))
         return first
 
-    def take(self, flow, now):
-        """Remove and return a task of the picked flow, charged to it."""
-        batch = flow.head()
+    def take(self, flow, now, last=False):
+        """Remove and return the first or last task of the picked flow."""
+        batch = flow.tail() if last else flow.head()
         task = batch.tasks.popleft()
         if not batch.tasks:
             self._forget(batch)
         flow.queued -= 1
+        self._backlog -= flow.base
         flow.tokens -= flow.base
         self._charge(flow)
         if flow.queued:
@@ -330,11 +364,18 @@
         self._capacity = max(capacity, 1e-9)
         if passed > 0:
             self._learn_demand(now, passed)
+        self._backlog = sum(flow.queued * flow.base for flow in self._flows.values())
+        if now >= self._overload_until:
+            self._forgive()
         total_weight = self._total_weight()
         for flow in self._flows.values():
             flow.refill(now, self._cfg.burst)
             self._entitle(flow, total_weight)
 
+    def note_overload(self, now):
+        """Let entitlements count for a while."""
+        self._overload_until = now + self._cfg.overload_kept
+
     def ahead(self, flow, now):
         """Return the work that is served before the next task of a flow."""
         if now >= self._ahead_until:
@@ -352,34 +393,34 @@
             heapq.heappop(self._deadlines)
         return self._deadlines[0][0] if self._deadlines else None
 
-    def _new_batch(self, task, now):
-        flow = self.flow(task.team, task.kind)
-        flow.last_used = now
-        batch = _Batch(flow, task, now)
-        self._jobs.setdefault(task.key, []).append(batch)
-        entry = task.deadline, next(self._sequence), batch
-        heapq.heappush(self._deadlines, entry)
-        if task.attempt > 1:
-            # A retry has less time left than the tasks behind which it would wait.
-            flow.batches.appendleft(batch)
-        else:
-            flow.batches.append(batch)
-        if flow.entry is None and not flow.blocked:
+    def _add_batch(self, tasks, key, deadline, now):
+        flow = self.flow(tasks[0].team, tasks[0].kind)
+        batch = _Batch(flow, key, deadline, now, tasks)
+        work = len(tasks) * flow.base
+        # A retry is due at once: it has less time left than what it would wait for.
+        if tasks[0].attempt == 1:
+            batch.due += flow.base + work / self._capacity
+        self._jobs.setdefault(key, []).append(batch)
+        heapq.heappush(self._deadlines, (deadline, next(self._sequence), batch))
+        flow.add(batch, now)
+        self._backlog += work
+        if not flow.blocked and (flow.entry is None or flow.head() is batch):
             self._push(flow)
-        return batch
 
     def _lane(self, flow):
         return self._excess if flow.excess else self._lanes[flow.urgency]
 
     def _push(self, flow):
-        """Put a flow into its lane, not before the flows that are served there."""
+        """Put a flow into its lane; an entry that it has elsewhere becomes void."""
         lane = self._lane(flow)
         if flow.excess:
-            tag = flow.excess_tag = max(flow.excess_tag, lane.virtual)
+            # A flow that was away has no claim on the service of that time.
+            order = flow.tag = max(flow.tag, lane.virtual)
         else:
-            tag = flow.tag = max(flow.tag, lane.virtual)
+            head = flow.head()
+            order = head.due if head else 0.0
         flow.entry = next(self._sequence)
-        heapq.heappush(lane.flows, (tag, flow.entry, flow))
+        heapq.heappush(lane.flows, (order, flow.entry, flow))
 
     def _pop(self, lane):
         heapq.heappop(lane.flows)[2].entry = None
@@ -396,7 +437,7 @@
                 return flow
             else:
                 flow.refill(now, self._cfg.burst)
-                if flow.tokens > 0:
+                if flow.tokens > 0 or now >= self._overload_until:
                     return flow
                 self._demote(flow, lane, now)
         return None
@@ -413,7 +454,7 @@
         while self._refills and self._refills[0][0] <= now:
             flow = heapq.heappop(self._refills)[2]
             flow.refill(now, self._cfg.burst)
-            if flow.tokens <= 0:
+            if flow.tokens <= 0 and now < self._overload_until:
                 moment = now + self._cfg.promote_after
                 heapq.heappush(self._refills, (moment, next(self._sequence), flow))
                 continue
@@ -421,15 +462,22 @@
             if flow.entry is not None:
                 self._push(flow)
 
+    def _forgive(self):
+        """Clear the debts of flows that took slots which nobody else wanted."""
+        for flow in self._flows.values():
+            flow.tokens = max(flow.tokens, 0.0)
+            if flow.excess:
+                flow.excess = False
+                if flow.entry is not None:
+                    self._push(flow)
+        self._refills.clear()
+
     def _charge(self, flow):
         lane = self._lane(flow)
-        work = flow.base / flow.weight
         if flow.excess:
-            lane.virtual = flow.excess_tag
-            flow.excess_tag += work / self._cfg.class_weight(flow.urgency)
-        else:
-            lane.virtual = flow.tag
-            flow.tag += work
+            lane.virtual = max(lane.virtual, flow.tag)
+            weight = flow.weight * self._cfg.class_weight(flow.urgency)
+            flow.tag += flow.base / weight
         if lane.credit >= flow.base:
             lane.credit -= flow.base
             return
@@ -441,6 +489,7 @@
         tasks = tuple(batch.tasks)
         batch.tasks.clear()
         batch.flow.queued -= len(tasks)
+        self._backlog -= len(tasks) * batch.flow.base
         return tasks
 
     def _forget(self, batch):
@@ -471,7 +520,7 @@
             flow.recent += recent_gain * (rate - flow.recent)
             flow.served += served_gain * (flow.speed - flow.served)
             demand += flow.recent * flow.base
-        if self._excess.flows or demand > cfg.calm_load * self._capacity:
+        if now < self._overload_until or demand > cfg.calm_load * self._capacity:
             # What arrives during an overload must not become the usual demand, nor
             # must what is still part of the recent one after it.
             self._calm_from = now + 3 * cfg.recent
--- a/packages/policy/src/hornbeamshore/policy/scheduler.py
+++ b/packages/policy/src/hornbeamshore/policy/scheduler.py
@@ -3,6 +3,7 @@
 import math
 import random
 
+from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.policy.admission import TimeBound
 from hornbeamshore.policy.fleet import Fleet, Running
 from hornbeamshore.policy.forecast import Forecaster
@@ -101,6 +102,8 @@
         forecast = self._forecaster.forecast(load, quota, running, now)
         refusal = self._admission.check(load, forecast)
         if refusal is not None:
+            if forecast.wait_s and refusal.code is not ResultCode.QUOTA_EXCEEDED:
+                self._queue.note_overload(now)
             name = refusal.code.name
             self._refusals[name] = self._refusals.get(name, 0) + 1
         return refusal
@@ -133,13 +136,15 @@
             if self._team_running.get(flow.team, 0) >= self._quota(flow.team):
                 self._queue.block(flow)
                 continue
-            target = self._placement.choose(flow, now)
-            if target is None:
+            choice = None
+            if self._fleet.unreserved or not flow.excess:
+                choice = self._placement.choose(flow, now)
+            if choice is None:
                 self._queue.set_aside(flow)
                 continue
-            task = self._queue.take(flow, now)
-            self._start(task, target, now)
-            out.append(Assignment(task, target.agent_id))
+            task = self._queue.take(flow, now, choice.last)
+            self._start(task, choice.target, now)
+            out.append(Assignment(task, choice.target.agent_id))
         self._queue.restore()
         awaited = self._placement.awaited()
         if awaited is not None:
--- a/packages/policy/src/hornbeamshore/policy/settings.py
+++ b/packages/policy/src/hornbeamshore/policy/settings.py
@@ -45,8 +45,6 @@
     overrun_share : float
         Share of its elapsed time that a task beyond its estimate is expected to
         run on for.
-    look_ahead : int
-        Tasks that may wait for faster slots before a flow is set aside.
     reserve_share : float
         Share of the slots, on the fastest targets, that flows above their
         entitlement leave free for others.
@@ -54,7 +52,6 @@
 
     far_delay: Duration = Duration(0.003)
     overrun_share: float = 0.3
-    look_ahead: int = 16
     reserve_share: float = 0.1
 
 
@@ -83,6 +80,11 @@
         Time over which usual demand falls, or grows during an overload.
     calm_load : float
         Demand over capacity from which a time counts as overload.
+    overload_backlog : Duration
+        Queued work over capacity from which entitlements count, as they do when
+        work is refused. Bursts at 0.8 of capacity queue up to 0.7 s.
+    overload_kept : Duration
+        Time for which they count after that.
     count_every : Duration
         Age up to which the count of work ahead is used again.
     """
@@ -100,6 +102,8 @@
     served: Duration = Duration(2.0)
     forget: Duration = Duration(300.0)
     calm_load: float = 0.95
+    overload_backlog: Duration = Duration(1.0)
+    overload_kept: Duration = Duration(2.0)
     count_every: Duration = Duration(0.02)
 
     def class_weight(self, urgency):
