--- /dev/null
+++ b/packages/store/src/hornbeamshore/store/etcd.py
@@ -0,0 +1,485 @@
+"""Store adapter that speaks the JSON gateway of etcd v3 over HTTP."""
+
+import base64
+import collections
+from dataclasses import dataclass
+from typing import Annotated
+
+import httpcore
+import msgspec
+import trio
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.store.base import (
+    Change,
+    KeyValue,
+    Lease,
+    LeaseNotFound,
+    Snapshot,
+    Store,
+    StoreRejected,
+    StoreUnavailable,
+    Watch,
+    WriteOutcome,
+)
+
+MAX_WATCH_LINE_BYTES = 16 * 1024 * 1024
+CLOSE_TIMEOUT_S = 1.0
+GRPC_NOT_FOUND = 5
+
+log = PartLogger("store")
+
+
+@dataclass(frozen=True, slots=True)
+class EtcdSettings:
+    """Settings of the connection to the store.
+
+    Attributes
+    ----------
+    endpoints : tuple of str
+        Addresses such as ``http://10.0.0.1:2379``; tried in turn after a failure.
+    connect_timeout : Duration
+        Longest time to open a connection to one endpoint.
+    request_timeout : Duration
+        Longest time for one call to one endpoint.
+    watch_idle : Duration
+        Silence after which a watch is opened anew, since a connection that a
+        middlebox lost looks like a prefix without changes.
+    """
+
+    endpoints: Annotated[tuple[str, ...], msgspec.Meta(min_length=1)]
+    connect_timeout: Duration = Duration(0.5)
+    request_timeout: Duration = Duration(2.0)
+    watch_idle: Duration = Duration(5.0)
+
+
+# Messages of the gateway. It writes int64 as text and bytes as base64, which msgspec
+# converts in its lax mode, and leaves out fields that are zero.
+
+
+@dataclass(frozen=True, slots=True)
+class _Header:
+    revision: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _KeyValue:
+    key: bytes = b""
+    value: bytes = b""
+    mod_revision: int = 0
+    lease: int = 0
+
+    def item(self):
+        key = self.key.decode(errors="replace")
+        return KeyValue(key, self.value, self.mod_revision, self.lease)
+
+
+@dataclass(frozen=True, slots=True)
+class _RangeResponse:
+    header: _Header = _Header()
+    kvs: tuple[_KeyValue, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _ResponseOp:
+    response_range: _RangeResponse | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _TxnResponse:
+    header: _Header
+    succeeded: bool = False
+    responses: tuple[_ResponseOp, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _DeleteResponse:
+    header: _Header
+    deleted: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _LeaseResponse:
+    ID: int = 0
+    TTL: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _KeepAliveResponse:
+    result: _LeaseResponse
+
+
+@dataclass(frozen=True, slots=True)
+class _RevokeResponse:
+    header: _Header = _Header()
+
+
+@dataclass(frozen=True, slots=True)
+class _Event:
+    kv: _KeyValue
+    type: str = "PUT"
+
+
+@dataclass(frozen=True, slots=True)
+class _WatchResult:
+    header: _Header = _Header()
+    canceled: bool = False
+    cancel_reason: str = ""
+    compact_revision: int = 0
+    events: tuple[_Event, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _WatchResponse:
+    result: _WatchResult
+
+
+@dataclass(frozen=True, slots=True)
+class _ErrorResponse:
+    code: int = 0
+    message: str = ""
+
+
+class EtcdStore(Store):
+    """Store behind one or more etcd v3 JSON gateways.
+
+    Reads and writes share one connection, leases have another, so that a slow read
+    cannot let a lease expire; each watch has its own.
+
+    Parameters
+    ----------
+    cfg : EtcdSettings
+        Endpoints and times.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self._keys = _Link(cfg)
+        self._leases = _Link(cfg)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._keys.aclose()
+        await self._leases.aclose()
+
+    async def get(self, key):
+        """Return the `KeyValue` of a key, or None where it is absent."""
+        answer = await self._range({"key": _b64(key)})
+        return answer.kvs[0].item() if answer.kvs else None
+
+    async def get_prefix(self, prefix):
+        """Return the `Snapshot` of all keys that start with a prefix."""
+        answer = await self._range(_prefix_range(prefix))
+        return Snapshot(answer.header.revision, tuple(kv.item() for kv in answer.kvs))
+
+    async def compare_and_swap(self, key, value, expected_revision, lease_id=0):
+        """Write a value if the key's modification revision is as expected."""
+        put = {"key": _b64(key), "value": _b64(value)}
+        if lease_id:
+            put["lease"] = str(lease_id)
+        return await self._txn(key, expected_revision, {"request_put": put})
+
+    async def delete(self, key, expected_revision=None):
+        """Delete a key and return the `WriteOutcome`."""
+        target = {"key": _b64(key)}
+        if expected_revision is not None:
+            operation = {"request_delete_range": target}
+            return await self._txn(key, expected_revision, operation)
+        answer = await self._keys.call(
+            "/v3/kv/deleterange", target, _DeleteResponse, writes=True
+        )
+        return WriteOutcome(answer.deleted > 0, answer.header.revision)
+
+    async def grant_lease(self, ttl_s):
+        """Return a new `Lease` that expires after `ttl_s` seconds."""
+        answer = await self._leases.call(
+            "/v3/lease/grant", {"TTL": str(ttl_s)}, _LeaseResponse, writes=True
+        )
+        return Lease(answer.ID, answer.TTL)
+
+    async def keep_alive(self, lease_id):
+        """Extend a lease to its full time and return it."""
+        answer = await self._leases.call(
+            "/v3/lease/keepalive", {"ID": str(lease_id)}, _KeepAliveResponse
+        )
+        if answer.result.TTL <= 0:
+            raise LeaseNotFound(f"lease {lease_id} has expired")
+        return Lease(lease_id, answer.result.TTL)
+
+    async def revoke_lease(self, lease_id):
+        """End a lease, which deletes its keys; an expired one is no error."""
+        try:
+            # Revoking twice has the effect of once, so another endpoint may be tried.
+            await self._leases.call(
+                "/v3/lease/revoke", {"ID": str(lease_id)}, _RevokeResponse
+            )
+        except LeaseNotFound:
+            return
+
+    def watch(self, prefix, from_revision=0):
+        """Return an `EtcdWatch` over the keys that start with a prefix."""
+        return EtcdWatch(self, prefix, from_revision)
+
+    async def _range(self, body):
+        return await self._keys.call("/v3/kv/range", body, _RangeResponse)
+
+    async def _txn(self, key, expected_revision, operation):
+        compare = {
+            "key": _b64(key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(expected_revision),
+        }
+        body = {
+            "compare": [compare],
+            "success": [operation],
+            "failure": [{"request_range": {"key": _b64(key)}}],
+        }
+        answer = await self._keys.call("/v3/kv/txn", body, _TxnResponse, writes=True)
+        current = None
+        if not answer.succeeded:
+            found = [op.response_range for op in answer.responses if op.response_range]
+            kvs = found[0].kvs if found else ()
+            current = kvs[0].item() if kvs else None
+        return WriteOutcome(answer.succeeded, answer.header.revision, current)
+
+
+class EtcdWatch(Watch):
+    """Watch that opens its stream anew after silence, failure or compaction."""
+
+    def __init__(self, store, prefix, from_revision):
+        self._store = store
+        self._prefix = prefix
+        self._next_revision = from_revision
+        self._known = set()
+        self._pending = collections.deque()
+        self._link = _Link(store.cfg)
+        self._stream = None
+
+    async def __anext__(self):
+        while not self._pending:
+            if self._next_revision == 0:
+                await self._read_again(0)
+            elif self._stream is None:
+                await self._open()
+            else:
+                await self._receive()
+        return self._pending.popleft()
+
+    async def aclose(self):
+        """Give up the connection of the watch."""
+        self._stream = None
+        await self._link.aclose()
+
+    async def _open(self):
+        body = {
+            **_prefix_range(self._prefix),
+            "start_revision": str(self._next_revision),
+        }
+        self._stream = await self._link.stream("/v3/watch", {"create_request": body})
+
+    async def _receive(self):
+        with trio.move_on_after(self._store.cfg.watch_idle) as idle:
+            try:
+                line = await self._stream.next_line()
+            except StoreUnavailable:
+                await self.aclose()
+                raise
+        if idle.cancelled_caught:
+            await self.aclose()
+            return
+        try:
+            result = _decode(line, _WatchResponse).result
+        except StoreUnavailable:
+            await self.aclose()
+            raise
+        if result.canceled:
+            log.info("Watch was cancelled: %s", result.cancel_reason or "compaction")
+            await self.aclose()
+            await self._read_again(self._next_revision)
+            return
+        for event in result.events:
+            self._add(event)
+
+    def _add(self, event):
+        item = event.kv.item()
+        self._next_revision = max(self._next_revision, item.mod_revision + 1)
+        if event.type == "DELETE":
+            self._known.discard(item.key)
+            self._pending.append(Change(item.key, item.mod_revision, None))
+        else:
+            self._known.add(item.key)
+            self._pending.append(Change(item.key, item.mod_revision, item))
+
+    async def _read_again(self, from_revision):
+        snapshot = await self._store.get_prefix(self._prefix)
+        present = {item.key for item in snapshot.items}
+        for key in sorted(self._known - present):
+            self._pending.append(Change(key, snapshot.revision, None))
+        for item in snapshot.items:
+            if item.mod_revision >= from_revision:
+                self._pending.append(Change(item.key, item.mod_revision, item))
+        self._known = present
+        self._next_revision = snapshot.revision + 1
+
+
+class _Link:
+    """One HTTP connection for one purpose, opened anew after each failure."""
+
+    def __init__(self, cfg):
+        self._cfg = cfg
+        self._endpoint = 0
+        self._conn = None
+        self._lock = trio.Lock()
+
+    async def call(self, path, body, answer_type, *, writes=False):
+        """Return the decoded answer; other endpoints are tried where that is safe."""
+        for tries_left in reversed(range(len(self._cfg.endpoints))):
+            try:
+                content = await self._call_once(path, body, writes)
+                return _decode(content, answer_type, maybe_written=writes)
+            except StoreUnavailable as exc:
+                # A write that may have taken effect must not be sent again.
+                if exc.maybe_written or not tries_left:
+                    raise
+        raise StoreUnavailable("no endpoint is set")
+
+    async def stream(self, path, body):
+        """Return a `_LineStream` over the answer to a request."""
+        try:
+            with trio.fail_after(self._cfg.request_timeout):
+                response = await self._send(path, body)
+                if response.status != 200:
+                    _raise_refused(response.status, await response.aread(), False)
+        except BaseException as exc:
+            await self._fail(exc, maybe_written=False)
+            raise
+        return _LineStream(response)
+
+    async def aclose(self):
+        """Close the connection; the next call opens one."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            with trio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+                await conn.aclose()
+
+    async def _call_once(self, path, body, writes):
+        with trio.move_on_after(self._cfg.request_timeout) as waiting:
+            await self._lock.acquire()
+        if waiting.cancelled_caught:
+            raise StoreUnavailable("earlier calls to the store are not answered yet")
+        try:
+            with trio.fail_after(self._cfg.request_timeout):
+                response = await self._send(path, body)
+                content = await response.aread()
+                await response.aclose()
+            if response.status != 200:
+                _raise_refused(response.status, content, writes)
+        except StoreRejected:
+            raise
+        except BaseException as exc:
+            await self._fail(exc, maybe_written=writes)
+            raise
+        finally:
+            self._lock.release()
+        return content
+
+    async def _send(self, path, body):
+        if self._conn is not None and not self._conn.is_available():
+            await self.aclose()
+        endpoint = self._cfg.endpoints[self._endpoint]
+        request = httpcore.Request(
+            "POST",
+            endpoint.rstrip("/") + path,
+            headers={"Host": _host(endpoint), "Content-Type": "application/json"}
+            | {"Content-Length": str(len(content := msgspec.json.encode(body)))},
+            content=content,
+            extensions={"timeout": {"connect": self._cfg.connect_timeout}},
+        )
+        if self._conn is None:
+            self._conn = httpcore.AsyncHTTPConnection(request.url.origin)
+        return await self._conn.handle_async_request(request)
+
+    async def _fail(self, exc, *, maybe_written):
+        endpoint = self._cfg.endpoints[self._endpoint]
+        self._endpoint = (self._endpoint + 1) % len(self._cfg.endpoints)
+        await self.aclose()
+        if isinstance(exc, httpcore.ConnectError | httpcore.ConnectTimeout):
+            raise StoreUnavailable(f"{endpoint}: no connection: {exc}") from exc
+        if isinstance(exc, trio.TooSlowError):
+            message = f"{endpoint}: no answer in {self._cfg.request_timeout} s"
+            raise StoreUnavailable(message, maybe_written=maybe_written) from exc
+        if isinstance(exc, _HTTP_ERRORS):
+            message = f"{endpoint}: answer broke off: {exc!r}"
+            raise StoreUnavailable(message, maybe_written=maybe_written) from exc
+
+
+# What httpcore raises for a connection that breaks or an answer that is no HTTP.
+_HTTP_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.ConnectionNotAvailable,
+)
+
+
+class _LineStream:
+    """Lines of an answer that arrives over time."""
+
+    def __init__(self, response):
+        self._chunks = response.aiter_stream().__aiter__()
+        self._buffer = bytearray()
+
+    async def next_line(self):
+        """Return the next line; raise `StoreUnavailable` at the end or a failure."""
+        while (end := self._buffer.find(b"\n")) < 0:
+            try:
+                chunk = await anext(self._chunks, None)
+            except _HTTP_ERRORS as exc:
+                raise StoreUnavailable(f"watch broke off: {exc!r}") from exc
+            if chunk is None:
+                raise StoreUnavailable("watch was ended by the store")
+            self._buffer += chunk
+            if len(self._buffer) > MAX_WATCH_LINE_BYTES:
+                raise StoreUnavailable("watch sent a line beyond its bound")
+        line = bytes(self._buffer[:end])
+        del self._buffer[: end + 1]
+        return line
+
+
+def _decode(content, kind, *, maybe_written=False):
+    try:
+        return msgspec.json.decode(content, type=kind, strict=False)
+    except (msgspec.MsgspecError, ValueError) as exc:
+        message = f"answer of the store is malformed: {exc}"
+        raise StoreUnavailable(message, maybe_written=maybe_written) from exc
+
+
+def _raise_refused(status, content, writes):
+    try:
+        error = msgspec.json.decode(content, type=_ErrorResponse)
+    except msgspec.MsgspecError:
+        error = _ErrorResponse(0, f"HTTP status {status}")
+    if error.code == GRPC_NOT_FOUND and "lease" in error.message:
+        raise LeaseNotFound(error.message)
+    if 400 <= status < 500:
+        raise StoreRejected(error.message)
+    # The gateway answers 5xx also when it lost contact after passing a write on.
+    raise StoreUnavailable(error.message, maybe_written=writes)
+
+
+def _prefix_range(prefix):
+    raw = prefix.encode()
+    # The end of a range is exclusive; UTF-8 never ends with 0xff.
+    return {"key": _b64(raw), "range_end": _b64(raw[:-1] + bytes([raw[-1] + 1]))}
+
+
+def _b64(data):
+    raw = data.encode() if isinstance(data, str) else data
+    return base64.b64encode(raw).decode()
+
+
+def _host(endpoint):
+    return endpoint.partition("://")[2].rstrip("/")
