Add a stand-in for the platform's store

Cause: the store adapter and all that builds on it are tested without a third-party server. Change: an ASGI server with the subset of the etcd v3 gateway that is used, leases and revisions included; faults for outages, delays, lost answers, expired leases, compaction and watches that go silent; calls are counted by path.

--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/standin_store.py
@@ -0,0 +1,429 @@
+"""Stand-in for the platform's store: a subset of the etcd v3 JSON gateway.
+
+``python -m hornbeamshore.bench.standin_store --port 0`` prints its address on one
+line and serves until it is ended. Tests serve it inside a nursery and switch faults
+on through the object; other processes use ``/standin/faults`` and its neighbours.
+"""
+
+import base64
+import collections
+import contextlib
+import dataclasses
+import functools
+import itertools
+import json
+from dataclasses import dataclass, field
+
+import fire
+import hypercorn.trio
+import trio
+from hypercorn.config import Config
+
+MAX_REQUEST_BYTES = 1_500_000  # etcd's own default
+FIRST_LEASE_ID = 7_587_848_390_000_000_000  # beyond 53 bits, as etcd's are
+
+
+class GatewayError(Exception):
+    """Error answer of the gateway."""
+
+    def __init__(self, status, code, message):
+        super().__init__(message)
+        self.status = status
+        self.body = {"code": code, "message": message}
+
+
+class AnswerLost(Exception):  # noqa: N818
+    """The write took effect, but its answer is not to be sent."""
+
+
+@dataclass
+class Faults:
+    """Faults that are switched on.
+
+    Attributes
+    ----------
+    down : bool
+        Whether each call fails and each watch ends.
+    delay_s : float
+        Time added to each call.
+    lose_answers : int
+        Number of next writes that take effect without an answer.
+    mute_watches : bool
+        Whether watches that are open now stay open but never get a change again,
+        as on a connection that a middlebox lost.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    mute_watches: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Value of a key with the revisions that etcd keeps."""
+
+    key: bytes
+    value: bytes
+    create_revision: int
+    mod_revision: int
+    version: int
+    lease: int = 0
+
+    def to_json(self):
+        """Return the gateway's form, which leaves out fields that are zero."""
+        body = {
+            "key": _encode(self.key),
+            "value": _encode(self.value),
+            "create_revision": str(self.create_revision),
+            "mod_revision": str(self.mod_revision),
+            "version": str(self.version),
+            "lease": str(self.lease),
+        }
+        return {name: text for name, text in body.items() if text not in ("", "0")}
+
+
+@dataclass
+class LeaseState:
+    """Granted lease."""
+
+    ttl: int
+    deadline: float
+    keys: set = field(default_factory=set)
+
+
+class StandinStore:
+    """State of the store and its ASGI application.
+
+    Attributes
+    ----------
+    faults : Faults
+        Set its fields to switch faults on, then call `wake`.
+    calls : collections.Counter
+        Number of calls by path.
+    open_watches : int
+        Number of watches that are open.
+    changed : trio.Event
+        Set, and replaced, when any of this changes.
+    """
+
+    def __init__(self):
+        self.faults = Faults()
+        self.calls = collections.Counter()
+        self.revision = 1
+        self.compacted = 0
+        self._records = {}
+        self._history = []
+        self._leases = {}
+        self._lease_ids = itertools.count(FIRST_LEASE_ID)
+        self.open_watches = 0
+        self.changed = trio.Event()
+        self._handlers = {
+            "/v3/kv/range": self._range,
+            "/v3/kv/txn": self._txn,
+            "/v3/kv/deleterange": self._delete_range,
+            "/v3/lease/grant": self._grant,
+            "/v3/lease/keepalive": self._keep_alive,
+            "/v3/lease/revoke": self._revoke,
+            "/standin/faults": self._set_faults,
+            "/standin/expire": lambda body: self.expire_lease(int(body["ID"])) or {},
+            "/standin/compact": lambda body: self.compact(int(body["revision"])) or {},
+            "/standin/calls": lambda body: dict(self.calls),
+        }
+
+    async def serve(self, port=0, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve on loopback; the started value is the address."""
+        cfg = Config()
+        cfg.bind = [f"127.0.0.1:{port}"]
+        cfg.errorlog = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._expire_leases)
+            start = functools.partial(hypercorn.trio.serve, self, cfg)
+            (address,) = await nursery.start(start)
+            task_status.started(address)
+
+    def wake(self):
+        """Let open watches look at the state again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def expire_lease(self, lease_id):
+        """End a lease as if its time had passed."""
+        lease = self._leases.pop(lease_id, None)
+        if lease and lease.keys:
+            self.revision += 1
+            for key in sorted(lease.keys):
+                self._delete(key)
+        self.wake()
+
+    def compact(self, revision):
+        """Forget the changes up to a revision; watches from there are cancelled."""
+        self.compacted = revision
+        self._history = [item for item in self._history if item[0] > revision]
+        self.wake()
+
+    async def __call__(self, scope, receive, send):
+        """Answer one request of the ASGI server."""
+        if scope["type"] == "lifespan":
+            await _run_lifespan(receive, send)
+        elif scope["type"] == "http":
+            body = json.loads(await _read_body(receive) or b"{}")
+            try:
+                await self._answer(scope["path"], body, receive, send)
+            except GatewayError as exc:
+                await _send_json(send, exc.status, exc.body)
+
+    async def _answer(self, path, body, receive, send):
+        if not path.startswith("/standin/"):
+            self.calls[path] += 1
+            await trio.sleep(self.faults.delay_s)
+            if self.faults.down:
+                raise GatewayError(503, 14, "etcdserver: no leader")
+        if path == "/v3/watch":
+            await self._watch(body["create_request"], receive, send)
+        elif path in self._handlers:
+            try:
+                answer = self._handlers[path](body)
+            except AnswerLost:
+                await _break_off(send)
+                raise
+            await _send_json(send, 200, answer)
+        else:
+            raise GatewayError(404, 5, "Not Found")
+
+    def _header(self):
+        return {"revision": str(self.revision)}
+
+    def _range(self, body):
+        found = [self._records[key].to_json() for key in self._select(body)]
+        answer = {"header": self._header()}
+        return answer | ({"kvs": found, "count": str(len(found))} if found else {})
+
+    def _select(self, body):
+        key, end = _decode(body["key"]), _decode(body.get("range_end", ""))
+        if not end:
+            return [key] if key in self._records else []
+        return sorted(name for name in self._records if key <= name < end)
+
+    def _txn(self, body):
+        holds = all(self._compare(item) for item in body.get("compare", ()))
+        operations = body.get("success" if holds else "failure", ())
+        self._check(operations)
+        if any("request_range" not in operation for operation in operations):
+            self.revision += 1
+        responses = [self._apply(operation) for operation in operations]
+        answer = {"header": self._header(), "responses": responses}
+        if holds:
+            answer["succeeded"] = True
+            self._wrote()
+        return answer
+
+    def _compare(self, item):
+        if (item["target"], item["result"]) != ("MOD", "EQUAL"):
+            raise GatewayError(501, 12, "comparison is not part of the stand-in")
+        record = self._records.get(_decode(item["key"]))
+        return (record.mod_revision if record else 0) == int(item["mod_revision"])
+
+    def _check(self, operations):
+        for put in (item.get("request_put", {}) for item in operations):
+            if len(_decode(put.get("value", ""))) > MAX_REQUEST_BYTES:
+                raise GatewayError(400, 3, "etcdserver: request is too large")
+            if int(put.get("lease", 0)) not in (0, *self._leases):
+                raise _lease_not_found()
+
+    def _apply(self, operation):
+        if "request_put" in operation:
+            self._put(operation["request_put"])
+            return {"response_put": {"header": self._header()}}
+        if "request_delete_range" in operation:
+            keys = self._select(operation["request_delete_range"])
+            for key in keys:
+                self._delete(key)
+            return {"response_delete_range": {"deleted": str(len(keys))}}
+        return {"response_range": self._range(operation["request_range"])}
+
+    def _put(self, body):
+        key, lease = _decode(body["key"]), int(body.get("lease", 0))
+        old = self._records.get(key)
+        if old and old.lease in self._leases:
+            self._leases[old.lease].keys.discard(key)
+        if lease:
+            self._leases[lease].keys.add(key)
+        created = old.create_revision if old else self.revision
+        version = old.version + 1 if old else 1
+        record = Record(
+            key, _decode(body["value"]), created, self.revision, version, lease
+        )
+        self._records[key] = record
+        self._history.append((self.revision, key, {"kv": record.to_json()}))
+
+    def _delete(self, key):
+        record = self._records.pop(key)
+        if record.lease in self._leases:
+            self._leases[record.lease].keys.discard(key)
+        kv = {"key": _encode(key), "mod_revision": str(self.revision)}
+        self._history.append((self.revision, key, {"type": "DELETE", "kv": kv}))
+
+    def _delete_range(self, body):
+        keys = self._select(body)
+        if not keys:
+            return {"header": self._header()}
+        self.revision += 1
+        for key in keys:
+            self._delete(key)
+        answer = {"header": self._header(), "deleted": str(len(keys))}
+        self._wrote()
+        return answer
+
+    def _wrote(self):
+        self.wake()
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise AnswerLost
+
+    def _grant(self, body):
+        ttl = int(body["TTL"])
+        lease_id = int(body.get("ID", 0)) or next(self._lease_ids)
+        self._leases[lease_id] = LeaseState(ttl, trio.current_time() + ttl)
+        answer = {"header": self._header(), "ID": str(lease_id), "TTL": str(ttl)}
+        self._wrote()
+        return answer
+
+    def _keep_alive(self, body):
+        lease = self._leases.get(int(body["ID"]))
+        result = {"header": self._header(), "ID": body["ID"]}
+        if lease:
+            lease.deadline = trio.current_time() + lease.ttl
+            result["TTL"] = str(lease.ttl)
+        return {"result": result}
+
+    def _revoke(self, body):
+        if int(body["ID"]) not in self._leases:
+            raise _lease_not_found()
+        self.expire_lease(int(body["ID"]))
+        return {"header": self._header()}
+
+    def _set_faults(self, body):
+        self.faults = dataclasses.replace(self.faults, **body)
+        self.wake()
+        return dataclasses.asdict(self.faults)
+
+    async def _expire_leases(self):
+        while True:
+            changed = self.changed
+            deadlines = [lease.deadline for lease in self._leases.values()]
+            with trio.move_on_at(min(deadlines, default=float("inf"))):
+                await changed.wait()
+            now = trio.current_time()
+            due = [name for name, item in self._leases.items() if item.deadline <= now]
+            for lease_id in due:
+                self.expire_lease(lease_id)
+
+    async def _watch(self, request, receive, send):
+        await _start_answer(send, 200, [])
+        await self._send_result(send, {"created": True})
+        self.open_watches += 1
+        self.wake()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_at_disconnect, receive, nursery)
+                await self._send_changes(request, send)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.open_watches -= 1
+            self.wake()
+        await send({"type": "http.response.body"})
+
+    async def _send_changes(self, request, send):
+        key, end = _decode(request["key"]), _decode(request.get("range_end", ""))
+        revision = int(request.get("start_revision", 0)) or self.revision + 1
+        while not self.faults.down:
+            changed = self.changed
+            if self.faults.mute_watches:
+                await trio.sleep_forever()
+            if revision <= self.compacted:
+                reason = {"canceled": True, "compact_revision": str(self.compacted)}
+                await self._send_result(send, reason)
+                return
+            events = [
+                event
+                for at, name, event in self._history
+                if at >= revision and (key <= name < end if end else name == key)
+            ]
+            revision = max(revision, self.revision + 1)
+            if events:
+                await self._send_result(send, {"events": events})
+            await changed.wait()
+
+    async def _send_result(self, send, result):
+        line = json.dumps({"result": {"header": self._header()} | result}) + "\n"
+        await send(
+            {"type": "http.response.body", "body": line.encode(), "more_body": True}
+        )
+
+
+def _lease_not_found():
+    return GatewayError(404, 5, "etcdserver: requested lease not found")
+
+
+def _encode(data):
+    return base64.b64encode(data).decode()
+
+
+def _decode(text):
+    return base64.b64decode(text, validate=True)
+
+
+async def _run_lifespan(receive, send):
+    for stage in ("startup", "shutdown"):
+        await receive()
+        await send({"type": f"lifespan.{stage}.complete"})
+
+
+async def _read_body(receive):
+    body, more = b"", True
+    while more:
+        message = await receive()
+        body += message.get("body", b"")
+        more = message.get("more_body", False)
+    return body
+
+
+async def _cancel_at_disconnect(receive, nursery):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    nursery.cancel_scope.cancel()
+
+
+async def _send_json(send, status, answer):
+    body = json.dumps(answer).encode()
+    await _start_answer(send, status, [(b"content-length", b"%d" % len(body))])
+    await send({"type": "http.response.body", "body": body})
+
+
+async def _break_off(send):
+    # A length without its bytes makes the server cut the connection.
+    await _start_answer(send, 200, [(b"content-length", b"1000")])
+    await send({"type": "http.response.body", "body": b"{", "more_body": True})
+
+
+async def _start_answer(send, status, headers):
+    kind = (b"content-type", b"application/json")
+    await send(
+        {"type": "http.response.start", "status": status, "headers": [kind, *headers]}
+    )
+
+
+async def _main(port):
+    async with trio.open_nursery() as nursery:
+        print(await nursery.start(StandinStore().serve, port), flush=True)
+
+
+def main(port=0):
+    """Serve the stand-in on a port of loopback and print its address."""
+    with contextlib.suppress(KeyboardInterrupt):
+        trio.run(_main, port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/store/test_etcd.py
@@ -0,0 +1,245 @@
+"""Store adapter against the stand-in, over real sockets."""
+
+import contextlib
+import dataclasses
+
+import pytest
+import trio
+import trio.testing
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.bench.standin_store import StandinStore
+from hornbeamshore.store.base import (
+    LeaseNotFound,
+    StoreRejected,
+    StoreUnavailable,
+)
+from hornbeamshore.store.etcd import EtcdSettings, EtcdStore
+
+# Generous, so that a busy machine fails no test; faults end calls at once instead.
+CALM = EtcdSettings(("unset",), Duration(20), Duration(20), Duration(20))
+
+
+@contextlib.asynccontextmanager
+async def serving(cfg=CALM, first_endpoints=()):
+    server = StandinStore()
+    async with trio.open_nursery() as nursery:
+        endpoints = (*first_endpoints, await nursery.start(server.serve))
+        cfg = dataclasses.replace(cfg, endpoints=endpoints)
+        async with EtcdStore(cfg) as store:
+            yield server, store
+        nursery.cancel_scope.cancel()
+
+
+WRITES = {
+    "create an absent key": (lambda s, rev: s.create("/new", b"x"), True, None),
+    "create a present key": (lambda s, rev: s.create("/a", b"x"), False, b"one"),
+    "swap at the revision": (
+        lambda s, rev: s.compare_and_swap("/a", b"", rev),
+        True,
+        None,
+    ),
+    "swap at an old revision": (
+        lambda s, rev: s.compare_and_swap("/a", b"x", rev - 1),
+        False,
+        b"one",
+    ),
+    "swap an absent key": (
+        lambda s, rev: s.compare_and_swap("/b", b"x", rev),
+        False,
+        None,
+    ),
+    "delete at the revision": (lambda s, rev: s.delete("/a", rev), True, None),
+    "delete at an old revision": (lambda s, rev: s.delete("/a", 1), False, b"one"),
+    "delete whatever is there": (lambda s, rev: s.delete("/a"), True, None),
+    "delete an absent key": (lambda s, rev: s.delete("/b"), False, None),
+}
+
+
+@pytest.mark.parametrize(("write", "succeeds", "left"), WRITES.values(), ids=WRITES)
+async def test_conditional_writes(write, succeeds, left):
+    """Guards against a write that takes effect, or is lost, against its condition."""
+    async with serving() as (server, store):
+        before = (await store.create("/a", b"one")).revision
+        outcome = await write(store, before)
+        current = outcome.current.value if outcome.current else None
+        assert (outcome.succeeded, current) == (succeeds, left)
+        assert outcome.revision == server.revision == before + succeeds
+        assert await store.get("/nowhere") is None
+
+
+async def test_prefix_holds_its_own_keys_only():
+    """Guards against a range end that takes in a neighbour or drops the last key."""
+    async with serving() as (_, store):
+        for key in ("/d/a", "/d/ÿ", "/e", "/c"):
+            await store.create(key, key.encode())
+        items = (await store.get_prefix("/d/")).items
+        assert [(item.key, item.value.decode()) for item in items] == [
+            ("/d/a", "/d/a"),
+            ("/d/ÿ", "/d/ÿ"),
+        ]
+
+
+FAULTS = {
+    "down": ({"down": True}, True, None),
+    "answer lost": ({"lose_answers": 1}, True, b"x"),
+    "no answer": ({"delay_s": 3600.0}, True, None),
+}
+
+
+@pytest.mark.parametrize(("faults", "unknown", "left"), FAULTS.values(), ids=FAULTS)
+async def test_failed_write_is_sent_once(faults, unknown, left):
+    """Guards against a second write after an answer that was lost."""
+    short = dataclasses.replace(CALM, request_timeout=Duration(0.2))
+    async with serving(short if "delay_s" in faults else CALM) as (server, store):
+        server._set_faults(faults)
+        with pytest.raises(StoreUnavailable) as caught:
+            await store.create("/a", b"x")
+        assert caught.value.maybe_written == unknown
+        server._set_faults({"down": False, "delay_s": 0.0})
+        assert server.calls["/v3/kv/txn"] == 1
+        item = await store.get("/a")
+        assert (item and item.value) == left
+
+
+async def test_unreachable_endpoint_is_passed_over():
+    """Guards against an outage because the first of several endpoints is gone."""
+    async with serving(first_endpoints=("http://127.0.0.1:1",)) as (_, store):
+        assert (await store.create("/a", b"x")).succeeded
+    async with EtcdStore(dataclasses.replace(CALM, endpoints=("http://[::1]:1",))) as s:
+        with pytest.raises(StoreUnavailable) as caught:
+            await s.create("/a", b"x")
+        assert not caught.value.maybe_written
+
+
+async def test_calls_side_by_side_get_their_own_answers():
+    """Guards against two calls that use the one connection at the same time."""
+    async with serving() as (_, store), trio.open_nursery() as nursery:
+
+        async def write_and_read(key):
+            await store.create(key, key.encode())
+            assert (await store.get(key)).value == key.encode()
+
+        for number in range(20):
+            nursery.start_soon(write_and_read, f"/key/{number}")
+
+
+async def test_oversized_value_is_rejected():
+    """Guards against a refusal that looks like an outage and is tried for ever."""
+    async with serving() as (_, store):
+        with pytest.raises(StoreRejected):
+            await store.create("/a", b"x" * 2_000_000)
+
+
+LEASE_ENDS = {
+    "revoked": lambda server, store, lease: store.revoke_lease(lease.lease_id),
+    "expired": lambda server, store, lease: _expire(server, lease),
+}
+
+
+async def _expire(server, lease):
+    server.expire_lease(lease.lease_id)
+
+
+@pytest.mark.parametrize("end", LEASE_ENDS.values(), ids=LEASE_ENDS)
+async def test_lease_takes_its_keys_along(end):
+    """Guards against a process that stays present after its lease has ended."""
+    async with serving() as (server, store):
+        lease = await store.grant_lease(10)
+        outcome = await store.create("/here", b"x", lease.lease_id)
+        assert await store.keep_alive(lease.lease_id) == lease
+        await end(server, store, lease)
+        assert await store.get("/here") is None
+        with pytest.raises(LeaseNotFound):
+            await store.keep_alive(lease.lease_id)
+        with pytest.raises(LeaseNotFound):
+            await store.create("/here", b"x", lease.lease_id)
+        await store.revoke_lease(lease.lease_id)
+        assert server.revision == outcome.revision + 1
+
+
+async def test_lease_expires_by_itself(autojump_clock):
+    """Guards against a stand-in whose leases outlive a holder that went away."""
+    server = StandinStore()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server._expire_leases)
+        server._grant({"TTL": "10", "ID": "1"})
+        await trio.sleep(9)
+        assert "TTL" in server._keep_alive({"ID": "1"})["result"]
+        await trio.sleep(9)
+        assert "TTL" in server._keep_alive({"ID": "1"})["result"]
+        await trio.sleep(11)
+        assert "TTL" not in server._keep_alive({"ID": "1"})["result"]
+        nursery.cancel_scope.cancel()
+
+
+async def _cut(server):
+    server._set_faults({"down": True})
+    await _watches(server, 0)
+    server._set_faults({"down": False})
+
+
+async def _compact(server):
+    server._set_faults({"down": True})
+    await _watches(server, 0)
+    key = {"key": "L3cvbG9zdA=="}
+    server._txn({"success": [{"request_put": key | {"value": ""}}]})
+    server._delete_range(key)
+    server.compact(server.revision)
+    server._set_faults({"down": False})
+
+
+async def _mute(server):
+    server._set_faults({"mute_watches": True})
+    await trio.testing.wait_all_tasks_blocked()
+    server._set_faults({"mute_watches": False})
+
+
+async def _watches(server, count):
+    while server.open_watches != count:
+        await server.changed.wait()
+
+
+async def _nothing(server):
+    pass
+
+
+IMPATIENT = dataclasses.replace(CALM, watch_idle=Duration(0.2))
+TROUBLE = {
+    "none": (_nothing, CALM),
+    "stream cut": (_cut, CALM),
+    "compacted": (_compact, CALM),
+    "silent": (_mute, IMPATIENT),
+}
+
+
+@pytest.mark.parametrize(("trouble", "cfg"), TROUBLE.values(), ids=TROUBLE)
+async def test_watch_misses_no_value(trouble, cfg):
+    """Guards against a change that is lost, or told twice, across a broken watch."""
+    async with serving(cfg) as (server, store):
+        await store.create("/w/a", b"x")
+        async with store.watch("/w/") as watch:
+            seen = [(await _next(watch)).key]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_collect, watch, seen, 2)
+                await _watches(server, 1)
+                await trouble(server)
+                await store.create("/w/b", b"x")
+            await store.delete("/w/b")
+            change = await _next(watch)
+        await _watches(server, 0)
+        assert seen == ["/w/a", "/w/b"]
+        assert (change.key, change.item) == ("/w/b", None)
+
+
+async def _collect(watch, seen, count):
+    while len(seen) < count:
+        seen.append((await _next(watch)).key)
+
+
+async def _next(watch):
+    with trio.fail_after(60):  # only ends a test that hangs
+        while True:
+            try:
+                return await anext(watch)
+            except StoreUnavailable:
+                await trio.sleep(0.001)
