--- a/packages/bench/src/hornbeamshore/bench/standin_store.py
+++ b/packages/bench/src/hornbeamshore/bench/standin_store.py
@@ -169,18 +169,18 @@
         elif scope["type"] == "http":
             body = json.loads(await _read_body(receive) or b"{}")
             try:
-                await self._answer(scope["path"], body, send)
+                await self._answer(scope["path"], body, receive, send)
             except GatewayError as exc:
                 await _send_json(send, exc.status, exc.body)
 
-    async def _answer(self, path, body, send):
+    async def _answer(self, path, body, receive, send):
         if not path.startswith("/standin/"):
             self.calls[path] += 1
             await trio.sleep(self.faults.delay_s)
             if self.faults.down:
                 raise GatewayError(503, 14, "etcdserver: no leader")
         if path == "/v3/watch":
-            await self._watch(body["create_request"], send)
+            await self._watch(body["create_request"], receive, send)
         elif path in self._handlers:
             try:
                 answer = self._handlers[path](body)
@@ -319,13 +319,16 @@
             for lease_id in due:
                 self.expire_lease(lease_id)
 
-    async def _watch(self, request, send):
+    async def _watch(self, request, receive, send):
         await _start_answer(send, 200, [])
         await self._send_result(send, {"created": True})
         self.open_watches += 1
         self.wake()
         try:
-            await self._send_changes(request, send)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_at_disconnect, receive, nursery)
+                await self._send_changes(request, send)
+                nursery.cancel_scope.cancel()
         finally:
             self.open_watches -= 1
             self.wake()
@@ -386,6 +389,12 @@
     return body
 
 
+async def _cancel_at_disconnect(receive, nursery):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    nursery.cancel_scope.cancel()
+
+
 async def _send_json(send, status, answer):
     body = json.dumps(answer).encode()
     await _start_answer(send, status, [(b"content-length", b"%d" % len(body))])
--- a/tests/store/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -226,6 +226,7 @@
                 await store.create("/w/b", b"x")
             await store.delete("/w/b")
             change = await _next(watch)
+        await _watches(server, 0)
         assert seen == ["/w/a", "/w/b"]
         assert (change.key, change.item) == ("/w/b", None)
 
