Test the agent against the stand-in target's log

Cause: a false 'not run', a second start or a lost result shows only when answers are compared with what the target saw. Change: tables of outcomes, refusals, faulty settings, and cases of a lost connection, a planned stop, a pause and an owner table, over real sockets.

--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -1,9 +1,7 @@
 """An entry, a target and an agent in one process, for the tests of the agent."""
 
 import contextlib
-import io
 import json
-import math
 from types import SimpleNamespace
 
 import pytest
@@ -20,33 +18,42 @@
     serve_connections,
 )
 from hornbeamshore.wire.handshake import Identity
-from hornbeamshore.wire.messages import Announce, Fence, Start, TaskDone, TaskRef
+from hornbeamshore.wire.messages import (
+    Announce,
+    Fence,
+    Leave,
+    LeaveReply,
+    Start,
+    TaskDone,
+    TaskRef,
+)
 
 SECRET = b"secret of the deployment"
 PARTITION = "desk/0"
+HOST = "127.0.0.1"
 
 
 class FakeEntry(MessageHandler):
     """Entry that keeps what an agent tells it."""
 
     def __init__(self):
-        self.conn = None
-        self.opened_total = 0
-        self.announced, self.done = [], []
+        self.conn, self.conns = None, {}
+        self.announced, self.done, self.left = [], [], []
         self._news = trio.Event()
 
     def opened(self, conn):
-        self.conn = conn
-        self.opened_total += 1
-        self._wake()
+        self.conn = self.conns[conn.peer.process_id] = conn
+        self.wake()
 
     def handle(self, conn, message):
-        kept = {Announce: self.announced, TaskDone: self.done}.get(type(message.body))
-        if kept is not None:
-            kept.append(message.body)
-            self._wake()
-
-    def _wake(self):
+        kept = {Announce: self.announced, TaskDone: self.done, Leave: self.left}
+        if type(message.body) in kept:
+            kept[type(message.body)].append(message.body)
+            self.wake()
+        if isinstance(message.body, Leave):
+            conn.send(LeaveReply(0), reply_to=message.id)
+
+    def wake(self):
         self._news.set()
         self._news = trio.Event()
 
@@ -63,18 +70,16 @@
         return await self.conn.call(Fence(PARTITION, epoch, **options), 30)
 
 
-def make_start(
-    job, *, index=0, attempt=1, epoch=1, expires=math.inf, timeout=30, **run
-):
+def make_start(job, *, attempt=1, epoch=1, expires=2**62, timeout=30, **run):
     return Start(
         PARTITION,
         epoch,
         JobKey("team", "desk", job),
-        index,
+        0,
         attempt,
         "quote",
-        TaskSpec("POST", "/quote", (), json.dumps(run).encode()),
-        int(min(expires, 2**62)),
+        TaskSpec(run.pop("method", "POST"), "/quote", (), json.dumps(run).encode()),
+        expires,
         int(timeout * 1000),
     )
 
@@ -92,9 +97,20 @@
 
 @pytest.fixture
 def helpers():
-    return SimpleNamespace(
-        start=make_start, ref=ref_of, settings=settings, partition=PARTITION
-    )
+    return SimpleNamespace(start=make_start, ref=ref_of, partition=PARTITION)
+
+
+class TargetLog(list):
+    """Log of the stand-in target, as parsed lines."""
+
+    def __init__(self, entry):
+        self._entry = entry
+
+    def write(self, line):
+        self.append(json.loads(line))
+
+    def flush(self):
+        self._entry.wake()
 
 
 @pytest.fixture
@@ -103,33 +119,36 @@
 
     @contextlib.asynccontextmanager
     async def running(**changes):
-        entry, log = FakeEntry(), io.StringIO()
+        entry, target_scope = FakeEntry(), trio.CancelScope()
+        log = TargetLog(entry)
         target = StandinTarget(log=log)
-        async with trio.open_nursery() as nursery:
-            doors = [await trio.open_tcp_listeners(0, host="127.0.0.1") for _ in "ab"]
-            entry_at, target_at = (
-                f"127.0.0.1:{door[0].socket.getsockname()[1]}" for door in doors
-            )
-            cfg = settings((entry_at,), target_at, **changes)
-            identity = Identity("x", "entry", "entry-1", 1, "x")
-            nursery.start_soon(
-                serve_connections, doors[0], identity, SECRET, cfg.wire, entry
-            )
-            nursery.start_soon(target.serve, doors[1])
-            agent = Agent(cfg, SECRET, HttpTarget(cfg), seed=1)
-            world = SimpleNamespace(
-                entry=entry, target=target, agent=agent, doors=doors, exit_code=None
-            )
-            world.log = lambda: [
-                json.loads(line) for line in log.getvalue().split("\n") if line
-            ]
-
-            async def run_agent():
-                world.exit_code = await agent.run()
-                entry._wake()
-
-            nursery.start_soon(run_agent)
-            yield world
-            nursery.cancel_scope.cancel()
+        this = SimpleNamespace(entry=entry, target=target, log=log, exit_code=None)
+
+        async def run_target(door):
+            with target_scope:
+                await target.serve(door)
+
+        async def run_agent():
+            this.exit_code = await this.agent.run()
+            entry.wake()
+
+        # A test that hangs fails; no test depends on this time.
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                doors = [await trio.open_tcp_listeners(0, host=HOST) for _ in "ab"]
+                entry_at, target_at = (
+                    f"{HOST}:{door[0].socket.getsockname()[1]}" for door in doors
+                )
+                cfg = settings((entry_at,), target_at, **changes)
+                identity = Identity("x", "entry", "entry-1", 1, "x")
+                nursery.start_soon(
+                    serve_connections, doors[0], identity, SECRET, cfg.wire, entry
+                )
+                nursery.start_soon(run_target, doors[1])
+                this.agent = Agent(cfg, SECRET, HttpTarget(cfg), seed=1)
+                this.stop_target = target_scope.cancel
+                nursery.start_soon(run_agent)
+                yield this
+                nursery.cancel_scope.cancel()
 
     return running
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -1,19 +1,287 @@
 """An agent between an entry and the stand-in target, over real sockets."""
 
-from hornbeamshore.base.codes import ResultCode
+import dataclasses
+import functools
+import json
+import signal
+import subprocess
+import sys
 
+import pytest
+import trio
+import trio.testing
+from hornbeamshore.base.codes import ResultCode as Code
+from hornbeamshore.base.codes import RunState
+from hornbeamshore.wire.messages import (
+    CancelTasks,
+    CopyRecords,
+    Fence,
+    OwnerTable,
+    Reconcile,
+    RecordState,
+    Roster,
+    RosterUpdate,
+    StartRecord,
+    TableEntry,
+    TableUpdate,
+)
 
-async def test_task_runs_once_for_its_owner(world, helpers):
-    """Guards against a start that is run without a fence, or answered by another."""
+RAN, NOT_RUN, UNKNOWN = RunState.RAN, RunState.NOT_RUN, RunState.UNKNOWN
+BOTH, STALL = ["start", "end"], {"stall": True}
+
+
+def events(this, start):
+    return [line["event"] for line in this.log if line["job"] == start.key.job_id]
+
+
+# Faults of the target, options of the start, expected answer and log of the target.
+OUTCOMES = {
+    "answer": ({}, {}, Code.OK, RAN, BOTH),
+    "failure": ({"fail": True}, {}, Code.TASK_FAILED, RAN, BOTH),
+    "no answer": ({"drop": True}, {}, Code.OUTCOME_UNKNOWN, UNKNOWN, BOTH),
+    "deadline": (STALL, {"timeout": 0.05}, Code.DEADLINE_EXCEEDED, UNKNOWN, BOTH[:1]),
+    "large": ({}, {"echo": "x" * 5000}, Code.RESULT_TOO_LARGE, RAN, BOTH),
+    "malformed": ({}, {"method": "A B"}, Code.MALFORMED_REQUEST, NOT_RUN, []),
+    "unreachable": (None, {}, Code.TARGET_UNREACHABLE, NOT_RUN, []),
+}
+
+
+@pytest.mark.parametrize(
+    ("faults", "options", "code", "run_state", "logged"),
+    OUTCOMES.values(),
+    ids=OUTCOMES,
+)
+async def test_outcome_agrees_with_the_target(
+    world, helpers, faults, options, code, run_state, logged
+):
+    """Guards against a false ``not run``, and a request that is sent again."""
+    async with world(max_result_size=4096) as this:
+        conn, start = await fenced(this), helpers.start("job-1", **options)
+        if faults is None:
+            this.stop_target()
+            await trio.testing.wait_all_tasks_blocked(0.01)
+        this.target.set_faults(**faults or {})
+        conn.send(start)
+        (result,) = await this.entry.results(1)
+        assert (result.code, result.run_state) == (code, run_state)
+        assert events(this, start) == logged
+        # The connections of all slots still work.
+        this.target.set_faults(fail=False, drop=False, stall=False)
+        for number in range(2, 18 if faults is not None else 2):
+            conn.send(helpers.start(f"job-{number}"))
+            assert (await this.entry.results(number))[-1].code == Code.OK
+
+
+# What went before on the agent, the start, and the code of its refusal.
+REFUSALS = {
+    "lower epoch": ([], {"epoch": 0}, Code.STALE_EPOCH),
+    "epoch never granted": ([], {"epoch": 2}, Code.STALE_EPOCH),
+    "same attempt ran": (["ran"], {}, Code.DUPLICATE_START),
+    "lower attempt": (["ran"], {"attempt": 0}, Code.DUPLICATE_START),
+    "same attempt runs": (["runs"], {}, Code.DUPLICATE_START),
+    "earlier attempt runs": (["runs"], {"attempt": 2}, Code.DUPLICATE_START),
+    "ran elsewhere": (["copied"], {}, Code.DUPLICATE_START),
+    "reconciled": (["reconciled"], {}, Code.DUPLICATE_START),
+    "expired": ([], {"expires": 1}, Code.START_EXPIRED),
+    "no time": ([], {"timeout": 0}, Code.START_EXPIRED),
+    "no free slot": (["busy"], {}, Code.NO_FREE_SLOT),
+}
+
+
+@pytest.mark.parametrize(("before", "options", "code"), REFUSALS.values(), ids=REFUSALS)
+async def test_refused_start_never_runs(world, helpers, before, options, code):
+    """Guards against a task that starts twice or is refused after it started."""
+    async with world(slots=1) as this:
+        conn, first = await fenced(this), helpers.start("job-1")
+        answers = 1
+        for step in before:
+            if step == "ran":
+                conn.send(first)
+                await this.entry.results(1)
+                answers = 2
+            elif step in ("runs", "busy"):
+                this.target.set_faults(stall=True)
+                conn.send(first if step == "runs" else helpers.start("job-0"))
+                await this.entry.until(lambda: this.log)
+            elif step == "copied":
+                record = StartRecord(first.key, 0, 1, RecordState.RUNNING, 1)
+                copy = CopyRecords(helpers.partition, 1, "agent-2", (record,))
+                assert (await conn.call(copy, 30)).code == Code.OK
+            else:
+                ask = Reconcile(helpers.partition, 1, (helpers.ref(first),))
+                assert (await conn.call(ask, 30)).refused == ask.tasks
+        conn.send(helpers.start("job-1", **options))
+        result = (await this.entry.results(answers))[-1]
+        ran = [line for line in this.log if line["attempt"] != 1]
+        assert (result.code, result.run_state) == (code, NOT_RUN)
+        assert ran == []
+        assert events(this, first).count("start") == (before in (["ran"], ["runs"]))
+
+
+@pytest.mark.parametrize("before", ["refused", "ran"])
+async def test_later_attempt_runs(world, helpers, before):
+    """Guards against a task that can no longer be placed after a refusal."""
     async with world() as this:
-        start = helpers.start("job-1", run_ms=1, echo="kanten")
-        await this.entry.until(lambda: this.entry.announced)
-        this.entry.conn.send(start)
+        conn = await fenced(this)
+        options = {"expires": 1} if before == "refused" else {}
+        conn.send(helpers.start("job-1", **options))
+        await this.entry.results(1)
+        conn.send(helpers.start("job-1", attempt=2))
+        assert (await this.entry.results(2))[1].code == Code.OK
+
+
+async def fenced(this):
+    assert (await this.entry.fence(1)).code == Code.OK
+    return this.entry.conn
+
+
+async def test_cancelled_task_is_ended(world, helpers):
+    """Guards against a wave of cancellations that leaves the slots taken."""
+    async with world(slots=1) as this:
+        conn = await fenced(this)
+        this.target.set_faults(stall=True)
+        start = helpers.start("job-1")
+        conn.send(start)
+        await this.entry.until(lambda: this.log)
+        conn.send(CancelTasks(helpers.partition, 1, (helpers.ref(start),)))
+        (result,) = await this.entry.results(1)
+        this.target.set_faults(stall=False)
+        conn.send(helpers.start("job-2"))
+        results = await this.entry.results(2)
+    assert (result.code, result.run_state) == (Code.CANCELLED, UNKNOWN)
+    assert results[1].code == Code.OK
+
+
+async def test_lost_connection_is_reconciled(world, helpers):
+    """Guards against a result that is lost, or runs again, after a reconnect."""
+    async with world() as this:
+        conn, start = await fenced(this), helpers.start("job-1", echo="kanten")
+        this.target.set_faults(stall=True)
+        conn.send(start)
+        await this.entry.until(lambda: this.log)
+        conn.close()
+        this.target.set_faults(stall=False)
+        await this.entry.until(lambda: this.entry.conn is not conn)
+        missing = helpers.ref(helpers.start("job-2"))
+        ask = Reconcile(helpers.partition, 1, (helpers.ref(start), missing))
+        while True:
+            reply = await this.entry.conn.call(ask, 30)
+            (record,) = reply.records
+            if record.state == RecordState.ENDED:
+                break
+    assert reply.refused in ((missing,), ())
+    assert (record.result.code, record.result.body) == (0, b'{"echo": "kanten"}')
+    assert events(this, start) == ["start", "end"]
+
+
+async def test_fence_returns_what_the_agent_knows(world, helpers):
+    """Guards against a takeover that forgets starts, copies or the roster."""
+    async with world() as this:
+        conn, start = await fenced(this), helpers.start("job-1")
+        conn.send(start)
+        await this.entry.results(1)
+        record = StartRecord(helpers.start("job-2").key, 4, 1, RecordState.RUNNING, 1)
+        await conn.call(CopyRecords(helpers.partition, 1, "agent-2", (record,)), 30)
+        for version in (2, 3, 1):
+            conn.send(RosterUpdate(helpers.partition, Roster(1, version)))
+        reply = await this.entry.fence(2)
+    own = [known for known in reply.records if known.key == start.key]
+    assert [(known.state, known.result.code) for known in own] == [
+        (RecordState.ENDED, 0)
+    ]
+    assert [known for known in reply.records if known.key == record.key] == [record]
+    assert reply.roster == Roster(1, 3)
+
+
+async def test_planned_stop_hands_everything_over(world, helpers):
+    """Guards against a stop that cuts off work or loses its start records."""
+    async with world() as this:
+        conn, start = await fenced(this), helpers.start("job-1")
+        this.target.set_faults(stall=True)
+        conn.send(start)
+        await this.entry.until(lambda: this.log)
+        signal.raise_signal(signal.SIGTERM)
+        await this.entry.until(lambda: this.entry.announced[-1].leaving)
+        conn.send(helpers.start("job-2"))
         (refused,) = await this.entry.results(1)
-        reply = await this.entry.fence(1)
+        this.target.set_faults(stall=False)
+        await this.entry.until(lambda: this.exit_code is not None)
+    results = await this.entry.results(2)
+    states = {rec.key.job_id: rec.state for rec in this.entry.left[0].records}
+    assert (refused.code, refused.run_state) == (Code.AGENT_LEAVING, NOT_RUN)
+    assert results[1].code == Code.OK
+    assert states == {"job-1": RecordState.ENDED, "job-2": RecordState.REFUSED}
+    assert this.exit_code == 0
+
+
+@pytest.mark.parametrize(("pause_s", "code"), [(3, Code.OK), (7, Code.STALE_EPOCH)])
+async def test_paused_agent_waits_for_a_fence(
+    world, helpers, mock_clock, pause_s, code
+):
+    """Guards against an agent that runs, after a pause, what it was sent before."""
+    mock_clock.rate = 1.0
+    async with world() as this:
+        conn, start = await fenced(this), helpers.start("job-1")
+        incarnation = conn.peer.incarnation
+        mock_clock.jump(pause_s)
+        await this.entry.until(lambda: this.entry.conn is not conn)
         this.entry.conn.send(start)
-        result = (await this.entry.results(2))[1]
-    assert refused.code == ResultCode.STALE_EPOCH
-    assert (reply.code, reply.records) == (ResultCode.OK, ())
-    assert (result.code, result.status, result.body) == (0, 200, b'{"echo": "kanten"}')
-    assert [line["event"] for line in this.log()] == ["start", "end"]
+        (result,) = await this.entry.results(1)
+        renewed = await this.entry.fence(1)
+        this.entry.conn.send(helpers.start("job-1", attempt=2))
+        results = await this.entry.results(2)
+    assert result.code == code
+    changed = this.entry.conn.peer.incarnation != incarnation
+    assert changed == (code != Code.OK)
+    assert (renewed.code, results[1].code) == (Code.OK, Code.OK)
+
+
+async def test_agent_follows_the_newest_owner_table(world):
+    """Guards against an agent that an old table sends back to entries that left."""
+    async with world() as this, trio.open_nursery() as nursery:
+        doors = [await trio.open_tcp_listeners(0, host="127.0.0.1") for _ in "ab"]
+        ports = [door[0].socket.getsockname()[1] for door in doors]
+        await this.entry.until(lambda: this.entry.announced)
+        for version, port in ((5, ports[0]), (4, ports[1]), (5, ports[1])):
+            entry = TableEntry("entry-9", 1, f"127.0.0.1:{port}", "x", "x")
+            this.entry.conn.send(TableUpdate(OwnerTable(version, (entry,))))
+        async with await doors[0][0].accept():
+            pass
+        assert this.agent.table.version == 5
+        assert list(this.agent.uplinks._links) == [f"127.0.0.1:{ports[0]}"]
+        nursery.cancel_scope.cancel()
+
+
+FAULTS = {
+    "none": ({}, ""),
+    "bound": ({"slots": 99}, "slots 99: at most connections (64)"),
+    "form": ({"target": "here"}, "`$.target` (value 'here')"),
+    "unknown": ({"slot": 8}, "$.slot: unknown key; known: "),
+    "secret": ({"secret_file": "/"}, "$.secret_file '/': cannot be read"),
+}
+
+
+@pytest.mark.parametrize(("changes", "message"), FAULTS.values(), ids=FAULTS)
+async def test_process_starts_and_leaves(world, helpers, tmp_path, changes, message):
+    """Guards against a process image that lacks a module, and faulty settings."""
+    (tmp_path / "secret").write_bytes(b"secret of the deployment")
+    async with world() as this, trio.open_nursery() as nursery:
+        raw = dataclasses.asdict(this.agent.cfg)
+        raw = {key: raw[key] for key in raw if isinstance(raw[key], str)}
+        raw |= {"entries": list(this.agent.cfg.entries), "agent_id": "agent-2"}
+        raw |= {"secret_file": str(tmp_path / "secret")} | changes
+        (tmp_path / "agent.yaml").write_text(json.dumps(raw))
+        code = "from hornbeamshore.agent.main import main; main()"
+        command = [sys.executable, "-c", code, "run", str(tmp_path / "agent.yaml")]
+        run = functools.partial(trio.run_process, check=False, stderr=subprocess.PIPE)
+        process = await nursery.start(run, command)
+        if not message:
+            conns = this.entry.conns
+            await this.entry.until(lambda: "agent-2" in conns)
+            await conns["agent-2"].call(Fence(helpers.partition, 1), 30)
+            conns["agent-2"].send(helpers.start("job-1"))
+            await this.entry.results(1)
+            process.terminate()
+        stderr = (await process.stderr.receive_some()).decode() if message else ""
+    assert message in stderr
+    assert process.returncode == (2 if message else 0)
--- a/tests/agent/test_fencing.py
+++ b/tests/agent/test_fencing.py
@@ -7,7 +7,9 @@
 
 OLD, NEW = ("entry-1", 1), ("entry-2", 1)
 OLD_RESTARTED = ("entry-1", 2)
-OK, ALIVE, STALE = ResultCode.OK, ResultCode.OWNER_ALIVE, ResultCode.STALE_EPOCH
+CLOSED = [("closed", OLD, True)]
+OK, STALE = ResultCode.OK, ResultCode.STALE_EPOCH
+ALIVE, UNKNOWN = ResultCode.OWNER_ALIVE, ResultCode.UNKNOWN_SERVICE
 
 
 def fence(epoch, *, forced=False, partition="desk/0"):
@@ -23,15 +25,9 @@
     "released": ([("release", OLD, "desk/0", 5)], 0.1, NEW, fence(6), OK),
     "released by another": ([("release", NEW, "desk/0", 5)], 0.1, NEW, fence(6), ALIVE),
     "old release": ([("release", OLD, "desk/0", 4)], 0.1, NEW, fence(6), ALIVE),
-    "closed by owner": ([("closed", OLD, True)], 0.1, NEW, fence(6), OK),
+    "closed by owner": (CLOSED, 0.1, NEW, fence(6), OK),
     "closed by agent": ([("closed", OLD, False)], 0.1, NEW, fence(6), ALIVE),
-    "closed and opened anew": (
-        [("closed", OLD, True), ("opened", OLD, 0.1)],
-        0.2,
-        NEW,
-        fence(6),
-        ALIVE,
-    ),
+    "opened anew": ([*CLOSED, ("opened", OLD, 0.1)], 0.2, NEW, fence(6), ALIVE),
     "owner restarted": ([("opened", OLD_RESTARTED, 0.1)], 0.2, NEW, fence(6), OK),
     "restarted owner, same epoch": ([], 9, OLD_RESTARTED, fence(5), STALE),
     "forced": ([], 0.1, NEW, fence(6, forced=True), OK),
@@ -44,13 +40,7 @@
     "paused, holder": ([("forget",)], 0.1, OLD, fence(5), OK),
     "paused, candidate": ([("forget",)], 0.1, NEW, fence(6), OK),
     "paused, deposed owner": ([("forget",)], 0.1, NEW, fence(4), STALE),
-    "other service": (
-        [],
-        9,
-        NEW,
-        fence(6, partition="dies/0"),
-        ResultCode.UNKNOWN_SERVICE,
-    ),
+    "other service": ([], 9, NEW, fence(6, partition="dies/0"), UNKNOWN),
 }
 
 
