--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import json
 import signal
 import subprocess
@@ -76,10 +77,11 @@
 
     async def wait(self, timeout_s=STOP_TIMEOUT_S):
         """Return the exit code; raise `trio.TooSlowError` if there is none in time."""
-        with trio.fail_after(timeout_s):
-            while self.popen.poll() is None:
-                await trio.sleep(0.02)
-        return self.popen.returncode
+        wait = functools.partial(self.popen.wait, timeout_s)
+        try:
+            return await trio.to_thread.run_sync(wait)
+        except subprocess.TimeoutExpired:
+            raise trio.TooSlowError(f"{self.name} did not end") from None
 
 
 class Fleet:
--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -80,7 +80,7 @@
         Of this process.
     deployment : Deployment
         Configuration in force.
-    metrics : EntryMetrics
+    metrics : DispatchCounters
         Where events are counted.
     """
 
--- a/packages/entry/src/hornbeamshore/entry/handler.py
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -86,11 +86,7 @@
 
     def heartbeat(self):
         """Return the revisions that this entry has in force."""
-        return Heartbeat(
-            config_revision=self._entry.replica.revision,
-            table_version=self._entry.table.version,
-            leaving=self._entry.leaving,
-        )
+        return self._entry.heartbeat()
 
     def handle(self, conn, message):
         """Act on a message; one that this kind of peer may not send ends it."""
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -14,6 +14,7 @@
 from hornbeamshore.entry.events import Changed
 from hornbeamshore.entry.ownership import PartitionOwner
 from hornbeamshore.wire.messages import (
+    Heartbeat,
     JobCancel,
     OwnerNotice,
     OwnerTable,
@@ -43,7 +44,7 @@
         Of this process.
     replica : ConfigReplica
         Configuration in force.
-    metrics : EntryMetrics
+    metrics : DispatchCounters
         Where events are counted.
     objectives : ObjectiveWindows
         Good and bad answers of the last hours.
@@ -62,15 +63,32 @@
         self.table = OwnerTable()
         self.table_changed = Changed()
         self.owners_changed = Changed()
+        self.config_changed = Changed()
         self.idle = Changed()
         self.leaving = False
         self.owners = {}
         self._known_owners = {}
         self._in_flight = 0
+        replica.subscribe(self._config_taken)
+
+    def _config_taken(self, _replica):
+        self.config_changed.notify()
+        if self.peers is not None:
+            # A heartbeat tells the revision; peers that are behind pull it.
+            for conn in self.peers.all():
+                conn.try_send(self.heartbeat())
+
+    def heartbeat(self):
+        """Return the sign of life of this process with the revisions in force."""
+        return Heartbeat(
+            config_revision=self.replica.revision,
+            table_version=self.table.version,
+            leaving=self.leaving,
+        )
 
     def deployment(self):
         """Return the configuration in force, or None."""
-        return self.replica.deployment
+        return self.replica.current
 
     def partitions(self):
         """Return all partitions of the configuration in force."""
@@ -232,7 +250,7 @@
                 self.owners.pop(partition).resign()
             for owner in self.owners.values():
                 owner.dispatcher.configure(self.deployment())
-            await self.replica.changed.wait()
+            await self.config_changed.wait()
 
 
 def _agent_status(link):
--- a/packages/store/src/hornbeamshore/store/etcd.py
+++ b/packages/store/src/hornbeamshore/store/etcd.py
@@ -8,6 +8,7 @@
 import httpcore
 import msgspec
 import trio
+
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.store.base import (
--- a/tests/store/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 import trio.testing
+
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.bench.standin_store import StandinStore
 from hornbeamshore.store.base import (
