Run the whole path as processes on loopback

Cause: the parts had not been run together. Change: listen addresses are bound before the daemon's nursery, the binaries are started as installed, the demonstration applies an example and submits to it.

--- a/packages/base/src/hornbeamshore/base/logs.py
+++ b/packages/base/src/hornbeamshore/base/logs.py
@@ -2,7 +2,7 @@
 
 import time
 
-from absl import logging
+from absl import flags, logging
 
 MAX_LINES_PER_SECOND = 50
 
@@ -63,6 +63,13 @@
 
 def configure_logs(level):
     """Set the level of all parts; one of debug, info, warning, error."""
+    # The programs take their options through fire; absl's own flags stay unused.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
+
+
+# Log lines name the place that logs, not this module.
+for _method in ("debug", "info", "warning", "error", "_log"):
+    logging.skip_log_prefix(getattr(PartLogger, _method))
--- a/packages/bench/src/hornbeamshore/bench/caller.py
+++ b/packages/bench/src/hornbeamshore/bench/caller.py
@@ -4,10 +4,15 @@
 import json
 import time
 from dataclasses import dataclass
+from pathlib import Path
 
 import httpcore
 import trio
 
+from hornbeamshore.config.apply import apply_deployment
+from hornbeamshore.config.check import check_deployment
+from hornbeamshore.store.etcd import EtcdSettings, EtcdStore
+
 REQUEST_GRACE_S = 5.0
 
 
@@ -115,11 +120,19 @@
     }
 
 
-async def apply_config(store_address, deployment_file):
-    """Apply a deployment file and return the revision."""
-    from hornbeamshore.config.apply import apply_file
+async def apply_config(store_address, path):
+    """Apply a deployment file and return its revision.
 
-    return await apply_file(store_address, deployment_file)
+    Raises
+    ------
+    returns.primitives.exceptions.UnwrapFailedError
+        If the store or the file refuses.
+    """
+    deployment = check_deployment(Path(path).read_text()).unwrap().deployment
+    async with contextlib.AsyncExitStack() as stack:
+        store = EtcdStore(EtcdSettings((store_address,)))
+        await stack.enter_async_context(store)
+        return (await apply_deployment(store, deployment)).unwrap().revision
 
 
 async def wait_ready(address, token, service, kind, timeout_s=30.0):
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/demo.py
@@ -0,0 +1,70 @@
+"""Demonstration: a deployment on loopback answers a job and a single request."""
+
+import json
+import sys
+import time
+from pathlib import Path
+
+import trio
+
+from hornbeamshore.bench.caller import Caller, apply_config, make_job, wait_ready
+from hornbeamshore.bench.fleet import EntryPlan, TargetPlan, running_fleet
+
+EXAMPLE = Path("examples/tayside.yaml")
+TOKEN = "tayside-sales-demo-token"  # noqa: S105
+SERVICE = "order-desk"
+TASKS = 20
+ENTRIES = (EntryPlan("entry-1", "perth"), EntryPlan("entry-2", "dundee"))
+TARGETS = tuple(
+    TargetPlan(f"desk-{number}", data_centre, f"rack-{number}", SERVICE, speed)
+    for number, (data_centre, speed) in enumerate(
+        (("perth", 1.0), ("dundee", 0.5), ("stirling", 2.0)), 1
+    )
+)
+
+
+async def run():
+    """Run the demonstration and return whether both answers were whole."""
+    async with running_fleet("tayside", ENTRIES, TARGETS) as fleet:
+        revision = await apply_config(fleet.store.line, EXAMPLE)
+        print(f"applied {EXAMPLE} as revision {revision}")
+        address = fleet.http_of("entry-1")
+        await wait_ready(address, TOKEN, SERVICE, "stock-check")
+        async with Caller(address, TOKEN) as caller:
+            job_ok = await _submit_job(caller)
+            request_ok = await _hold_slot(caller)
+        return job_ok and request_ok
+
+
+async def _submit_job(caller):
+    bodies = [{"run_ms": 60 + 10 * number, "echo": number} for number in range(TASKS)]
+    job = make_job("demo-job", SERVICE, "cut-quote", bodies)
+    started = time.monotonic()
+    reply = await caller.submit(job)
+    elapsed_ms = (time.monotonic() - started) * 1000
+    print(f"POST /v1/jobs: {TASKS} tasks, {elapsed_ms:.0f} ms, code {reply.code}")
+    print(json.dumps(reply.content, indent=1))
+    again = await caller.submit(job)
+    print(f"the same job again: code {again.code}, same answer: {again == reply}")
+    results = reply.content.get("results", ())
+    return reply.code == 0 and len(results) == TASKS and again == reply
+
+
+async def _hold_slot(caller):
+    reply = await caller.request(
+        "POST",
+        f"/v1/services/{SERVICE}/slot-hold",
+        {"run_ms": 80, "echo": "lorry 7, Tuesday"},
+        headers=[("Idempotency-Key", "demo-hold")],
+    )
+    print(f"POST slot-hold: code {reply.code}, {reply.run_state}: {reply.content}")
+    return reply.code == 0 and reply.run_state == "ran"
+
+
+def main():
+    """Exit with 0 if both answers were whole."""
+    sys.exit(0 if trio.run(run) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -145,7 +145,7 @@
             "http_listen": "127.0.0.1:0",
             "peer_listen": "127.0.0.1:0",
             "secret_file": self.secret_file,
-            "store": [self.store.line],
+            "store": {"endpoints": [self.store.line]},
             "seeds": [self.peer_of(name) for name in self.entries],
             "wire": self.wire,
             "log_level": "info",
@@ -153,7 +153,7 @@
         path = self._write_settings(plan.entry_id, cfg)
         proc = await self._spawn(
             plan.entry_id,
-            ["-m", "hornbeamshore.cli.main", "entry", "--settings", path],
+            [_binary("hornbeamshore"), "entry", "--settings", path],
         )
         self.entries[plan.entry_id] = proc
         return proc
@@ -184,7 +184,7 @@
             "wire": self.wire,
         }
         path = self._write_settings(plan.agent_id, cfg)
-        arguments = ["-m", "hornbeamshore.agent.main", "run", "--settings", path]
+        arguments = [_binary("hornbeamshore-agent"), "run", "--settings", path]
         proc = await self._spawn(plan.agent_id, arguments, wait_for_line=False)
         self.agents[plan.agent_id] = proc
         return proc
@@ -234,6 +234,10 @@
         return Proc(name, popen, line.decode().strip())
 
 
+def _binary(name):
+    return str(Path(sys.executable).parent / name)
+
+
 @contextlib.asynccontextmanager
 async def running_fleet(deployment, entries, targets, wire=None):
     """Start a deployment, yield its `Fleet`, and end all its processes.
--- a/packages/cli/src/hornbeamshore/cli/main.py
+++ b/packages/cli/src/hornbeamshore/cli/main.py
@@ -41,12 +41,7 @@
     try:
         cfg = load_settings(path, EntrySettings)
         configure_logs(cfg.log_level)
-        trio.run(
-            run_until_signal,
-            EntryDaemon(cfg),
-            _announce,
-            strict_exception_groups=False,
-        )
+        trio.run(run_until_signal, EntryDaemon(cfg), _announce)
     except (SettingsError, AddressInUse, OSError) as exc:
         print(f"hornbeamshore: {exc}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -9,13 +9,13 @@
 from hornbeamshore.base.clock import new_incarnation
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.config.replica import ConfigReplica
+from hornbeamshore.entry.counters import DispatchCounters
 from hornbeamshore.entry.front import Front
 from hornbeamshore.entry.handler import EntryHandler
 from hornbeamshore.entry.http_api import HttpApi
 from hornbeamshore.entry.http_server import open_http_listeners, serve_http
 from hornbeamshore.entry.http_settings import HttpSettings
 from hornbeamshore.entry.membership import OWNERS, EntryMembership
-from hornbeamshore.entry.metrics import EntryMetrics
 from hornbeamshore.entry.objectives import ObjectiveWindows
 from hornbeamshore.entry.observer import EntryObserver
 from hornbeamshore.entry.peers import PeerLinks
@@ -63,42 +63,35 @@
         """Begin a graceful shutdown."""
         self._stopping.set()
 
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
-        """Serve until `stop`, then hand all partitions over and end.
+    async def listen(self, stack):
+        """Bind the listen addresses; the exit stack closes them.
 
         Raises
         ------
         AddressInUse
-            If a listen address cannot be bound.
+            If an address cannot be bound.
         """
+        cfg = self.cfg
+        self._http_listeners = await _listen(stack, cfg.http_listen)
+        self._peer_listeners = await _listen(stack, cfg.peer_listen)
+        self.http_address = _address(self._http_listeners, cfg.http_listen)
+        self.peer_address = cfg.peer_address or _address(
+            self._peer_listeners, cfg.peer_listen
+        )
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve until `stop`, then hand all partitions over and end."""
         async with contextlib.AsyncExitStack() as stack:
-            http_listeners = await self._listen(stack, self.cfg.http_listen)
-            peer_listeners = await self._listen(stack, self.cfg.peer_listen)
-            self.http_address = _address(http_listeners, self.cfg.http_listen)
-            self.peer_address = self.cfg.peer_address or _address(
-                peer_listeners, self.cfg.peer_listen
-            )
-            store = EtcdStore(self.cfg.store)
-            stack.push_async_callback(store.aclose)
+            store = await stack.enter_async_context(EtcdStore(self.cfg.store))
             nursery = await stack.enter_async_context(trio.open_nursery())
             self._build(nursery, store)
-            self._start(nursery, store, http_listeners, peer_listeners)
+            self._start(nursery, store)
             task_status.started(self)
             log.info("Serving callers at %s.", self.http_address)
             await self._stopping.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
 
-    async def _listen(self, stack, address):
-        host, _, port = address.rpartition(":")
-        try:
-            listeners = await open_http_listeners(host, int(port))
-        except OSError as exc:
-            raise AddressInUse(f"{address}: {exc}") from exc
-        for listener in listeners:
-            await stack.enter_async_context(listener)
-        return listeners
-
     def _build(self, nursery, store):
         cfg = self.cfg
         identity = Identity(
@@ -112,7 +105,7 @@
         )
         self.replica = ConfigReplica(cfg.deployment)
         self.objectives = ObjectiveWindows()
-        metrics = EntryMetrics()
+        metrics = DispatchCounters()
         self.entry = EntryState(cfg, identity, self.replica, metrics, self.objectives)
         self.handler = EntryHandler(self.entry, nursery)
         self.entry.peers = PeerLinks(identity, self.secret, cfg.wire, self.handler)
@@ -130,11 +123,11 @@
         self.api = HttpApi(self.front, nursery, observer, http_cfg)
         self._http_cfg = http_cfg
 
-    def _start(self, nursery, store, http_listeners, peer_listeners):
+    def _start(self, nursery, store):
         entry = self.entry
         nursery.start_soon(
             serve_connections,
-            peer_listeners,
+            self._peer_listeners,
             entry.identity,
             self.secret,
             self.cfg.wire,
@@ -148,7 +141,7 @@
         )
         nursery.start_soon(entry.run_owners, nursery)
         nursery.start_soon(
-            serve_http, self.api, http_listeners, self._http_cfg, self._stopping
+            serve_http, self.api, self._http_listeners, self._http_cfg, self._stopping
         )
 
     def _addresses(self):
@@ -196,7 +189,9 @@
     announce : callable
         Called once the daemon serves.
     """
-    async with trio.open_nursery() as nursery:
+    async with contextlib.AsyncExitStack() as stack:
+        await daemon.listen(stack)
+        nursery = await stack.enter_async_context(trio.open_nursery())
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
 
             async def start(task_status=trio.TASK_STATUS_IGNORED):
@@ -213,6 +208,17 @@
                 nursery.cancel_scope.cancel()
 
 
+async def _listen(stack, address):
+    host, _, port = address.rpartition(":")
+    try:
+        listeners = await open_http_listeners(host, int(port))
+    except OSError as exc:
+        raise AddressInUse(f"{address}: {exc}") from exc
+    for listener in listeners:
+        await stack.enter_async_context(listener)
+    return listeners
+
+
 def _address(listeners, configured):
     host = configured.rpartition(":")[0]
     return f"{host}:{listeners[0].socket.getsockname()[1]}"
--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -22,13 +22,8 @@
     TaskPhase,
     start_records,
 )
-from hornbeamshore.policy.scheduler import (
-    JobLoad,
-    Outcome,
-    QueuedTask,
-    Scheduler,
-    TargetInfo,
-)
+from hornbeamshore.policy.scheduler import Scheduler
+from hornbeamshore.policy.types import JobLoad, Outcome, QueuedTask, TargetInfo
 from hornbeamshore.wire.messages import (
     Acknowledge,
     CancelTasks,
--- a/packages/entry/src/hornbeamshore/entry/settings.py
+++ b/packages/entry/src/hornbeamshore/entry/settings.py
@@ -4,6 +4,7 @@
 
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.policy.settings import PolicySettings
+from hornbeamshore.store.etcd import EtcdSettings
 from hornbeamshore.wire.connection import WireSettings
 
 
@@ -43,8 +44,8 @@
         ``host:port`` at which peers reach `peer_listen`; the bound address if empty.
     secret_file : str
         File with the secret of the deployment.
-    store : tuple of str
-        ``host:port`` of the store's endpoints.
+    store : EtcdSettings
+        Endpoints and timeouts of the platform's store.
     seeds : tuple of str
         Peer addresses of other entries, asked while the store is down.
     presence_ttl : Duration
@@ -59,7 +60,7 @@
     http_listen: str
     peer_listen: str
     secret_file: str
-    store: tuple[str, ...]
+    store: EtcdSettings
     seeds: tuple[str, ...] = ()
     peer_address: str = ""
     rack: str = ""
