--- a/packages/entry/src/hornbeamshore/entry/http_body.py
+++ b/packages/entry/src/hornbeamshore/entry/http_body.py
@@ -4,9 +4,7 @@
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.entry.http_errors import RequestRefused
 
-# A caller that gets a refusal while it still sends must be read on for a while, or a
-# reset of the connection may reach it before the answer does.
-DISCARD_S = 2.0
+# Bytes of a refused body that are read at most before the connection is given up.
 DISCARD_BYTES = 32 * 1024 * 1024
 
 
@@ -95,7 +93,7 @@
     async def discard(self):
         """Read what is left of the body, within bounds, and drop it."""
         left = DISCARD_BYTES
-        with trio.move_on_after(DISCARD_S):
+        with trio.move_on_after(self._cfg.discard_timeout):
             while not self._ended and left > 0:
                 message = await self._receive()
                 left -= len(message.get("body", b""))
--- a/packages/entry/src/hornbeamshore/entry/http_settings.py
+++ b/packages/entry/src/hornbeamshore/entry/http_settings.py
@@ -15,6 +15,9 @@
         Bound of the names and values of a request's headers.
     body_timeout : Duration
         Time in which a caller must have sent its whole body.
+    discard_timeout : Duration
+        Time for which the rest of a refused body is read and dropped. A caller that
+        still sends would else see a reset of the connection before the answer.
     body_budget : ByteSize
         Bound of the request bodies that one process holds at a time.
     idle_timeout : Duration
@@ -29,6 +32,7 @@
 
     max_header_bytes: ByteSize = ByteSize(16 * 1024)
     body_timeout: Duration = Duration(10.0)
+    discard_timeout: Duration = Duration(2.0)
     body_budget: ByteSize = ByteSize(256 * 1024 * 1024)
     idle_timeout: Duration = Duration(75.0)
     send_timeout: Duration = Duration(30.0)
--- /dev/null
+++ b/tests/entry/conftest.py
@@ -0,0 +1,139 @@
+"""Stand-in service and HTTP server for the tests of the front end."""
+
+import hashlib
+import json
+from dataclasses import dataclass, field
+
+import httpcore
+import pytest
+import trio
+from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.settings import ByteSize
+from hornbeamshore.base.types import Header, JobAnswer, TaskResult
+from hornbeamshore.config.model import Deployment, Kind, Service, Team
+from hornbeamshore.entry.http_api import AnswerObserver, HttpApi
+from hornbeamshore.entry.http_server import open_http_listeners, serve_http
+from hornbeamshore.entry.http_settings import HttpSettings
+from hornbeamshore.entry.service import SubmissionService
+
+TOKEN = "order-desk"
+DEPLOYMENT = Deployment(
+    "test",
+    {
+        "stock": Service(
+            {
+                "check": Kind(repeatable=True, max_body=ByteSize(1024)),
+                "hold": Kind(max_body=ByteSize(1024)),
+            }
+        ),
+        "quotes": Service({"cut": Kind()}),
+        "private": Service({"cut": Kind()}),
+    },
+    {
+        "sales": Team(
+            hashlib.sha256(TOKEN.encode()).hexdigest(), 8, 1.0, ("stock", "quotes")
+        )
+    },
+)
+
+
+@dataclass
+class EchoService(SubmissionService):
+    """Service whose targets answer with what they were sent."""
+
+    answers: dict = field(default_factory=dict)
+    requests: list = field(default_factory=list)
+    open: trio.Event = field(default_factory=trio.Event)
+    media_type: str = "application/json"
+    draining: bool = False
+
+    async def submit(self, request, timeout_s):
+        self.requests.append(request)
+        self.answers[request.key] = JobAnswer(request.key, ResultCode.RUNNING, 3)
+        await self.open.wait()
+        headers = (
+            Header("content-type", self.media_type),
+            Header("x-trace", "7"),
+            Header("connection", "x-hop"),
+            Header("x-hop", "1"),
+            Header("hornbeamshore-code", "999"),
+        )
+        results = [
+            TaskResult(index, 1, 0, 1, 200, headers, task.body)
+            for index, task in enumerate(request.tasks)
+        ]
+        self.answers[request.key] = JobAnswer.complete(request.key, results)
+        return self.answers[request.key]
+
+    async def query(self, key, timeout_s):
+        missing = JobAnswer.refused(key, refuse(ResultCode.JOB_NOT_FOUND))
+        return self.answers.get(key, missing)
+
+    async def cancel(self, key):
+        return JobAnswer.refused(key, refuse(ResultCode.CANCELLED))
+
+    def deployment(self):
+        return DEPLOYMENT
+
+    def status(self):
+        return {"draining": self.draining}
+
+
+class EventList(AnswerObserver):
+    def __init__(self):
+        self.events = []
+
+    def answered(self, event):
+        self.events.append(event)
+
+    def metrics_page(self):
+        return b"page 1\n"
+
+
+@pytest.fixture
+def service():
+    service = EchoService()
+    service.open.set()
+    return service
+
+
+@pytest.fixture
+def observer():
+    return EventList()
+
+
+@pytest.fixture
+def http_settings():
+    return HttpSettings(discard_timeout=0.05)
+
+
+@pytest.fixture
+def app(service, observer, http_settings, nursery):
+    return HttpApi(service, nursery, observer, http_settings)
+
+
+@pytest.fixture
+async def port(app, http_settings, nursery):
+    listeners = await open_http_listeners("127.0.0.1", 0)
+    await nursery.start(serve_http, app, listeners, http_settings, trio.Event())
+    return listeners[0].socket.getsockname()[1]
+
+
+@pytest.fixture
+def call(port):
+    """Return a function that makes one request and returns status, headers, body."""
+
+    async def send(method, path, body=b"", *, http2=False, token=TOKEN, **headers):
+        if token:
+            headers["authorization"] = f"Bearer {token}"
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        content = body if isinstance(body, bytes) else json.dumps(body).encode()
+        async with httpcore.AsyncConnectionPool(http1=not http2, http2=http2) as pool:
+            url = f"http://127.0.0.1:{port}{path}"
+            answer = await pool.request(method, url, headers=named, content=content)
+        found = {name.decode(): value.decode() for name, value in answer.headers}
+        if found.get("content-type") == "application/json" and answer.content:
+            return answer.status, found, json.loads(answer.content)
+        return answer.status, found, answer.content
+
+    return send
--- /dev/null
+++ b/tests/entry/test_http_api.py
@@ -0,0 +1,280 @@
+"""Submissions over HTTP: jobs, single requests, questions, bounds and faults."""
+
+import json
+
+import h2.config
+import h2.connection
+import pytest
+import trio
+from hornbeamshore.base.clock import unix_ms
+from hornbeamshore.base.codes import ResultCode, RunState, refuse
+from hornbeamshore.base.types import Header, JobAnswer, JobKey
+from hornbeamshore.entry.http_body import BodyBudget
+from hornbeamshore.entry.http_errors import RequestRefused
+
+TOKEN = "order-desk"
+BODIES = [{"n": 1.10}, "text", None, [1, 2]]
+JOB = {
+    "id": "a/1",
+    "service": "stock",
+    "kind": "check",
+    "deadline_ms": 1500,
+    "tasks": [{"body": body} for body in BODIES],
+}
+ASYNC = {"prefer": "wait=5, respond-async"}
+
+
+@pytest.mark.parametrize("http2", [False, True])
+@pytest.mark.parametrize(
+    ("media_type", "field"),
+    [
+        ("application/json", "body"),
+        ("application/problem+json; charset=utf-8", "body"),
+        ("text/plain", "body_base64"),
+    ],
+)
+async def test_job_gets_its_whole_answer(call, service, http2, media_type, field):
+    """Guards against lost or reordered results on either protocol version."""
+    service.media_type = media_type
+    submitted_at = unix_ms() - 250
+    job = {**JOB, "submitted_at": submitted_at}
+    status, headers, answer = await call("POST", "/v1/jobs", job, http2=http2)
+    assert (status, headers["hornbeamshore-code"]) == (200, "0")
+    assert answer["run_state"] == headers["hornbeamshore-run-state"] == "ran"
+    assert [result["index"] for result in answer["results"]] == [0, 1, 2, 3]
+    if field == "body":
+        assert [result["body"] for result in answer["results"]] == BODIES
+    else:
+        assert answer["results"][1]["body_base64"] == "InRleHQi"
+    (request,) = service.requests
+    assert request.key == JobKey("sales", "stock", "a/1")
+    assert (request.timeout_ms, request.submitted_at_ms) == (1500, submitted_at)
+    assert {task.path for task in request.tasks} == {"/check"}
+
+
+@pytest.mark.parametrize("http2", [False, True])
+async def test_single_request_is_passed_through(call, service, http2):
+    """Guards against headers of one hop or a team's token reaching the other side."""
+    service.media_type = "text/plain"
+    status, headers, body = await call(
+        "PUT",
+        "/v1/services/stock/check/shelf%2F4?q=1",
+        b"\x00raw",
+        http2=http2,
+        idempotency_key='"k1"',
+        x_shop="9",
+        te="trailers",
+        hornbeamshore_deadline_ms="700",
+    )
+    (task,) = service.requests[0].tasks
+    assert (task.method, task.path, task.body) == (
+        "PUT",
+        "/check/shelf%2F4?q=1",
+        b"\x00raw",
+    )
+    assert Header("x-shop", "9") in task.headers
+    assert Header("idempotency-key", "k1") in task.headers
+    dropped = {"te", "authorization", "host", "hornbeamshore-deadline-ms"}
+    assert not dropped & {header.name for header in task.headers}
+    assert (status, headers["x-trace"], body) == (200, "7", b"\x00raw")
+    assert "x-hop" not in headers
+    assert headers["hornbeamshore-code"] == "0"
+    assert service.requests[0].timeout_ms == 700
+
+
+async def test_async_job_is_answered_later(call, service, observer):
+    """Guards against an asynchronous job that is lost or answered before its end."""
+    service.open = trio.Event()
+    status, headers, answer = await call("POST", "/v1/jobs", JOB, **ASYNC)
+    assert (status, answer["code"], answer["run_state"]) == (202, 1, "unknown")
+    path = headers["location"]
+    assert path == "/v1/jobs/a%2F1?service=stock"
+    assert (await call("GET", path))[0] == 202
+    service.open.set()
+    await trio.testing.wait_all_tasks_blocked()
+    for question in (path, "/v1/jobs/a%2F1"):
+        status, _, answer = await call("GET", question)
+        assert (status, len(answer["results"])) == (200, 4)
+    status, _, answer = await call("DELETE", "/v1/jobs/a%2F1")
+    assert (status, answer["name"]) == (200, "CANCELLED")
+    assert [event.code for event in observer.events] == [ResultCode.RUNNING]
+
+
+@pytest.mark.parametrize("headers", [{}, ASYNC])
+async def test_refusal_carries_retry_after(call, service, headers):
+    """Guards against a refused job that is reported as accepted."""
+
+    async def submit(request, timeout_s):
+        refusal = refuse(ResultCode.OVERLOADED, retry_after_s=1.25)
+        return JobAnswer.refused(request.key, refusal)
+
+    service.submit = submit
+    status, found, answer = await call("POST", "/v1/jobs", JOB, **headers)
+    assert (status, answer["code"], answer["run_state"]) == (503, 200, "not run")
+    assert found["retry-after"] == "2"
+    assert found["hornbeamshore-retry-after-ms"] == "1250"
+
+
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+async def test_ambiguous_identifier_needs_a_service(call, service, method):
+    """Guards against telling of, or cancelling, the job of another service."""
+    for name in ("stock", "quotes", "private"):
+        key = JobKey("sales", name, "a")
+        service.answers[key] = JobAnswer.complete(key, [])
+    status, _, answer = await call(method, "/v1/jobs/a")
+    assert (status, answer["code"], answer["run_state"]) == (400, 100, "unknown")
+    assert "quotes, stock" in answer["detail"]
+
+
+@pytest.mark.parametrize(
+    ("path", "draining", "status"),
+    [("/healthz", False, 200), ("/healthz", True, 503), ("/metrics", True, 200)],
+)
+async def test_pages_for_the_platform(call, service, path, draining, status):
+    """Guards against a balancer that keeps sending to an entry that is ending."""
+    service.draining = draining
+    found_status, headers, _ = await call("GET", path, token="")
+    assert (found_status, "hornbeamshore-code" in headers) == (status, True)
+
+
+async def test_fault_of_the_service_is_answered_unknown(call, service):
+    """Guards against an unanswered request, or one called ``not run`` falsely."""
+
+    async def submit(request, timeout_s):
+        raise RuntimeError("broken")
+
+    service.submit = submit
+    _, _, answer = await call("POST", "/v1/jobs", JOB)
+    assert (answer["code"], answer["run_state"]) == (400, "unknown")
+
+
+async def test_early_answer_on_http2_leaves_the_server_up(call, port):
+    """Guards against data after an early refusal that ends the whole process."""
+    conn = h2.connection.H2Connection(h2.config.H2Configuration())
+    conn.initiate_connection()
+    head = [
+        (":method", "POST"),
+        (":path", "/v1/jobs"),
+        (":scheme", "http"),
+        (":authority", "x"),
+    ]
+    conn.send_headers(1, head)
+    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+        await stream.send_all(conn.data_to_send())
+        events = []
+        while not any(type(event).__name__ == "StreamEnded" for event in events):
+            events += conn.receive_data(await stream.receive_some())
+        conn.send_data(1, b"x" * 1000)
+        await stream.send_all(conn.data_to_send())
+        while await stream.receive_some():
+            pass
+    assert (await call("GET", "/healthz"))[0] == 200
+
+
+def scope_of(body):
+    headers = [
+        (b"authorization", f"Bearer {TOKEN}".encode()),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    return {
+        "type": "http",
+        "method": "POST",
+        "raw_path": b"/v1/jobs",
+        "query_string": b"",
+        "headers": headers,
+    }
+
+
+def receiver(*parts):
+    """Return an ASGI receive function that delivers the parts and then nothing."""
+    left = list(parts)
+
+    async def receive():
+        if left:
+            return left.pop(0)
+        return await trio.sleep_forever()
+
+    return receive
+
+
+def whole(body):
+    return {"type": "http.request", "body": body, "more_body": False}
+
+
+@pytest.mark.parametrize(
+    ("parts", "status"),
+    [
+        ([], 408),
+        ([{"type": "http.request", "body": b"{", "more_body": True}], 408),
+        ([{"type": "http.disconnect"}], 400),
+    ],
+)
+async def test_slow_sender_is_ended(app, service, autojump_clock, parts, status):
+    """Guards against a caller that holds a task and memory by sending nothing."""
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope_of(b"{" * 9), receiver(*parts), send)
+    assert sent[0]["status"] == status
+    assert service.requests == []
+
+
+async def test_caller_that_leaves_does_not_end_its_job(app, service):
+    """Guards against a job that is cancelled with the connection of its caller."""
+    service.open = trio.Event()
+    body = json.dumps(JOB).encode()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(app, scope_of(body), receiver(whole(body)), None)
+        while not service.requests:
+            await trio.testing.wait_all_tasks_blocked()
+        nursery.cancel_scope.cancel()
+    service.open.set()
+    await trio.testing.wait_all_tasks_blocked()
+    answer = service.answers[JobKey("sales", "stock", "a/1")]
+    assert answer.run_state == RunState.RAN
+
+
+async def test_lifespan_is_answered(app):
+    """Guards against a server that waits for the application's start or end."""
+    kinds = ["lifespan.startup", "lifespan.shutdown"]
+    receive = receiver(*({"type": kind} for kind in kinds))
+    sent = []
+
+    async def send(message):
+        sent.append(message["type"])
+
+    await app({"type": "lifespan"}, receive, send)
+    assert sent == [f"{kind}.complete" for kind in kinds]
+
+
+def test_budget_bounds_bodies_of_all_requests():
+    """Guards against memory taken by many bodies that are each within bounds."""
+    budget = BodyBudget(100)
+    budget.take(60)
+    with pytest.raises(RequestRefused) as caught:
+        budget.take(41)
+    assert caught.value.refusal.code == ResultCode.OVERLOADED
+    budget.take(40)
+    assert budget.held == 100
+
+
+async def test_bodies_are_given_back(call, app):
+    """Guards against a budget that fills up with requests long answered."""
+    for body in (JOB, {**JOB, "tasks": []}, b"x" * 1000):
+        await call("POST", "/v1/jobs", body)
+    assert app._budget.held == 0
+
+
+async def test_deadline_bounds_the_wait(app, service, autojump_clock):
+    """Guards against a request that stays unanswered when its owner is silent."""
+    service.open = trio.Event()
+    body, sent = json.dumps(JOB).encode(), []
+
+    async def send(message):
+        sent.append(message)
+
+    await app(scope_of(body), receiver(whole(body)), send)
+    assert json.loads(sent[1]["body"])["run_state"] == "unknown"
