Keep burn windows of service-level objectives

Cause: operators must see how fast each kind spends its error budget, and for which time there is no data. Change: good and bad events by kind in one-minute buckets over 6 h, burn rates over 5 min, 30 min, 1 h and 6 h, page and ticket alerts, gaps, merged reports.

--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/objectives.py
@@ -0,0 +1,268 @@
+"""Burn windows of service-level objectives, kept in memory by each entry."""
+
+import enum
+from array import array
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hornbeamshore.base.codes import ResultCode
+
+BUCKET_S = 60
+SPAN_S = 6 * 3600
+WINDOWS_S = (300, 1800, 3600, SPAN_S)
+# Multi-window alerts of the usual kind for a budget of 30 days: 14.4 spends 2 % of it
+# in an hour, 6 spends 5 % in six hours. The short window ends an alert soon after its
+# cause has ended.
+PAGE_BURN, PAGE_WINDOWS_S = 14.4, (3600, 300)
+TICKET_BURN, TICKET_WINDOWS_S = 6.0, (SPAN_S, 1800)
+# A kind takes 2.9 KB; the target size has about 6,600 kinds.
+MAX_SERIES = 8_192
+# An objective of 1.0 has no budget; this keeps its burn rate a number.
+MIN_BUDGET = 1e-6
+
+_BUCKETS = SPAN_S // BUCKET_S
+
+
+class Alert(enum.StrEnum):
+    """Urgency with which an operator should look at a kind."""
+
+    NONE = "none"
+    TICKET = "ticket"
+    PAGE = "page"
+
+
+@dataclass(frozen=True, slots=True)
+class WindowReport:
+    """Events of a kind in one window.
+
+    Attributes
+    ----------
+    gap_s : int
+        Seconds of the window for which there is no data.
+    burn_rate : float or None
+        Share of bad events by the share that the objective allows; None without events.
+    """
+
+    window_s: int
+    good: int
+    bad: int
+    gap_s: int
+    burn_rate: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class KindReport:
+    """State of the objective of one kind.
+
+    Attributes
+    ----------
+    budget_left : float or None
+        Share of the budget of the longest window that is left, below 0 when it is
+        overspent; None without events.
+    """
+
+    service: str
+    kind: str
+    target: float
+    good_within_s: float
+    windows: tuple[WindowReport, ...]
+    budget_left: float | None
+    alert: Alert
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectivesReport:
+    """Objectives of all kinds, as one entry or several saw them.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the configuration that the objectives are from.
+    sources : int
+        Entries that the report is made of.
+    unreached : int
+        Entries that gave no report; their events are missing.
+    dropped_series : int
+        Kinds that were not counted because of the bound `MAX_SERIES`.
+    """
+
+    revision: int
+    kinds: tuple[KindReport, ...]
+    sources: int = 1
+    unreached: int = 0
+    dropped_series: int = 0
+
+
+def classify(code, elapsed_s, objective):
+    """Return whether an answer is a good event; None where it does not count.
+
+    Errors of the caller (1xx), jobs that it cancelled, and the 202 of a job that still
+    runs do not count. All else than an ``ok`` in time is bad.
+    """
+    if 100 <= code < 200 or code in (ResultCode.RUNNING, ResultCode.CANCELLED):
+        return None
+    return code == ResultCode.OK and elapsed_s <= objective.good_within
+
+
+class BurnWindows:
+    """Good and bad events by kind in buckets of time that cover the longest window.
+
+    Times are Unix seconds, so that buckets of several entries cover the same time.
+    `observe` must be called at least once a bucket; time without it is a gap.
+    """
+
+    def __init__(self):
+        self._series = {}
+        self._observed = bytearray(_BUCKETS)
+        self._bucket = None
+        self._dropped = set()
+
+    def observe(self, now_s):
+        """Note that the process is up and counts events at `now_s`."""
+        bucket = int(now_s // BUCKET_S)
+        if self._bucket is None:
+            self._bucket = bucket
+        # A wall clock that was set back counts on in the newest bucket.
+        for passed in range(max(self._bucket + 1, bucket - _BUCKETS + 1), bucket + 1):
+            self._clear(passed % _BUCKETS)
+        self._bucket = max(self._bucket, bucket)
+        self._observed[self._bucket % _BUCKETS] = 1
+
+    def record(self, service, kind, good, now_s):
+        """Count an event of a kind."""
+        self.observe(now_s)
+        series = self._series.get((service, kind))
+        if series is None:
+            if len(self._series) >= MAX_SERIES:
+                if len(self._dropped) < MAX_SERIES:
+                    self._dropped.add((service, kind))
+                return
+            series = self._series[service, kind] = _Series()
+        series.count(self._bucket % _BUCKETS, good)
+
+    def report(self, deployment, revision, now_s):
+        """Return the `ObjectivesReport` for the objectives of a deployment."""
+        self.observe(now_s)
+        kinds = tuple(
+            self._kind_report(service, kind, rules.objective)
+            for service, offered in sorted(deployment.services.items())
+            for kind, rules in sorted(offered.kinds.items())
+            if rules.objective is not None
+        )
+        return ObjectivesReport(revision, kinds, dropped_series=len(self._dropped))
+
+    def forget(self, deployment):
+        """Drop the events of kinds that a deployment no longer has."""
+        kept = {
+            (service, kind)
+            for service, offered in deployment.services.items()
+            for kind in offered.kinds
+        }
+        self._series = {key: val for key, val in self._series.items() if key in kept}
+        self._dropped &= kept
+
+    def _clear(self, place):
+        self._observed[place] = 0
+        for series in self._series.values():
+            series.clear(place)
+
+    def _kind_report(self, service, kind, objective):
+        series = self._series.get((service, kind), _EMPTY)
+        windows = tuple(
+            self._window(series, window_s, objective.target) for window_s in WINDOWS_S
+        )
+        return _kind_report(
+            service, kind, objective.target, float(objective.good_within), windows
+        )
+
+    def _window(self, series, window_s, target):
+        newest = self._bucket
+        oldest = newest - window_s // BUCKET_S + 1
+        places = [bucket % _BUCKETS for bucket in range(oldest, newest + 1)]
+        gap_s = sum(not self._observed[place] for place in places) * BUCKET_S
+        good = sum(series.good[place] for place in places)
+        bad = sum(series.bad[place] for place in places)
+        return _window_report(window_s, good, bad, gap_s, target)
+
+
+class _Series:
+    __slots__ = ("good", "bad")
+
+    def __init__(self):
+        self.good = array("I", bytes(_BUCKETS * array("I").itemsize))
+        self.bad = array("I", bytes(_BUCKETS * array("I").itemsize))
+
+    def count(self, place, good):
+        counts = self.good if good else self.bad
+        counts[place] += 1
+
+    def clear(self, place):
+        self.good[place] = self.bad[place] = 0
+
+
+_EMPTY = _Series()
+
+
+def merge_reports(reports, unreached=0):
+    """Return one `ObjectivesReport` of the reports of several entries.
+
+    Events are added up. The gap of a window is the largest of any entry, since the
+    events of that entry are missing for so long. Objectives are those of the newest
+    revision.
+    """
+    ordered = sorted(reports, key=lambda report: report.revision, reverse=True)
+    merged = {}
+    for report in ordered:
+        for kind in report.kinds:
+            known = merged.get((kind.service, kind.kind))
+            merged[kind.service, kind.kind] = (
+                kind if known is None else _merge_kinds(known, kind)
+            )
+    return ObjectivesReport(
+        ordered[0].revision if ordered else 0,
+        tuple(merged[key] for key in sorted(merged)),
+        sum(report.sources for report in ordered),
+        unreached + sum(report.unreached for report in ordered),
+        max((report.dropped_series for report in ordered), default=0),
+    )
+
+
+def _merge_kinds(newer, older):
+    by_length = {window.window_s: window for window in older.windows}
+    windows = []
+    for window in newer.windows:
+        other = by_length.get(window.window_s)
+        if other is not None:
+            window = _window_report(
+                window.window_s,
+                window.good + other.good,
+                window.bad + other.bad,
+                max(window.gap_s, other.gap_s),
+                newer.target,
+            )
+        windows.append(window)
+    return _kind_report(
+        newer.service, newer.kind, newer.target, newer.good_within_s, tuple(windows)
+    )
+
+
+def _window_report(window_s, good, bad, gap_s, target):
+    events = good + bad
+    burn = bad / events / max(MIN_BUDGET, 1 - target) if events else None
+    return WindowReport(window_s, good, bad, gap_s, burn)
+
+
+def _kind_report(service, kind, target, good_within_s, windows):
+    burns = {window.window_s: window.burn_rate for window in windows}
+    longest = burns.get(SPAN_S)
+    left = None if longest is None else 1 - longest
+    alert = _alert(lambda window_s: burns.get(window_s) or 0.0)
+    return KindReport(service, kind, target, good_within_s, windows, left, alert)
+
+
+def _alert(burn_of: Callable[[int], float]):
+    if all(burn_of(window_s) >= PAGE_BURN for window_s in PAGE_WINDOWS_S):
+        return Alert.PAGE
+    if all(burn_of(window_s) >= TICKET_BURN for window_s in TICKET_WINDOWS_S):
+        return Alert.TICKET
+    return Alert.NONE
