--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/observer.py
@@ -0,0 +1,46 @@
+"""Observer of the front end that keeps metrics and burn windows."""
+
+import time
+
+from hornbeamshore.entry.http_api import AnswerObserver
+from hornbeamshore.entry.objectives import classify
+
+
+class EntryObserver(AnswerObserver):
+    """Observer that feeds the metrics and the burn windows of an entry.
+
+    Parameters
+    ----------
+    metrics : EntryMetrics
+        Metrics of the entry.
+    windows : BurnWindows
+        Burn windows of the entry.
+    service : SubmissionService
+        Gives the configuration in force, which holds the objectives.
+    """
+
+    def __init__(self, metrics, windows, service):
+        self._metrics = metrics
+        self._windows = windows
+        self._service = service
+
+    def answered(self, event):
+        """Note a submission that was answered."""
+        self._metrics.answered(event.service, event.kind, event.code, event.elapsed_s)
+        objective = self._objective(event.service, event.kind)
+        if objective is None:
+            return
+        good = classify(event.code, event.elapsed_s, objective)
+        if good is not None:
+            self._windows.record(event.service, event.kind, good, time.time())
+
+    def metrics_page(self):
+        """Return the metrics in the text format of Prometheus."""
+        return self._metrics.page()
+
+    def _objective(self, service, kind):
+        deployment = self._service.deployment()
+        if deployment is None or service not in deployment.services:
+            return None
+        rules = deployment.services[service].kinds.get(kind)
+        return rules.objective if rules else None
--- /dev/null
+++ b/tests/entry/test_metrics.py
@@ -0,0 +1,130 @@
+"""Metrics of an entry and the pages that repeat tables of the code."""
+
+from pathlib import Path
+
+import pytest
+from hornbeamshore.base.codes import CODE_TABLE, ResultCode
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.config.model import Deployment, Kind, Objective, Service
+from hornbeamshore.entry import metrics as metrics_module
+from hornbeamshore.entry.http_api import Answered
+from hornbeamshore.entry.metrics import METRICS, EntryMetrics
+from hornbeamshore.entry.objectives import BurnWindows
+from hornbeamshore.entry.observer import EntryObserver
+
+DOCS = Path(__file__).parents[2] / "docs"
+
+
+def table_rows(page):
+    """Return the cells of the table lines of a page, without heads and rules."""
+    lines = (DOCS / page).read_text(encoding="utf-8").splitlines()
+    rows = [
+        [cell.strip().strip("`") for cell in line.strip("|").split("|")]
+        for line in lines
+        if line.startswith("|")
+    ]
+    return [row for row in rows if row[0][:1].isdigit() or row[0].startswith("horn")]
+
+
+def code_rows():
+    return [
+        [
+            str(int(code)),
+            code.name,
+            info.run_state.label,
+            str(info.http_status),
+            info.meaning,
+        ]
+        for code, info in CODE_TABLE.items()
+    ]
+
+
+def metric_rows():
+    return [
+        [spec.name, spec.kind, ", ".join(spec.labels) or "none", spec.meaning]
+        for spec in METRICS
+    ]
+
+
+@pytest.mark.parametrize(
+    ("page", "expected"),
+    [("result-codes.md", code_rows()), ("metrics.md", metric_rows())],
+)
+def test_page_repeats_the_table_of_the_code(page, expected):
+    """Guards against pages that tell callers and operators something outdated."""
+    rows = table_rows(page)
+    assert [row[: len(expected[0])] for row in rows] == expected
+    assert all(cell for row in rows for cell in row)
+
+
+def test_each_code_has_a_row():
+    """Guards against a code without a run state or an HTTP status."""
+    assert list(CODE_TABLE) == list(ResultCode)
+
+
+def feed(metrics):
+    metrics.answered("s", "k", 0, 0.02)
+    metrics.answered("s", "k", 200, 0.02)
+    metrics.answered("s", "k", 301, 0.02)
+    metrics.answered("s", "k", 12345, 0.02)
+    metrics.queued("s", "k", 0.001)
+    metrics.retried("s", "k")
+    metrics.fleet("s", 88, 7, {"live": 11, "lost": 1})
+    metrics.peer_traffic("agent", "out", 3, 900)
+    metrics.config_revision(42)
+    metrics.store_call("put", "ok", 0.004)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        'hornbeamshore_requests_total{code="0",kind="k",service="s"} 1.0',
+        'hornbeamshore_requests_total{code="other",kind="k",service="s"} 1.0',
+        'hornbeamshore_response_seconds_count{kind="k",service="s"} 4.0',
+        'hornbeamshore_queue_seconds_bucket{kind="k",le="0.005",service="s"} 1.0',
+        'hornbeamshore_refusals_total{code="200"} 1.0',
+        'hornbeamshore_retries_total{kind="k",service="s"} 1.0',
+        'hornbeamshore_slots{service="s"} 88.0',
+        'hornbeamshore_slots_in_use{service="s"} 7.0',
+        'hornbeamshore_targets{service="s",state="lost"} 1.0',
+        'hornbeamshore_peer_messages_total{direction="out",peer="agent"} 3.0',
+        'hornbeamshore_peer_bytes_total{direction="out",peer="agent"} 900.0',
+        "hornbeamshore_config_revision 42.0",
+        'hornbeamshore_store_calls_total{operation="put",outcome="ok"} 1.0',
+        'hornbeamshore_store_call_seconds_count{operation="put"} 1.0',
+    ],
+)
+def test_page_shows_what_was_noted(line):
+    """Guards against metrics that are declared but never change."""
+    metrics = EntryMetrics()
+    feed(metrics)
+    page = metrics.page().decode().splitlines()
+    assert line in page
+    assert not any('refusals_total{code="301"}' in found for found in page)
+
+
+def test_labels_are_bounded(monkeypatch):
+    """Guards against a page that grows with each kind that was ever named."""
+    monkeypatch.setattr(metrics_module, "MAX_KIND_LABELS", 2)
+    metrics = EntryMetrics()
+    for number in range(9):
+        metrics.answered("s", f"k{number}", 0, 0.1)
+    page = metrics.page().decode()
+    assert 'response_seconds_count{kind="other",service="other"} 7.0' in page
+    assert "k2" not in page
+
+
+@pytest.mark.parametrize(
+    ("kind", "code", "events"), [("k", 0, 1), ("k", 103, 0), ("plain", 0, 0)]
+)
+def test_observer_feeds_metrics_and_windows(service, kind, code, events):
+    """Guards against answers that are counted in one place but not the other."""
+    objective = Objective(Duration(1.0), 0.9)
+    kinds = {"k": Kind(objective=objective), "plain": Kind()}
+    deployment = Deployment("d", {"s": Service(kinds)})
+    service.deployment = lambda: deployment
+    windows = BurnWindows()
+    observer = EntryObserver(EntryMetrics(), windows, service)
+    observer.answered(Answered("s", kind, code, 0.1))
+    assert f'code="{code}",kind="{kind}"'.encode() in observer.metrics_page()
+    assert len(windows._series) == events
