--- a/packages/entry/src/hornbeamshore/entry/http_api.py
+++ b/packages/entry/src/hornbeamshore/entry/http_api.py
@@ -28,9 +28,9 @@
 QUERY_TIMEOUT_S = 5.0
 # The service answers by the deadline; this is for the way of its last message.
 ANSWER_GRACE_S = 1.0
-# An asynchronous submission that is refused within this time gets the refusal itself
-# instead of 202, since the record of a refused job is not kept.
-ASYNC_REFUSAL_S = 0.05
+# An answer to an asynchronous submission that comes within this time is given itself
+# instead of 202. Most refusals do, and no record of a refused job is kept to ask for.
+ASYNC_ANSWER_S = 0.05
 
 # Codes with which a service says that it has no record to tell of.
 _NOT_FOUND = (ResultCode.JOB_NOT_FOUND, ResultCode.UNKNOWN_SERVICE)
@@ -196,7 +196,7 @@
 
     async def _submit_async(self, exchange, request):
         pending = self._start_submission(exchange, request)
-        with trio.move_on_after(ASYNC_REFUSAL_S):
+        with trio.move_on_after(ASYNC_ANSWER_S):
             return _job_answer(await pending.wait())
         running = JobAnswer(request.key, ResultCode.RUNNING, RunState.UNKNOWN)
         return _job_answer(running)
@@ -249,8 +249,9 @@
         return _job_answer(answer)
 
     async def _cancel_job(self, keys, job_id):
-        key = keys[0]
-        if len(keys) > 1:
+        if len(keys) == 1:
+            key = keys[0]
+        else:
             found = await self._query_all(keys, job_id)
             if found.code in (*_NOT_FOUND, *_UNCERTAIN):
                 return _job_answer(found)
