--- a/packages/entry/src/hornbeamshore/entry/observer.py
+++ b/packages/entry/src/hornbeamshore/entry/observer.py
@@ -1,31 +1,46 @@
-"""What the front end tells of its answers, for metrics and objectives."""
+"""Observer of the front end that keeps metrics and burn windows."""
+
+import time
 
 from hornbeamshore.entry.http_api import AnswerObserver
+from hornbeamshore.entry.objectives import classify
 
 
 class EntryObserver(AnswerObserver):
-    """Counts the answers to callers.
+    """Observer that feeds the metrics and the burn windows of an entry.
 
     Parameters
     ----------
-    entry : EntryState
-        Shared state of the process.
+    metrics : EntryMetrics
+        Metrics of the entry.
+    windows : BurnWindows
+        Burn windows of the entry.
+    service : SubmissionService
+        Gives the configuration in force, which holds the objectives.
     """
 
-    def __init__(self, entry):
-        self._entry = entry
+    def __init__(self, metrics, windows, service):
+        self._metrics = metrics
+        self._windows = windows
+        self._service = service
 
     def answered(self, event):
-        """Count an answer for the objective of its kind."""
+        """Note a submission that was answered."""
+        self._metrics.answered(event.service, event.kind, event.code, event.elapsed_s)
         objective = self._objective(event.service, event.kind)
-        self._entry.objectives.record(event, objective)
+        if objective is None:
+            return
+        good = classify(event.code, event.elapsed_s, objective)
+        if good is not None:
+            self._windows.record(event.service, event.kind, good, time.time())
 
     def metrics_page(self):
         """Return the metrics in the text format of Prometheus."""
-        return b""
+        return self._metrics.page()
 
     def _objective(self, service, kind):
-        deployment = self._entry.deployment()
-        found = deployment.services.get(service) if deployment else None
-        rules = found.kinds.get(kind) if found is not None else None
-        return rules.objective if rules is not None else None
+        deployment = self._service.deployment()
+        if deployment is None or service not in deployment.services:
+            return None
+        rules = deployment.services[service].kinds.get(kind)
+        return rules.objective if rules else None
