Report status, metrics and burn from the entry's own state

Cause: the entry's metrics, burn windows and status were not connected. Change: a reporting module, counters of starts, jobs and wasted messages in the table of metrics, one task that brings gauges and traffic up to date.

--- a/packages/bench/src/hornbeamshore/bench/caller.py
+++ b/packages/bench/src/hornbeamshore/bench/caller.py
@@ -4,7 +4,6 @@
 import json
 import time
 from dataclasses import dataclass
-from pathlib import Path
 
 import httpcore
 import trio
@@ -128,7 +127,8 @@
     returns.primitives.exceptions.UnwrapFailedError
         If the store or the file refuses.
     """
-    deployment = check_deployment(Path(path).read_text()).unwrap().deployment
+    text = await trio.Path(path).read_text()
+    deployment = check_deployment(text).unwrap().deployment
     async with contextlib.AsyncExitStack() as stack:
         store = EtcdStore(EtcdSettings((store_address,)))
         await stack.enter_async_context(store)
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -9,16 +9,17 @@
 from hornbeamshore.base.clock import new_incarnation
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.config.replica import ConfigReplica
-from hornbeamshore.entry.counters import DispatchCounters
 from hornbeamshore.entry.front import Front
 from hornbeamshore.entry.handler import EntryHandler
 from hornbeamshore.entry.http_api import HttpApi
 from hornbeamshore.entry.http_server import open_http_listeners, serve_http
 from hornbeamshore.entry.http_settings import HttpSettings
 from hornbeamshore.entry.membership import OWNERS, EntryMembership
-from hornbeamshore.entry.objectives import ObjectiveWindows
+from hornbeamshore.entry.metrics import EntryMetrics
+from hornbeamshore.entry.objectives import BurnWindows
 from hornbeamshore.entry.observer import EntryObserver
 from hornbeamshore.entry.peers import PeerLinks
+from hornbeamshore.entry.reporting import keep_reporting
 from hornbeamshore.entry.state import EntryState
 from hornbeamshore.entry.table import decode_table
 from hornbeamshore.store.base import StoreError, deployment_key
@@ -104,9 +105,9 @@
             self.peer_address,
         )
         self.replica = ConfigReplica(cfg.deployment)
-        self.objectives = ObjectiveWindows()
-        metrics = DispatchCounters()
-        self.entry = EntryState(cfg, identity, self.replica, metrics, self.objectives)
+        windows = BurnWindows()
+        metrics = EntryMetrics()
+        self.entry = EntryState(cfg, identity, self.replica, metrics, windows)
         self.handler = EntryHandler(self.entry, nursery)
         self.entry.peers = PeerLinks(identity, self.secret, cfg.wire, self.handler)
         me = TableEntry(
@@ -117,8 +118,8 @@
             cfg.rack,
         )
         self.entry.membership = EntryMembership(store, cfg, me, self.entry.take_table)
-        observer = EntryObserver(self.entry)
         self.front = Front(self.entry)
+        observer = EntryObserver(metrics, windows, self.front)
         http_cfg = HttpSettings(graceful_timeout=cfg.drain_timeout)
         self.api = HttpApi(self.front, nursery, observer, http_cfg)
         self._http_cfg = http_cfg
@@ -140,6 +141,7 @@
             entry.peers.keep_dialing, nursery, self._addresses, entry.table_changed
         )
         nursery.start_soon(entry.run_owners, nursery)
+        nursery.start_soon(keep_reporting, entry)
         nursery.start_soon(
             serve_http, self.api, self._http_listeners, self._http_cfg, self._stopping
         )
--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -75,7 +75,7 @@
         Of this process.
     deployment : Deployment
         Configuration in force.
-    metrics : DispatchCounters
+    metrics : EntryMetrics
         Where events are counted.
     """
 
@@ -287,7 +287,7 @@
             return
         refusal = self._check_unfamiliar(req) or self._admit(req)
         if refusal is not None:
-            self.metrics.refused(self.partition.service, req.kind, refusal.code)
+            self.metrics.job_ended(self.partition.service, req.kind, refusal.code)
             reply(JobAnswer.refused(req.key, refusal))
             return
         job = Job(req.key, req, unix_ms(), self._deadline_of(req))
@@ -387,7 +387,8 @@
             self._queued_task(job, index, job.tasks[index].attempt + 1)
             for index in indexes
         ]
-        self.scheduler.enqueue(tasks, trio.current_time())
+        job.queued_at = trio.current_time()
+        self.scheduler.enqueue(tasks, job.queued_at)
         heapq.heappush(self._deadlines, (job.deadline, next(self._retry_ids), job.key))
         self.wake()
 
@@ -595,6 +596,8 @@
             timeout_ms=left_ms,
         )
         self.metrics.started(self.partition.service, job.request.kind)
+        waited_s = trio.current_time() - job.queued_at
+        self.metrics.queued(self.partition.service, job.request.kind, waited_s)
         if not self._links[agent_id].conn.try_send(start):
             self._apply_result(job, task.index, entry, _not_sent(task))
 
--- a/packages/entry/src/hornbeamshore/entry/handler.py
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -5,6 +5,7 @@
 from hornbeamshore.base.codes import ResultCode, refuse
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import JobAnswer, Partition
+from hornbeamshore.entry import reporting
 from hornbeamshore.entry.agents import link_of
 from hornbeamshore.wire.connection import MessageHandler
 from hornbeamshore.wire.messages import (
@@ -82,7 +83,6 @@
             self._entry.notify_owners()
         elif conn.peer.kind == ProcessKind.AGENT:
             self._entry.agents.closed(conn)
-        self._entry.metrics.connection_closed(conn)
 
     def heartbeat(self):
         """Return the revisions that this entry has in force."""
@@ -181,9 +181,9 @@
 
     def _status(self, conn, message):
         if message.body.topic == "burn":
-            report = self._entry.objectives.report()
+            report = reporting.burn(self._entry)
         else:
-            report = self._entry.status()
+            report = reporting.status(self._entry)
         conn.try_send(StatusReply(json.dumps(report)), message.id)
 
     def _owner(self, name):
--- a/packages/entry/src/hornbeamshore/entry/jobs.py
+++ b/packages/entry/src/hornbeamshore/entry/jobs.py
@@ -88,6 +88,7 @@
         self.request = request
         self.accepted_at_ms = accepted_at_ms
         self.deadline = deadline
+        self.queued_at = 0.0
         self.tasks = {}
         self.answer = None
         self.ended_at_ms = 0
--- a/packages/entry/src/hornbeamshore/entry/metrics.py
+++ b/packages/entry/src/hornbeamshore/entry/metrics.py
@@ -2,7 +2,6 @@
 
 from dataclasses import dataclass
 
-from hornbeamshore.base.codes import ResultCode
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -11,6 +10,8 @@
     generate_latest,
 )
 
+from hornbeamshore.base.codes import ResultCode
+
 # Each pair of service and kind makes about 35 lines of the page; further pairs share
 # the label "other", so the page stays under 1 MB or so.
 MAX_KIND_LABELS = 300
@@ -69,6 +70,24 @@
         ("code",),
         "Submissions answered with a code other than 0, 1 and 3xx, by reason.",
     ),
+    MetricSpec(
+        "hornbeamshore_starts_total",
+        "counter",
+        ("service", "kind"),
+        "Starts of tasks that this owner sent to agents.",
+    ),
+    MetricSpec(
+        "hornbeamshore_wasted_messages_total",
+        "counter",
+        ("reason",),
+        "Messages of agents without effect; reason is refusal or late answer.",
+    ),
+    MetricSpec(
+        "hornbeamshore_jobs_total",
+        "counter",
+        ("service", "kind", "code"),
+        "Submissions that this owner ended or refused, by result code.",
+    ),
     MetricSpec(
         "hornbeamshore_retries_total",
         "counter",
@@ -158,6 +177,36 @@
         """Count a further attempt of a single request."""
         self._of("retries_total", *self._labels(service, kind)).inc()
 
+    def started(self, service, kind):
+        """Count the start of a task."""
+        self._of("starts_total", *self._labels(service, kind)).inc()
+
+    def wasted_message(self, reason):
+        """Count a message without effect."""
+        self._of("wasted_messages_total", reason).inc()
+
+    def job_ended(self, service, kind, code):
+        """Count a submission that the owner ended or refused."""
+        self._of("jobs_total", *self._labels(service, kind), _code_label(code)).inc()
+
+    def dispatch_totals(self):
+        """Return the totals of starts, retries, wasted messages and jobs by code."""
+        return {
+            "starts": sum(self._totals("starts_total").values()),
+            "retries": sum(self._totals("retries_total").values()),
+            "wasted": self._totals("wasted_messages_total", "reason"),
+            "jobs": self._totals("jobs_total", "code"),
+        }
+
+    def _totals(self, name, label=None):
+        totals = {}
+        for family in self._of(name).collect():
+            for sample in family.samples:
+                if sample.name.endswith("_total"):
+                    key = sample.labels.get(label, "")
+                    totals[key] = totals.get(key, 0) + int(sample.value)
+        return totals
+
     def fleet(self, service, slots, in_use, targets):
         """Set the slots and, by state, the targets of a service at this owner."""
         service, _ = self._labels(service, "")
--- /dev/null
+++ b/packages/entry/src/hornbeamshore/entry/reporting.py
@@ -0,0 +1,113 @@
+"""Reports of an entry: status for operators, gauges and traffic for metrics."""
+
+import time
+
+import msgspec
+import trio
+
+REPORT_EVERY_S = 1.0
+
+
+def status(entry):
+    """Return the report of an entry for operators as plain values."""
+    now = trio.current_time()
+    return {
+        "entry_id": entry.entry_id,
+        "incarnation": entry.identity.incarnation,
+        "data_centre": entry.cfg.data_centre,
+        "draining": entry.leaving,
+        "revision": entry.replica.revision,
+        "table_version": entry.table.version,
+        "entries": [msgspec.to_builtins(item) for item in entry.table.entries],
+        "peers": sorted(conn.peer.process_id for conn in entry.peers.all()),
+        "submissions_in_flight": entry.in_flight,
+        "dispatch": entry.metrics.dispatch_totals(),
+        "agents": [_agent_status(link) for link in entry.agents.all()],
+        "partitions": [
+            _owner_status(owner, now)
+            for owner in entry.owners.values()
+            if owner.dispatcher.is_active
+        ],
+    }
+
+
+def burn(entry):
+    """Return the report on service-level burn of an entry as plain values."""
+    deployment = entry.deployment()
+    if deployment is None:
+        return {}
+    report = entry.windows.report(deployment, entry.replica.revision, time.time())
+    return msgspec.to_builtins(report)
+
+
+async def keep_reporting(entry):
+    """Bring gauges and traffic counters up to date until cancelled."""
+    traffic = {}
+    while True:
+        entry.windows.observe(time.time())
+        entry.metrics.config_revision(entry.replica.revision)
+        for owner in entry.owners.values():
+            if owner.dispatcher.is_active:
+                _report_fleet(entry, owner)
+        traffic = _report_traffic(entry, traffic)
+        await trio.sleep(REPORT_EVERY_S)
+
+
+def _report_fleet(entry, owner):
+    snapshot = owner.dispatcher.scheduler.snapshot(trio.current_time())
+    states = dict.fromkeys(("live", "ejected", "leaving"), 0)
+    for target in snapshot.targets:
+        states[_target_state(target)] += 1
+    states["lost"] = sum(not item.live for item in owner.roster.entries)
+    slots = sum(target.slots for target in snapshot.targets)
+    in_use = sum(target.busy for target in snapshot.targets)
+    entry.metrics.fleet(owner.partition.service, slots, in_use, states)
+
+
+def _target_state(target):
+    if target.draining:
+        return "leaving"
+    return "ejected" if target.health == "ejected" else "live"
+
+
+def _report_traffic(entry, known):
+    """Count what the open connections carried since the last call."""
+    conns = {link.conn for link in entry.agents.all()} | set(entry.peers.all())
+    totals = {}
+    for conn in conns:
+        now = (conn.messages_sent, conn.bytes_sent)
+        now += (conn.messages_received, conn.bytes_received)
+        last = known.get(conn, (0, 0, 0, 0))
+        delta = [new - old for new, old in zip(now, last, strict=True)]
+        entry.metrics.peer_traffic(conn.peer.kind, "out", *delta[:2])
+        entry.metrics.peer_traffic(conn.peer.kind, "in", *delta[2:])
+        totals[conn] = now
+    return totals
+
+
+def _agent_status(link):
+    return {
+        "agent_id": link.agent_id,
+        "incarnation": link.conn.peer.incarnation,
+        "service": link.service,
+        "target": link.target,
+        "data_centre": link.data_centre,
+        "rack": link.rack,
+        "slots": link.slots,
+        "leaving": link.leaving,
+        "messages": link.conn.messages_sent + link.conn.messages_received,
+        "bytes": link.conn.bytes_sent + link.conn.bytes_received,
+    }
+
+
+def _owner_status(owner, now):
+    tenure = owner.dispatcher.tenure
+    return {
+        "partition": owner.name,
+        "epoch": str(owner.epoch),
+        "complete": tenure.complete,
+        "since_ms": tenure.since_ms,
+        "jobs": len(owner.dispatcher.book),
+        "roster": [msgspec.to_builtins(item) for item in owner.roster.entries],
+        "scheduler": msgspec.to_builtins(owner.dispatcher.scheduler.snapshot(now)),
+    }
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -3,12 +3,10 @@
 import contextlib
 from dataclasses import dataclass
 
-import msgspec
-import trio
-
 from hornbeamshore.base.codes import ResultCode, refuse
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import Epoch, JobAnswer, Partition, partition_of
+from hornbeamshore.entry import reporting
 from hornbeamshore.entry import table as tables
 from hornbeamshore.entry.agents import AgentLinks
 from hornbeamshore.entry.events import Changed
@@ -44,19 +42,19 @@
         Of this process.
     replica : ConfigReplica
         Configuration in force.
-    metrics : DispatchCounters
+    metrics : EntryMetrics
         Where events are counted.
-    objectives : ObjectiveWindows
+    windows : BurnWindows
         Good and bad answers of the last hours.
     """
 
-    def __init__(self, cfg, identity, replica, metrics, objectives):
+    def __init__(self, cfg, identity, replica, metrics, windows):
         self.cfg = cfg
         self.identity = identity
         self.entry_id = identity.process_id
         self.replica = replica
         self.metrics = metrics
-        self.objectives = objectives
+        self.windows = windows
         self.agents = AgentLinks()
         self.peers = None
         self.membership = None
@@ -68,7 +66,7 @@
         self.leaving = False
         self.owners = {}
         self._known_owners = {}
-        self._in_flight = 0
+        self.in_flight = 0
         replica.subscribe(self._config_taken)
 
     def _config_taken(self, _replica):
@@ -205,39 +203,20 @@
     @contextlib.contextmanager
     def submission_in_flight(self):
         """Count a submission that this entry has to answer before it ends."""
-        self._in_flight += 1
+        self.in_flight += 1
         try:
             yield
         finally:
-            self._in_flight -= 1
+            self.in_flight -= 1
             self.idle.notify()
 
     async def wait_idle(self, timeout_s):
         """Return whether all submissions were answered within a time."""
-        return await self.idle.wait_until(lambda: not self._in_flight, timeout_s)
-
-    # Reports
+        return await self.idle.wait_until(lambda: not self.in_flight, timeout_s)
 
     def status(self):
         """Return the report for operators as plain values."""
-        now = trio.current_time()
-        return {
-            "entry_id": self.entry_id,
-            "incarnation": self.identity.incarnation,
-            "data_centre": self.cfg.data_centre,
-            "draining": self.leaving,
-            "revision": self.replica.revision,
-            "table_version": self.table.version,
-            "entries": [msgspec.to_builtins(entry) for entry in self.table.entries],
-            "peers": sorted(conn.peer.process_id for conn in self.peers.all()),
-            "submissions_in_flight": self._in_flight,
-            "agents": [_agent_status(link) for link in self.agents.all()],
-            "partitions": [
-                _owner_status(owner, now)
-                for owner in self.owners.values()
-                if owner.dispatcher.is_active
-            ],
-        }
+        return reporting.status(self)
 
     async def run_owners(self, nursery):
         """Keep one task for each partition of the configuration in force."""
@@ -251,31 +230,3 @@
             for owner in self.owners.values():
                 owner.dispatcher.configure(self.deployment())
             await self.config_changed.wait()
-
-
-def _agent_status(link):
-    return {
-        "agent_id": link.agent_id,
-        "incarnation": link.conn.peer.incarnation,
-        "service": link.service,
-        "target": link.target,
-        "data_centre": link.data_centre,
-        "rack": link.rack,
-        "slots": link.slots,
-        "leaving": link.leaving,
-        "messages": link.conn.messages_sent + link.conn.messages_received,
-        "bytes": link.conn.bytes_sent + link.conn.bytes_received,
-    }
-
-
-def _owner_status(owner, now):
-    tenure = owner.dispatcher.tenure
-    return {
-        "partition": owner.name,
-        "epoch": str(owner.epoch),
-        "complete": tenure.complete,
-        "since_ms": tenure.since_ms,
-        "jobs": len(owner.dispatcher.book),
-        "roster": [msgspec.to_builtins(item) for item in owner.roster.entries],
-        "scheduler": msgspec.to_builtins(owner.dispatcher.scheduler.snapshot(now)),
-    }
--- a/tests/entry/test_http_api.py
+++ b/tests/entry/test_http_api.py
@@ -7,6 +7,7 @@
 import h2.connection
 import pytest
 import trio
+
 from hornbeamshore.base.clock import unix_ms
 from hornbeamshore.base.codes import ResultCode, RunState, refuse
 from hornbeamshore.base.types import Header, JobAnswer, JobKey
--- a/tests/entry/test_http_refusals.py
+++ b/tests/entry/test_http_refusals.py
@@ -1,6 +1,7 @@
 """Bad input must be refused with its own code, status and a message that names it."""
 
 import pytest
+
 from hornbeamshore.base.codes import ResultCode
 
 JOB = {"id": "a-1", "service": "stock", "kind": "check", "tasks": [{"body": {}}]}
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+
 from hornbeamshore.base.codes import CODE_TABLE, ResultCode
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.config.model import Deployment, Kind, Objective, Service
--- a/tests/entry/test_objectives.py
+++ b/tests/entry/test_objectives.py
@@ -1,6 +1,7 @@
 """Burn windows: what counts, burn rates, alerts, gaps and merged reports."""
 
 import pytest
+
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.config.model import Deployment, Kind, Objective, Service
