Keep outcomes that agents report before a new owner is active

Cause: after an owner was killed, one of 150 jobs ran into its deadline: an agent reported a task's outcome between its grant and the activation, and the new owner dropped it as a late answer. Change: such outcomes are applied behind the collected records; a new owner with a quorum also waits up to 1 s for the grants of all other agents.

--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -37,6 +37,8 @@
 CALL_TIMEOUT_S = 1.0
 # Pause of a candidate after a takeover that got no quorum, with jitter.
 RETRY_ACQUIRE_S = 0.3
+# Longest wait of a new owner with a quorum for the grants of all other agents.
+COMPLETE_WAIT_S = 1.0
 ROSTER_TICK_S = 0.25
 # Holders of a roster besides the agent that it adds.
 ROSTER_COPIES = 2
@@ -79,6 +81,7 @@
         self._known_complete = False
         self._since_ms = 0
         self._committed = None
+        self._early_outcomes = []
         self._left = {}
         self._stop = False
         self._rng = random.Random(f"{entry.identity.process_id}/{partition}")
@@ -161,6 +164,7 @@
         self._leases = self._new_leases()
         self._grants = {}
         self._holding = set()
+        self._early_outcomes = []
         self._committed = None
         self._founded_first = False
         log.info("Acquiring %s at %s.", self.name, self.epoch)
@@ -199,6 +203,12 @@
         if not won:
             log.info("No quorum for %s at %s.", self.name, self.epoch)
             return False
+        # Fronts wait meanwhile; without this, keys of the time before the takeover
+        # would be answered as unknown until the last agent has granted.
+        await self.changed.wait_until(
+            lambda: self._highest_epoch > self.epoch or self._is_accounted_for(),
+            COMPLETE_WAIT_S,
+        )
         if self._highest_epoch > self.epoch:
             return False
         if not rosters.live_ids(self.roster) and not await self._found():
@@ -239,6 +249,8 @@
         for agent_id, reply in self._grants.items():
             self.dispatcher.merge_records(agent_id, reply.records)
         self._update_tenure()
+        for agent_id, body in self._early_outcomes:
+            self.dispatcher.task_done(agent_id, body)
         for agent_id in self._grants:
             self._use_if_listed(agent_id)
         self.dispatcher.resume_queued()
@@ -267,7 +279,7 @@
     def _is_accounted_for(self):
         now_ms = unix_ms()
         retention_ms = self.dispatcher.book.retention_s * 1000
-        if now_ms - self._since_ms > retention_ms:
+        if self.dispatcher.is_active and now_ms - self._since_ms > retention_ms:
             return True
         if not self.roster.entries:
             return False
@@ -543,7 +555,14 @@
         return True
 
     def task_done(self, agent_id, body):
-        """Give an outcome to the dispatcher; a stale epoch ends the agent's use."""
+        """Give an outcome to the dispatcher; a stale epoch ends the agent's use.
+
+        An outcome that an agent reports between its grant and the activation is
+        kept until then: the records that came with the grant call the task running.
+        """
+        if not self.dispatcher.is_active:
+            self._early_outcomes.append((agent_id, body))
+            return
         if body.result.code == ResultCode.STALE_EPOCH:
             self.dispatcher.agent_gone(agent_id)
             self._leases.drop(agent_id)
