--- /dev/null
+++ b/packages/base/src/hornbeamshore/base/units.py
@@ -0,0 +1,93 @@
+"""Quantities that settings and deployment files write with a unit."""
+
+import functools
+import re
+from dataclasses import dataclass
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|min|h)")
+_SECONDS = {"ms": 0.001, "s": 1.0, "min": 60.0, "h": 3600.0}
+_SIZE = re.compile(r"(\d+)(B|KiB|MiB)")
+_BYTES = {"B": 1, "KiB": 1024, "MiB": 1024 * 1024}
+
+
+class Duration(float):
+    """Seconds, written in settings with a unit: ``250ms``, ``1.5s``, ``5min``."""
+
+    @classmethod
+    def parse(cls, text):
+        """Return the duration that a text with a unit gives.
+
+        Raises
+        ------
+        ValueError
+            If the text has no number or no known unit.
+        """
+        match = _DURATION.fullmatch(text) if isinstance(text, str) else None
+        if match is None:
+            raise ValueError(f"{text!r}: expected a number with ms, s, min or h")
+        return cls(float(match[1]) * _SECONDS[match[2]])
+
+    def to_text(self):
+        """Return a text with a unit that `parse` reads, exact to a microsecond."""
+        return f"{self:.6f}".rstrip("0").rstrip(".") + "s"
+
+
+class ByteSize(int):
+    """Bytes, written in settings with a unit: ``64KiB``, ``1MiB``."""
+
+    @classmethod
+    def parse(cls, text):
+        """Return the size that a text with a unit gives.
+
+        Raises
+        ------
+        ValueError
+            If the text has no number or no known unit.
+        """
+        match = _SIZE.fullmatch(text) if isinstance(text, str) else None
+        if match is None:
+            raise ValueError(f"{text!r}: expected a number with B, KiB or MiB")
+        return cls(int(match[1]) * _BYTES[match[2]])
+
+    def to_text(self):
+        """Return a text with the largest unit that gives a whole number."""
+        for unit in ("MiB", "KiB"):
+            if self and self % _BYTES[unit] == 0:
+                return f"{self // _BYTES[unit]}{unit}"
+        return f"{int(self)}B"
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds, both included, of a `Duration` or `ByteSize` as annotation of a type.
+
+    ``msgspec.Meta`` has bounds for plain numbers only.
+    """
+
+    minimum: str
+    maximum: str
+
+    def allow(self, value):
+        """Return whether a value lies within the bounds."""
+        kind = type(value)
+        return kind.parse(self.minimum) <= value <= kind.parse(self.maximum)
+
+
+def decode_unit(kind, value):
+    """Return a quantity for the decoding hook of msgspec."""
+    if not issubclass(kind, Duration | ByteSize):
+        raise NotImplementedError(kind)
+    return _parse_cached(kind, value) if isinstance(value, str) else kind.parse(value)
+
+
+# A deployment repeats few quantities in thousands of kinds.
+@functools.lru_cache(maxsize=4096)
+def _parse_cached(kind, text):
+    return kind.parse(text)
+
+
+def encode_unit(value):
+    """Return the text of a quantity for the encoding hook of msgspec."""
+    if isinstance(value, Duration | ByteSize):
+        return value.to_text()
+    raise NotImplementedError(type(value))
