Tighten the tests of writes and watches

Cause: trials with changed code showed that the tests let a write be sent again to a second endpoint, and a watch tell a change twice after its stream was cut. Change: the stand-in is listed twice as endpoint, and a change streams in before the trouble of each watch case.

--- a/tests/store/test_etcd.py
+++ b/tests/store/test_etcd.py
@@ -23,7 +23,8 @@
 async def serving(cfg=CALM, first_endpoints=()):
     server = StandinStore()
     async with trio.open_nursery() as nursery:
-        endpoints = (*first_endpoints, await nursery.start(server.serve))
+        address = await nursery.start(server.serve)
+        endpoints = (*first_endpoints, address, address)
         cfg = dataclasses.replace(cfg, endpoints=endpoints)
         async with EtcdStore(cfg) as store:
             yield server, store
@@ -222,12 +223,15 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_collect, watch, seen, 2)
                 await _watches(server, 1)
+                await store.create("/w/m", b"x")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_collect, watch, seen, 3)
                 await trouble(server)
                 await store.create("/w/b", b"x")
             await store.delete("/w/b")
             change = await _next(watch)
         await _watches(server, 0)
-        assert seen == ["/w/a", "/w/b"]
+        assert seen == ["/w/a", "/w/m", "/w/b"]
         assert (change.key, change.item) == ("/w/b", None)
 
 
