--- a/packages/config/src/hornbeamshore/config/model.py
+++ b/packages/config/src/hornbeamshore/config/model.py
@@ -2,8 +2,15 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import Annotated
 
-from hornbeamshore.base.settings import ByteSize, Duration
+from hornbeamshore.base.units import Bounds, ByteSize, Duration
+from msgspec import Meta
+
+# Names appear in paths of the HTTP interface and in keys of the store.
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
+Label = Annotated[str, Meta(min_length=1, max_length=64)]
+Weight = Annotated[float, Meta(ge=0.01, le=100)]
 
 
 class Urgency(enum.StrEnum):
@@ -26,8 +33,8 @@
         Share of good answers that is promised, such as 0.99.
     """
 
-    good_within: Duration
-    target: float
+    good_within: Annotated[Duration, Bounds("1ms", "60s")]
+    target: Annotated[float, Meta(gt=0, lt=1)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,15 +57,17 @@
         Share among the kinds of one class.
     requires : tuple of str
         Labels that a target must have to run this kind.
+    objective : Objective or None
+        Service-level objective; without one no burn rate is reported.
     """
 
     urgency: Urgency = Urgency.NORMAL
     repeatable: bool = False
-    deadline: Duration = Duration(10.0)
-    expected_run: Duration = Duration(0.2)
-    max_body: ByteSize = ByteSize(64 * 1024)
-    weight: float = 1.0
-    requires: tuple[str, ...] = ()
+    deadline: Annotated[Duration, Bounds("1ms", "60s")] = Duration(10.0)
+    expected_run: Annotated[Duration, Bounds("1ms", "60s")] = Duration(0.2)
+    max_body: Annotated[ByteSize, Bounds("1B", "8MiB")] = ByteSize(64 * 1024)
+    weight: Weight = 1.0
+    requires: tuple[Label, ...] = ()
     objective: Objective | None = None
 
 
@@ -76,9 +85,9 @@
         Mean pause before the first retry; it doubles for each further one.
     """
 
-    budget: float = 0.1
-    max_attempts: int = 3
-    backoff: Duration = Duration(0.05)
+    budget: Annotated[float, Meta(ge=0, le=0.1)] = 0.1
+    max_attempts: Annotated[int, Meta(ge=1, le=10)] = 3
+    backoff: Annotated[Duration, Bounds("1ms", "10s")] = Duration(0.05)
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,11 +102,13 @@
         Region whose entries own the partitions; empty for the only one.
     partitions : int
         Shares of keys and targets; fixed while the service exists.
+    retry : RetryRules
+        Retries of repeatable single requests.
     """
 
-    kinds: dict[str, Kind]
-    home_region: str = ""
-    partitions: int = 1
+    kinds: Annotated[dict[Name, Kind], Meta(min_length=1)]
+    home_region: Annotated[str, Meta(max_length=63)] = ""
+    partitions: Annotated[int, Meta(ge=1, le=4096)] = 1
     retry: RetryRules = RetryRules()
 
 
@@ -117,10 +128,10 @@
         Services that the team may use; empty for all.
     """
 
-    token_sha256: str
-    quota_slots: int
-    weight: float = 1.0
-    services: tuple[str, ...] = ()
+    token_sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
+    quota_slots: Annotated[int, Meta(ge=1, le=1_000_000)]
+    weight: Weight = 1.0
+    services: tuple[Name, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,11 +140,18 @@
 
     Attributes
     ----------
+    deployment : str
+        Name of the deployment, the same as in the settings of its processes.
+    services : dict of str to Service
+        Services by name.
+    teams : dict of str to Team
+        Teams by name.
     retention : Duration
         Time for which the record of a submission is kept after it ended.
     """
 
-    deployment: str
-    services: dict[str, Service]
-    teams: dict[str, Team] = field(default_factory=dict)
-    retention: Duration = Duration(300.0)
+    deployment: Name
+    services: Annotated[dict[Name, Service], Meta(min_length=1)]
+    teams: dict[Name, Team] = field(default_factory=dict)
+    # Above the longest deadline, so that no start is still valid when its record goes.
+    retention: Annotated[Duration, Bounds("2min", "1h")] = Duration(300.0)
