--- a/packages/base/src/hornbeamshore/base/faults.py
+++ b/packages/base/src/hornbeamshore/base/faults.py
@@ -12,7 +12,6 @@
 from dataclasses import dataclass
 
 import msgspec
-
 from hornbeamshore.base.units import Bounds, ByteSize, Duration, decode_unit
 
 MAX_VALUE_CHARS = 60
