Answer requests in flight over HTTP/2 before a planned stop ends

Change: the server tells hypercorn of the stop when no request is open, and closes a connection when its last frames are written; answers over HTTP/1.1 then carry Connection: close.

--- a/packages/entry/src/hornbeamshore/entry/http_server.py
+++ b/packages/entry/src/hornbeamshore/entry/http_server.py
@@ -19,6 +19,10 @@
 HARD_HEADER_BYTES = 64 * 1024
 MAX_STREAMS = 1_000
 BACKLOG = 1_024
+# The last frame of an HTTP/2 answer may still wait for its task when the connection is
+# closed; a stream that was reset keeps its buffer, so the wait needs a bound.
+FLUSH_S = 1.0
+FLUSH_POLL_S = 0.005
 
 _log = PartLogger("entry")
 
@@ -46,12 +50,13 @@
         requests in flight are answered within ``cfg.graceful_timeout``.
     """
     context = WorkerContext(None)
+    counted = _CountedApp(app, stopping)
     config = _hypercorn_config(cfg)
     _bound_send_time(listeners, cfg.send_timeout)
 
     async def handle(stream):
         await _ConnectionServer(
-            ASGIWrapper(app), config, context, ConnectionState({}), stream
+            ASGIWrapper(counted), config, context, ConnectionState({}), stream
         ).run()
 
     async with trio.open_nursery() as connections:
@@ -69,8 +74,46 @@
             accepting.cancel_scope.cancel()
         for listener in listeners:
             await listener.aclose()
-        await context.terminated.set()
         connections.cancel_scope.deadline = trio.current_time() + cfg.graceful_timeout
+        # Hypercorn 0.18 ends an HTTP/2 connection before the last frame of an answer
+        # when it is told of the stop while the request is in flight.
+        await counted.wait_none_open()
+        await context.terminated.set()
+
+
+class _CountedApp:
+    """ASGI application that counts its open requests.
+
+    Once the stop has begun, answers over HTTP/1.1 ask the caller to open a new
+    connection for its next request.
+    """
+
+    def __init__(self, app, stopping):
+        self._app = app
+        self._stopping = stopping
+        self._open = 0
+        self._changed = trio.Event()
+
+    async def __call__(self, scope, receive, send):
+        async def send_on(message):
+            closes = self._stopping.is_set() and scope["http_version"][0] == "1"
+            if message["type"] == "http.response.start" and closes:
+                headers = [*message["headers"], (b"connection", b"close")]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        self._open += 1
+        try:
+            await self._app(scope, receive, send_on)
+        finally:
+            self._open -= 1
+            self._changed.set()
+
+    async def wait_none_open(self):
+        """Return when no request is open."""
+        while self._open:
+            self._changed = trio.Event()
+            await self._changed.wait()
 
 
 class _ConnectionServer(TCPServer):
@@ -86,6 +129,14 @@
         except* Exception as group:
             _log.debug("connection closed after %r", group.exceptions[0])
 
+    async def _initiate_server_close(self):
+        buffers = getattr(self.protocol.protocol, "stream_buffers", None)
+        with trio.move_on_after(FLUSH_S):
+            # Hypercorn has no event for a buffer that was removed.
+            while buffers:  # noqa: ASYNC110
+                await trio.sleep(FLUSH_POLL_S)
+        await super()._initiate_server_close()
+
 
 def _hypercorn_config(cfg):
     config = Config()
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -7,7 +7,7 @@
 import httpcore
 import pytest
 import trio
-from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.codes import Refusal, ResultCode, refuse
 from hornbeamshore.base.settings import ByteSize
 from hornbeamshore.base.types import Header, JobAnswer, TaskResult
 from hornbeamshore.config.model import Deployment, Kind, Service, Team
@@ -47,9 +47,15 @@
     open: trio.Event = field(default_factory=trio.Event)
     media_type: str = "application/json"
     draining: bool = False
+    stopping: trio.Event = field(default_factory=trio.Event)
+    outcome: Refusal | Exception | None = None
 
     async def submit(self, request, timeout_s):
         self.requests.append(request)
+        if isinstance(self.outcome, Exception):
+            raise self.outcome
+        if self.outcome is not None:
+            return JobAnswer.refused(request.key, self.outcome)
         self.answers[request.key] = JobAnswer(request.key, ResultCode.RUNNING, 3)
         await self.open.wait()
         headers = (
@@ -109,9 +115,9 @@
 
 
 @pytest.fixture
-async def port(app, nursery):
+async def port(app, service, nursery):
     listeners = await open_http_listeners("127.0.0.1", 0)
-    await nursery.start(serve_http, app, listeners, SETTINGS, trio.Event())
+    await nursery.start(serve_http, app, listeners, SETTINGS, service.stopping)
     return listeners[0].socket.getsockname()[1]
 
 
--- a/tests/entry/test_http_api.py
+++ b/tests/entry/test_http_api.py
@@ -5,6 +5,7 @@
 
 import h2.config
 import h2.connection
+import httpcore
 import pytest
 import trio
 from hornbeamshore.base.clock import unix_ms
@@ -104,12 +105,7 @@
 @pytest.mark.parametrize("headers", [{}, ASYNC])
 async def test_refusal_carries_retry_after(call, service, headers):
     """Guards against a refused job that is reported as accepted."""
-
-    async def submit(request, timeout_s):
-        refusal = refuse(ResultCode.OVERLOADED, retry_after_s=1.25)
-        return JobAnswer.refused(request.key, refusal)
-
-    service.submit = submit
+    service.outcome = refuse(ResultCode.OVERLOADED, retry_after_s=1.25)
     status, found, answer = await call("POST", "/v1/jobs", JOB, **headers)
     assert (status, answer["code"], answer["run_state"]) == (503, 200, "not run")
     assert found["retry-after"] == "2"
@@ -117,25 +113,27 @@
 
 
 @pytest.mark.parametrize("method", ["GET", "DELETE"])
-@pytest.mark.parametrize("empty", [True, False])
-async def test_question_about_no_job(call, service, method, empty):
-    """Guards against a question that ends in a fault when nothing can be asked."""
-    found = service.deployment()
-    if empty:
-        service.deployment = lambda: replace(found, services={})
-    status, _, answer = await call(method, "/v1/jobs/a")
-    assert (status, answer["code"], answer["run_state"]) == (404, 107, "unknown")
-
-
-@pytest.mark.parametrize("method", ["GET", "DELETE"])
-async def test_ambiguous_identifier_needs_a_service(call, service, method):
+@pytest.mark.parametrize(
+    ("known", "configured", "status", "code"),
+    [
+        (("stock", "quotes", "private"), True, 400, 100),
+        ((), True, 404, 107),
+        (("stock",), False, 404, 107),
+    ],
+)
+async def test_question_without_a_service(
+    call, service, method, known, configured, status, code
+):
     """Guards against telling of, or cancelling, the job of another service."""
-    for name in ("stock", "quotes", "private"):
+    for name in known:
         key = JobKey("sales", name, "a")
         service.answers[key] = JobAnswer.complete(key, [])
-    status, _, answer = await call(method, "/v1/jobs/a")
-    assert (status, answer["code"], answer["run_state"]) == (400, 100, "unknown")
-    assert "quotes, stock" in answer["detail"]
+    if not configured:
+        empty = replace(service.deployment(), services={})
+        service.deployment = lambda: empty
+    found, _, answer = await call(method, "/v1/jobs/a")
+    assert (found, answer["code"], answer["run_state"]) == (status, code, "unknown")
+    assert code != 100 or "quotes, stock" in answer["detail"]
 
 
 @pytest.mark.parametrize(
@@ -151,11 +149,7 @@
 
 async def test_fault_of_the_service_is_answered_unknown(call, service):
     """Guards against an unanswered request, or one called ``not run`` falsely."""
-
-    async def submit(request, timeout_s):
-        raise RuntimeError("broken")
-
-    service.submit = submit
+    service.outcome = RuntimeError("broken")
     _, _, answer = await call("POST", "/v1/jobs", JOB)
     assert (answer["code"], answer["run_state"]) == (400, "unknown")
 
@@ -178,6 +172,26 @@
     assert (await call("GET", "/healthz"))[0] == 200
 
 
+@pytest.mark.parametrize("http2", [False, True])
+async def test_planned_stop_answers_what_is_in_flight(call, service, http2):
+    """Guards against a planned stop that cuts a request off or accepts new ones."""
+    service.open, statuses = trio.Event(), []
+
+    async def submit():
+        statuses.append((await call("POST", "/v1/jobs", JOB, http2=http2))[0])
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(submit)
+        while not service.requests:
+            await trio.testing.wait_all_tasks_blocked()
+        service.stopping.set()
+        await trio.testing.wait_all_tasks_blocked()
+        with pytest.raises(httpcore.ConnectError):
+            await call("GET", "/healthz")
+        service.open.set()
+    assert statuses == [200]
+
+
 def scope_of(body):
     headers = [
         (b"authorization", f"Bearer {TOKEN}".encode()),
