Learn usual demand outside overloads and charge tokens only within entitlement

Change: usual demand follows arrivals except while work is refused; excess work is free of charge; reserved speed is taken off the forecast; deep queues start with their first task.

--- a/packages/policy/src/hornbeamshore/policy/fleet.py
+++ b/packages/policy/src/hornbeamshore/policy/fleet.py
@@ -15,14 +15,16 @@
     end : float
         When it is expected to end.
     cost : float
-        Work charged for it, in seconds on a mean target.
+        Work expected of it, in seconds on a mean target.
+    charged : bool
+        Whether it was charged to the tokens of its flow.
     speed : float
         Work that its slot does each second.
     probe : bool
         Whether it was started to probe an ejected target.
     """
 
-    __slots__ = ("task", "flow", "started", "end", "cost", "speed", "probe")
+    __slots__ = ("task", "flow", "started", "end", "cost", "speed", "charged", "probe")
 
     def __init__(self, task, flow, started, cost, slowness):
         self.task = task
@@ -31,6 +33,7 @@
         self.end = started + cost * slowness
         self.cost = cost
         self.speed = 1.0 / slowness
+        self.charged = not flow.excess
         self.probe = False
 
 
@@ -113,6 +116,8 @@
         Usable slots of all targets.
     unreserved : int
         Those of them that flows above their entitlement may use.
+    reserved_speed : float
+        Work that the reserved slots do each second.
     speed : float
         Work that all running tasks do each second.
     version : int
@@ -123,6 +128,7 @@
         self._targets = {}
         self.free = 0
         self.unreserved = 0
+        self.reserved_speed = 0.0
         self.speed = 0.0
         self.version = 0
 
@@ -198,9 +204,11 @@
 
     def reserve(self, slots):
         """Keep free slots, two at most on each target, the fastest ones first."""
+        self.reserved_speed = 0.0
         for target in sorted(self._targets.values(), key=lambda t: t.factor):
             reserve = min(2, slots, target.info.slots // 2) * target.open
             slots -= reserve
+            self.reserved_speed += reserve / target.slowness
             self.change(target, setattr, target, "reserve", reserve)
 
     def _count(self, target, sign):
--- a/packages/policy/src/hornbeamshore/policy/forecast.py
+++ b/packages/policy/src/hornbeamshore/policy/forecast.py
@@ -82,7 +82,8 @@
 
     def _rate(self, flow, capacity):
         """Return the work that a flow gets each second while it is above its tokens."""
-        left = capacity - self._served + flow.served
+        # Reserved slots are lost to it; others use them, or nobody does.
+        left = capacity - self._fleet.reserved_speed - self._served + flow.served
         return max(flow.entitlement, left, 1e-9)
 
     def _wait(self, flow, work, ahead, capacity, rate, now):
--- a/packages/policy/src/hornbeamshore/policy/placement.py
+++ b/packages/policy/src/hornbeamshore/policy/placement.py
@@ -80,8 +80,10 @@
         ahead = self._waiting_work / base
         needed = ahead + flow.queued
         most = self._capacity_before[target.agent_id] * (end - now) / base
-        enough = needed if needed <= most else ahead + 1
-        better = self._ends_before(end, enough, flow.requires, base, departures, now)
+        if needed > most:
+            # Takes the first task: the last one would let a steady flood starve it.
+            return Choice(target)
+        better = self._ends_before(end, needed, flow.requires, base, departures, now)
         if better >= needed:
             self._waiting_work += flow.queued * base
             return None
--- a/packages/policy/src/hornbeamshore/policy/queueing.py
+++ b/packages/policy/src/hornbeamshore/policy/queueing.py
@@ -25,6 +25,8 @@
         Work that it may still start within its entitlement.
     entitlement : float
         Work each second that it gets before the excess of others.
+    usual : float
+        Tasks each second that usually arrive.
     served : float
         Work each second that it got lately.
     """
@@ -34,7 +36,7 @@
         "batches", "queued", "running", "speed",
         "tag", "entry", "excess", "blocked",
         "tokens", "tokens_at", "entitlement",
-        "arrived", "recent", "usual", "served", "last_used",
+        "arrived", "usual", "served", "last_used",
     )  # fmt: skip
 
     def __init__(self, team, kind):
@@ -56,7 +58,7 @@
         self.tokens_at = 0.0
         self.entitlement = 0.0
         self.arrived = 0
-        self.recent = self.usual = self.served = 0.0
+        self.usual = self.served = 0.0
         self.last_used = 0.0
 
     def add(self, batch, now):
@@ -253,7 +255,6 @@
         self._aside = []
         self._blocked = {}
         self._learned_at = None
-        self._calm_from = 0.0
         self._capacity = 1.0
         self._ahead = {}
         self._ahead_until = -math.inf
@@ -334,7 +335,8 @@
             self._forget(batch)
         flow.queued -= 1
         self._backlog -= flow.base
-        flow.tokens -= flow.base
+        if not flow.excess:
+            flow.tokens -= flow.base
         self._charge(flow)
         if flow.queued:
             self._push(flow)
@@ -368,7 +370,7 @@
     def learn(self, now, capacity):
         """Update entitlements; called a few times each second."""
         if self._learned_at is None:
-            self._learned_at = self._calm_from = now
+            self._learned_at = now
         passed = now - self._learned_at
         self._learned_at = now
         self._capacity = max(capacity, 1e-9)
@@ -525,31 +527,20 @@
 
     def _learn_demand(self, now, passed):
         cfg = self._cfg
-        recent_gain = 1 - math.exp(-passed / cfg.recent)
         served_gain = 1 - math.exp(-passed / cfg.served)
-        demand = 0.0
+        usual_gain = 1 - math.exp(-passed / cfg.usual)
         for flow in self._flows.values():
             flow.base = self._run_times.base(flow.kind)
-            rate, flow.arrived = flow.arrived / passed, 0
-            flow.recent += recent_gain * (rate - flow.recent)
             flow.served += served_gain * (flow.speed - flow.served)
-            demand += flow.recent * flow.base
-        if now < self._overload_until or demand > cfg.calm_load * self._capacity:
-            # What arrives during an overload must not become the usual demand, nor
-            # must what is still part of the recent one after it.
-            self._calm_from = now + 3 * cfg.recent
-        calm = now >= self._calm_from
-        for flow in self._flows.values():
-            self._learn_usual(flow, calm, passed)
-
-    def _learn_usual(self, flow, calm, passed):
-        gap = flow.recent - flow.usual
-        if gap < 0:
-            flow.usual += gap * passed / self._cfg.forget if calm else 0.0
-        elif calm:
-            flow.usual += gap * (1 - math.exp(-passed / self._cfg.recent))
-        else:
-            flow.usual += min(gap, flow.usual) * passed / self._cfg.forget
+            gap = flow.arrived / passed - flow.usual
+            flow.arrived = 0
+            if gap < 0:
+                flow.usual += gap * passed / cfg.forget
+            elif now >= self._overload_until:
+                flow.usual += gap * usual_gain
+            else:
+                # What arrives in an overload must not soon become the usual demand.
+                flow.usual += min(gap, flow.usual) * passed / cfg.forget
 
     def _entitle(self, flow, total_weight):
         fair = self._capacity * flow.weight / total_weight
--- a/packages/policy/src/hornbeamshore/policy/scheduler.py
+++ b/packages/policy/src/hornbeamshore/policy/scheduler.py
@@ -171,10 +171,9 @@
         self._changed = True
         if outcome is Outcome.OK:
             self._run_times.observe(task.kind, agent_id, run_time_s)
-            done = run_time_s / target.slowness
-            self._queue.correct(running.flow, done - running.cost)
-        elif outcome is Outcome.REFUSED:
-            self._queue.correct(running.flow, -running.cost)
+        if running.charged:
+            work = 0.0 if outcome is Outcome.REFUSED else run_time_s / target.slowness
+            self._queue.correct(running.flow, work - running.cost)
         self._outliers.ended(agent_id, task.kind, outcome, now)
         self._rate(target)
 
--- a/packages/policy/src/hornbeamshore/policy/settings.py
+++ b/packages/policy/src/hornbeamshore/policy/settings.py
@@ -74,12 +74,10 @@
     promote_after : Duration
         Entitlement that a flow must have earned to be served by class again;
         without it a flooding flow changes its lane with each task.
-    recent, served : Duration
+    usual, served : Duration
         Time over which demand and service are averaged.
     forget : Duration
         Time over which usual demand falls, or grows during an overload.
-    calm_load : float
-        Demand over capacity from which a time counts as overload.
     overload_backlog : Duration
         Queued work over capacity from which entitlements count, as they do when
         work is refused. Bursts at 0.8 of capacity queue up to 0.7 s.
@@ -98,10 +96,9 @@
     fair_floor: float = 0.5
     burst: Duration = Duration(5.0)
     promote_after: Duration = Duration(0.2)
-    recent: Duration = Duration(10.0)
+    usual: Duration = Duration(20.0)
     served: Duration = Duration(2.0)
     forget: Duration = Duration(300.0)
-    calm_load: float = 0.95
     overload_backlog: Duration = Duration(1.0)
     overload_kept: Duration = Duration(2.0)
     count_every: Duration = Duration(0.02)
