--- /dev/null
+++ b/tests/policy/test_outliers.py
@@ -0,0 +1,95 @@
+"""Outliers: ejected fast, probed with growing pauses, never too many."""
+
+import pytest
+from hornbeamshore.policy.outliers import FailureOutliers, Health
+from hornbeamshore.policy.settings import OutlierSettings
+from hornbeamshore.policy.types import Outcome
+
+OUTCOMES = {
+    ".": Outcome.OK,
+    "x": Outcome.FAILED,
+    "r": Outcome.REFUSED,
+    "l": Outcome.LOST,
+    "c": Outcome.CANCELLED,
+}
+
+
+def _outliers(count):
+    outliers = FailureOutliers(OutlierSettings())
+    for index in range(count):
+        outliers.add(f"a{index}")
+    return outliers
+
+
+def _play(outliers, agent_id, text, now=0.0, kind="k"):
+    for letter in text:
+        outliers.ended(agent_id, kind, OUTCOMES[letter], now)
+
+
+@pytest.mark.parametrize(
+    ("text", "health"),
+    [
+        ("xx", Health.OK),
+        ("xxxx", Health.EJECTED),
+        ("rrrr", Health.EJECTED),
+        ("llll", Health.EJECTED),
+        ("cccccccc", Health.OK),
+        ("xx.xx.xx.", Health.OK),
+        ("xx." * 20, Health.EJECTED),
+        ("x...." * 20, Health.OK),
+    ],
+)
+def test_ejection(text, health):
+    """Guards against a failing target that looks idle and so draws all work."""
+    outliers = _outliers(11)
+    _play(outliers, "a0", text)
+    assert outliers.health("a0") is health
+
+
+@pytest.mark.parametrize(
+    ("targets", "out"), [(1, 0), (2, 0), (3, 1), (6, 2), (11, 3), (58, 19)]
+)
+def test_share_that_may_be_out(targets, out):
+    """Guards against ejecting the fleet when all targets fail."""
+    outliers = _outliers(targets)
+    for index in range(targets):
+        _play(outliers, f"a{index}", "xxxxxxxx", kind=f"k{index}")
+    ejected = [outliers.health(f"a{i}") is Health.EJECTED for i in range(targets)]
+    assert sum(ejected) == out
+
+
+def test_kind_that_fails_everywhere():
+    """Guards against ejecting targets for the fault of one kind of work."""
+    outliers = _outliers(11)
+    for _ in range(40):
+        for index in range(11):
+            _play(outliers, f"a{index}", ".", kind="good")
+            _play(outliers, f"a{index}", "x", kind="bad")
+    assert outliers.health("a5") is Health.OK
+
+
+@pytest.mark.parametrize(
+    ("failed_probes", "pause"), [(0, 1.0), (1, 2.0), (3, 8.0), (10, 60.0)]
+)
+def test_probes(failed_probes, pause):
+    """Guards against work lost to frequent probes, and a target out for ever."""
+    outliers = _outliers(11)
+    _play(outliers, "a0", "xxxx")
+    now = 0.0
+    for _ in range(failed_probes):
+        now += 100.0
+        outliers.due(now)
+        _play(outliers, "a0", "x", now)
+    outliers.due(now + pause - 0.01)
+    assert outliers.health("a0") is Health.EJECTED
+    outliers.due(now + pause)
+    assert outliers.health("a0") is Health.PROBING
+    _play(outliers, "a0", "...", now + pause)
+    assert outliers.health("a0") is Health.OK
+
+
+def test_stall():
+    """Guards against a target on which no task ends, so that none fails."""
+    outliers = _outliers(11)
+    outliers.stalled("a0", 0.0)
+    assert outliers.health("a0") is Health.EJECTED
--- /dev/null
+++ b/tests/policy/test_placement.py
@@ -0,0 +1,132 @@
+"""Placement: earliest expected end, hard limits, near targets first."""
+
+import pytest
+from hornbeamshore.base.types import JobKey
+from hornbeamshore.policy.fleet import Fleet, Running
+from hornbeamshore.policy.outliers import Health
+from hornbeamshore.policy.placement import EarliestEnd
+from hornbeamshore.policy.queueing import Flow
+from hornbeamshore.policy.runtimes import LearnedRunTimes
+from hornbeamshore.policy.settings import PlacementSettings, RunTimeSettings
+from hornbeamshore.policy.types import QueuedTask, TargetInfo
+
+RUN_S = 0.1
+
+
+def _fleet(slowness, slots, centres, labels):
+    fleet = Fleet()
+    for index, value in enumerate(slowness):
+        info = TargetInfo(f"a{index}", centres[index], "r", slots, labels[index])
+        fleet.add(info).rate(value, 1.0)
+    return fleet
+
+
+def _occupy(fleet, agent_id, flow, started, run_s):
+    target = fleet.get(agent_id)
+    for slot in range(target.info.slots):
+        task = QueuedTask(JobKey("t", "s", agent_id), slot, 1, "t", "k", 9.0)
+        running = Running(task, flow, started, run_s, 1.0)
+        fleet.start(target, running)
+
+
+def _choose(case, queued=1):
+    flow = Flow("t", "k")
+    flow.queued = queued
+    flow.requires = frozenset(case.get("requires", ()))
+    flow.excess = case.get("excess", False)
+    count = len(case["slowness"])
+    centres = case.get("centres", ["near"] * count)
+    labels = case.get("labels", [()] * count)
+    fleet = _fleet(case["slowness"], case.get("slots", 1), centres, labels)
+    for agent_id, started, run_s in case.get("busy", ()):
+        _occupy(fleet, agent_id, flow, started, run_s)
+    for agent_id in case.get("draining", ()):
+        fleet.drain(fleet.get(agent_id))
+    for agent_id in case.get("ejected", ()):
+        fleet.set_health(fleet.get(agent_id), Health.EJECTED)
+    fleet.reserve(case.get("reserve", 0))
+    run_times = LearnedRunTimes(RunTimeSettings())
+    run_times.declare("k", RUN_S)
+    placement = EarliestEnd(PlacementSettings(), run_times, fleet, "near")
+    placement.begin(1.0)
+    return placement, placement.choose(flow, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("case", "expected"),
+    [
+        ({"slowness": [2.0, 0.5]}, "a1"),
+        ({"slowness": [2.0, 0.5], "busy": [("a1", 0.9, 0.15)]}, None),
+        ({"slowness": [2.0, 0.5], "busy": [("a1", 0.9, 0.9)]}, "a0"),
+        # Runs for 1 s instead of 0.1 s: expected to run on for another 0.3 s.
+        ({"slowness": [2.0, 0.5], "busy": [("a1", 0.0, 0.1)]}, "a0"),
+        ({"slowness": [1.0, 1.0], "centres": ["far", "near"]}, "a1"),
+        ({"slowness": [0.5, 1.0], "centres": ["far", "near"]}, "a0"),
+        ({"slowness": [1.0, 0.5], "draining": ["a1"]}, "a0"),
+        ({"slowness": [1.0, 0.5], "ejected": ["a1"]}, "a0"),
+        ({"slowness": [1.0], "draining": ["a0"]}, None),
+        (
+            {"slowness": [1.0, 0.5], "requires": ["gpu"], "labels": [["gpu"], []]},
+            "a0",
+        ),
+        ({"slowness": [1.0], "requires": ["gpu"]}, None),
+        ({"slowness": [1.0, 0.5], "slots": 2, "reserve": 1, "excess": True}, "a1"),
+        ({"slowness": [1.0, 0.5], "slots": 4, "reserve": 2, "excess": True}, "a1"),
+        (
+            {
+                "slowness": [1.0, 0.5],
+                "slots": 2,
+                "reserve": 2,
+                "excess": True,
+                "busy": [("a0", 0.9, 9.0)],
+            },
+            "a1",
+        ),
+        (
+            {
+                "slowness": [1.0, 0.5],
+                "slots": 1,
+                "excess": True,
+                "busy": [("a0", 0.9, 9.0), ("a1", 0.9, 9.0)],
+            },
+            None,
+        ),
+    ],
+    ids=[
+        "fastest",
+        "waits for a faster target",
+        "does not wait too long",
+        "overrun is expected to go on",
+        "near one, all else equal",
+        "far one if it is faster",
+        "draining",
+        "ejected",
+        "none open",
+        "labels",
+        "labels that no target has",
+        "excess uses what is not reserved",
+        "excess leaves two of four",
+        "excess leaves one of two",
+        "slots are hard limits",
+    ],
+)
+def test_choice(case, expected):
+    """Guards against tasks on slow, closed, full or unfit targets."""
+    _, choice = _choose(case)
+    assert (choice and choice.target.agent_id) == expected
+
+
+@pytest.mark.parametrize(
+    ("queued", "agent_id", "last"),
+    [(1, None, False), (2, None, False), (6, "a0", True), (500, "a0", False)],
+    ids=["one waits", "two wait", "the last one starts", "deep queue in order"],
+)
+def test_slow_target_takes_what_would_end_later(queued, agent_id, last):
+    """Guards against idle slow targets, and against starving the first of a flood."""
+    case = {"slowness": [2.0, 0.5], "slots": 1, "busy": [("a1", 0.9, 0.11)]}
+    placement, choice = _choose(case, queued)
+    if agent_id is None:
+        assert choice is None
+        assert placement.awaited() == pytest.approx(1.01, abs=0.11)
+    else:
+        assert (choice.target.agent_id, choice.last) == (agent_id, last)
--- /dev/null
+++ b/tests/policy/test_queueing.py
@@ -0,0 +1,157 @@
+"""Queueing: urgency, entitlement, fair shares, and no class that starves."""
+
+import pytest
+from hornbeamshore.base.types import JobKey
+from hornbeamshore.config.model import Deployment, Kind, Service, Team, Urgency
+from hornbeamshore.policy.queueing import FairQueue
+from hornbeamshore.policy.runtimes import LearnedRunTimes
+from hornbeamshore.policy.settings import QueueSettings, RunTimeSettings
+from hornbeamshore.policy.types import QueuedTask
+
+KINDS = {
+    "u": Kind(urgency=Urgency.URGENT),
+    "n": Kind(urgency=Urgency.NORMAL),
+    "b": Kind(urgency=Urgency.BACKGROUND),
+    "b3": Kind(urgency=Urgency.BACKGROUND, weight=3.0),
+}
+CAPACITY = 10.0
+
+
+def _queue():
+    run_times = LearnedRunTimes(RunTimeSettings(noise=0.0))
+    for kind in KINDS:
+        run_times.declare(kind, 0.1)
+    queue = FairQueue(QueueSettings(), run_times)
+    teams = {"t": Team("", 99), "other": Team("", 99)}
+    queue.configure(Deployment("d", {"s": Service(KINDS)}, teams), "s")
+    queue.learn(0.0, CAPACITY)
+    return queue
+
+
+def _add(queue, kind, count, now=0.0, job="j", attempt=1, deadline=60.0):
+    key = JobKey("t", "s", job + kind)
+    queue.add(
+        [QueuedTask(key, i, attempt, "t", kind, deadline) for i in range(count)], now
+    )
+    return key
+
+
+def _serve(queue, count, now=0.0):
+    taken = []
+    for _ in range(count):
+        flow = queue.pick(now)
+        if flow is None:
+            break
+        taken.append(queue.take(flow, now))
+    return taken
+
+
+def _kinds(tasks):
+    return "".join(task.kind for task in tasks)
+
+
+@pytest.mark.parametrize(
+    ("arrivals", "expected"),
+    [
+        ([("b", 2), ("n", 2), ("u", 2)], "uunnbb"),
+        ([("u", 1), ("b", 1), ("u", 1)], "uub"),
+    ],
+)
+def test_urgent_first(arrivals, expected):
+    """Guards against urgent work that waits for work that can."""
+    queue = _queue()
+    for index, (kind, count) in enumerate(arrivals):
+        _add(queue, kind, count, job=str(index))
+    assert _kinds(_serve(queue, 9)) == expected
+
+
+def test_small_job_passes_large_one():
+    """Guards against a single task that waits for a job of 40."""
+    queue = _queue()
+    _add(queue, "n", 40, now=0.0, job="large")
+    small = _add(queue, "n", 1, now=0.1, job="small")
+    assert _serve(queue, 1, now=0.1)[0].key == small
+
+
+def test_retry_is_served_first():
+    """Guards against a retry that misses its deadline in the queue."""
+    queue = _queue()
+    _add(queue, "n", 3, job="first")
+    retry = _add(queue, "n", 1, now=0.01, job="retry", attempt=2)
+    assert _serve(queue, 1, now=0.01)[0].key == retry
+
+
+@pytest.mark.parametrize("kind", ["u", "b"])
+def test_flood_takes_what_others_leave(kind):
+    """Guards against a flood that delays work within its entitlement."""
+    queue = _queue()
+    others = [other for other in ("u", "n", "b") if other != kind]
+    _add(queue, kind, 3000, job="flood")
+    _serve(queue, 400)
+    for index, other in enumerate(others):
+        _add(queue, other, 20, job=f"other{index}")
+    served = _kinds(_serve(queue, 60))
+    assert all(served.count(other) == 20 for other in others)
+    assert _kinds(_serve(queue, 50)) == kind * 50
+
+
+def test_no_class_starves():
+    """Guards against background work that never runs beside urgent work."""
+    queue = _queue()
+    queue.flow("t", "u")
+    _add(queue, "b", 30)
+    for _ in range(10):
+        _add(queue, "u", 40, job="u")
+    assert _kinds(_serve(queue, 200)).count("b") >= 5
+
+
+def test_excess_is_shared_by_weight():
+    """Guards against one flooding flow that takes all from another."""
+    queue = _queue()
+    _add(queue, "b", 2000)
+    _add(queue, "b3", 2000)
+    _serve(queue, 500)
+    served = _kinds(_serve(queue, 400)).count("b3")
+    assert 280 <= served <= 320
+
+
+def test_usual_demand_is_not_raised_by_a_flood():
+    """Guards against a flood that becomes the entitlement of its flow."""
+    queue = _queue()
+    now = 0.0
+    for step in range(400):
+        now += 0.25
+        flood = step >= 320
+        _add(queue, "u", 200 if flood else 2, now=now, job=str(step))
+        if flood:
+            queue.note_overload(now)
+        _serve(queue, 20, now)
+        queue.learn(now, CAPACITY)
+        if step == 319:
+            before = queue.flow("t", "u").usual
+    assert before == pytest.approx(8.0, rel=0.2)
+    assert queue.flow("t", "u").usual < 1.2 * before
+
+
+@pytest.mark.parametrize("way", ["cancel", "expire"])
+def test_removal(way):
+    """Guards against tasks of a cancelled or late job that start all the same."""
+    queue = _queue()
+    key = _add(queue, "n", 5, job="gone", deadline=1.0)
+    kept = _add(queue, "n", 2, job="kept")
+    taken = _serve(queue, 1)
+    gone = queue.cancel(key) if way == "cancel" else queue.expire(1.0)
+    assert len(gone) == 5 - (taken[0].key == key)
+    assert {task.key for task in _serve(queue, 9, now=1.0)} == {kept}
+    assert queue.next_deadline() is None
+
+
+def test_blocked_flow_comes_back():
+    """Guards against a team at its quota that never gets a slot again."""
+    queue = _queue()
+    _add(queue, "n", 2)
+    queue.block(queue.pick(0.0))
+    _add(queue, "n", 1, job="more")
+    assert queue.pick(0.0) is None
+    queue.unblock("t")
+    assert len(_serve(queue, 9)) == 3
--- /dev/null
+++ b/tests/policy/test_runtimes.py
@@ -0,0 +1,77 @@
+"""Run times: learned fast, shared between kinds, not moved by one long task."""
+
+import random
+
+import pytest
+from hornbeamshore.policy.runtimes import LearnedRunTimes
+from hornbeamshore.policy.settings import RunTimeSettings
+
+SLOWNESS = {"fast": 0.5, "mean": 1.0, "slow": 2.0}
+
+
+def _teach(run_times, kinds, tasks, rng):
+    for _ in range(tasks):
+        for kind, true_s in kinds.items():
+            agent_id = rng.choice(list(SLOWNESS))
+            spread = rng.lognormvariate(0, 0.3)
+            run_times.observe(kind, agent_id, true_s * SLOWNESS[agent_id] * spread)
+
+
+@pytest.mark.parametrize(
+    ("declared", "kinds", "tasks", "asked", "within"),
+    [
+        (0.2, {}, 0, "slow", (0.19, 0.24)),
+        (2.0, {"quote": 0.2}, 20, "mean", (0.14, 0.28)),
+        (0.02, {"quote": 0.2}, 20, "mean", (0.14, 0.28)),
+        (0.02, {"quote": 0.2}, 30, "slow", (0.28, 0.56)),
+        (0.2, {"plan": 1.0}, 60, "slow", (0.28, 0.56)),
+        (0.2, {"plan": 1.0}, 60, "fast", (0.07, 0.14)),
+    ],
+    ids=[
+        "declared until learned",
+        "declared 10 times too long",
+        "declared 10 times too short",
+        "known kind on a slow target",
+        "new kind on a slow target",
+        "new kind on a fast target",
+    ],
+)
+def test_estimates(declared, kinds, tasks, asked, within):
+    """Guards against wrong declared times, and new kinds placed blindly."""
+    run_times = LearnedRunTimes(RunTimeSettings())
+    run_times.declare("quote", declared)
+    _teach(run_times, kinds, tasks, random.Random(3))
+    low, high = within
+    if "plan" in kinds:
+        # A group of targets has no absolute speed: only ratios are known.
+        mean = run_times.slowness("mean")
+        low, high = low * mean, high * mean
+    assert low <= run_times.estimate("quote", asked) <= high
+    assert run_times.is_learned("quote") == ("quote" in kinds)
+
+
+def test_one_long_task_moves_little():
+    """Guards against a rare task of several seconds that spoils placement."""
+    run_times = LearnedRunTimes(RunTimeSettings())
+    _teach(run_times, {"quote": 0.1}, 50, random.Random(4))
+    before = run_times.estimate("quote", "mean")
+    run_times.observe("quote", "mean", 10.0)
+    assert run_times.estimate("quote", "mean") < 1.3 * before
+
+
+def test_declaring_again_keeps_what_was_learned():
+    """Guards against each new configuration resetting all estimates."""
+    run_times = LearnedRunTimes(RunTimeSettings())
+    _teach(run_times, {"quote": 0.1}, 50, random.Random(5))
+    before = run_times.base("quote")
+    run_times.declare("quote", 5.0)
+    assert run_times.base("quote") == before
+
+
+def test_target_that_left_is_forgotten():
+    """Guards against memory that grows with each replaced host."""
+    run_times = LearnedRunTimes(RunTimeSettings())
+    _teach(run_times, {"quote": 0.1}, 50, random.Random(6))
+    run_times.forget_target("slow")
+    assert run_times.slowness("slow") == 1.0
+    assert "slow" not in run_times.departures("quote")
