--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := base wire store config policy entry agent cli bench
-SOURCES := packages tests
+SOURCES := packages tests spec
 
 .PHONY: setup demo test lint format model measure slopes thrift clean
 
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specification of the core protocol, explored exhaustively by `python -m spec`."""
--- /dev/null
+++ b/spec/__main__.py
@@ -0,0 +1,62 @@
+"""Explore each variant of each specification and print the verdicts.
+
+Usage: ``python -m spec [--trace] [WORD]``. WORD selects the variants that have it
+in their name; ``--trace`` prints each counterexample step by step.
+"""
+
+import sys
+
+from spec import ownership_variants
+
+GROUPS = (ownership_variants,)
+
+
+def _print_steps(steps):
+    for number, step in enumerate(steps, 1):
+        print(f"      {number:2}. {step}")
+
+
+def _report(variant, trace):
+    """Explore a variant, print its line, and return whether it is as expected."""
+    outcome = variant.explore()
+    expected = variant.as_expected(outcome)
+    if variant.refutes:
+        steps = variant.shortest(outcome)
+        verdict = f"{len(steps)} steps" if steps else "NOT REFUTED"
+        mark = "*" if variant.written else " "
+        print(f"  {mark} {outcome.name}: {variant.refutes}: {verdict}", end="")
+    else:
+        verdict = "holds" if outcome.sound else "FAILS"
+        if not outcome.exhaustive:
+            verdict = "NOT EXHAUSTIVE"
+        print(f"    {outcome.name}: {verdict}", end="")
+    print(f" ({outcome.states} states, {outcome.seconds:.1f} s; {variant.spec.bounds})")
+    if trace or (not variant.refutes and outcome.findings):
+        for finding in outcome.findings:
+            print(f"    {finding.invariant}:")
+            _print_steps(finding.steps)
+    sys.stdout.flush()
+    return expected, outcome
+
+
+def main(arguments):
+    """Return the exit code: 0 if each variant got the verdict that it must get."""
+    trace = "--trace" in arguments
+    words = [word for word in arguments if word != "--trace"]
+    failures = states = 0
+    seconds = 0.0
+    for title, of in (("Sound variants", "SOUND"), ("Broken variants", "BROKEN")):
+        print(f"{title}:")
+        for variant in (v for group in GROUPS for v in getattr(group, of)):
+            if not all(word in variant.spec.name for word in words):
+                continue
+            expected, outcome = _report(variant, trace)
+            failures += not expected
+            states += outcome.states
+            seconds += outcome.seconds
+    print(f"{states} states in {seconds:.1f} s; {failures} unexpected verdicts")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/spec/ownership.py
@@ -0,0 +1,205 @@
+"""Specification of ownership: takeover, start records, rosters and answers."""
+
+from itertools import product
+
+from spec import ownership_steps as st
+from spec.ownership_effects import OwnershipEffects
+from spec.ownership_rules import SENT_OR_RAN
+from spec.ownership_state import (
+    NO_EPOCH,
+    Agent,
+    DoneMessage,
+    Mark,
+    Mode,
+    Place,
+    StartMessage,
+)
+
+
+class Ownership(OwnershipEffects):
+    """One partition: entries as candidates, agents, keys, network and store."""
+
+    def steps(self, state):
+        """Return the steps that are possible in a state."""
+        return [
+            *self._caller_steps(state),
+            *self._network_steps(state),
+            *self._end_steps(state),
+            *self._owner_steps(state),
+            *self._fence_steps(state),
+            *self._roster_steps(state),
+            *self._fault_steps(state),
+            *self._store_steps(state),
+        ]
+
+    def _caller_steps(self, state):
+        for e in self._up(state):
+            if len(state.calls) < self.limits.calls:
+                for k, key in enumerate(state.keys):
+                    if k == 0 or state.keys[k - 1].submitted or key.submitted:
+                        yield st.Submit(k, e)
+            for c, call in enumerate(state.calls):
+                if call.sent < self.limits.copies and not call.denied:
+                    yield st.Resend(c, e)
+
+    def _network_steps(self, state):
+        repeats = (False, True) if self._left(state, "repeats") else (False,)
+        for message in state.net:
+            if isinstance(message, StartMessage):
+                if state.agents[message.agent].mode == Mode.UP:
+                    for repeat in repeats:
+                        yield st.DeliverStart(message, repeat)
+                        if self._left(state, "refusals") and self._accepts(
+                            state, message
+                        ):
+                            yield st.RefuseStart(message, repeat)
+            elif state.entries[message.entry].mode == Mode.UP:
+                if isinstance(message, DoneMessage):
+                    yield st.DeliverDone(message)
+                    continue
+                yield st.Accept(message)
+                if self._left(state, "refusals") and self._may_refuse(state, message):
+                    yield st.Refuse(message)
+
+    def _end_steps(self, state):
+        for a, agent in enumerate(state.agents):
+            for k, t in product(range(self.limits.keys), range(self.limits.tasks)):
+                if agent.mode == Mode.UP and agent.records[k][t].mark == Mark.SENT:
+                    yield st.EndTask(a, k, t)
+
+    def _owner_steps(self, state):
+        for e in self._up(state):
+            entry = state.entries[e]
+            if entry.epoch == NO_EPOCH:
+                continue
+            for k, job in enumerate(entry.jobs):
+                if job is None or job.answered:
+                    continue
+                yield from self._job_steps(state, e, k, job)
+
+    def _job_steps(self, state, e, k, job):
+        entry = state.entries[e]
+        marks = [task.mark for task in job.tasks]
+        enough = all if self.rules.wait_for_all_results else any
+        if job.calls and enough(mark == Mark.ENDED for mark in marks):
+            yield st.Answer(e, k)
+        for t, task in enumerate(job.tasks):
+            held = task.agent in entry.fenced and self._linked(state, e, task.agent)
+            if held and task.mark == Mark.SENT and self._left(state, "reconciles"):
+                yield st.Reconcile(e, task.agent, k, t)
+        if not job.body or not self._may_start(state, e, k):
+            return
+        ran = any(mark in SENT_OR_RAN for mark in marks)
+        if job.calls and Mark.REFUSED in marks and not ran:
+            yield st.GiveUp(e, k)
+        for t, task in enumerate(job.tasks):
+            if task.mark in SENT_OR_RAN or task.attempt >= self.limits.attempts:
+                continue
+            for a in entry.fenced:
+                if self._may_send(state, e, a):
+                    yield st.Dispatch(e, k, t, a)
+
+    def _fence_steps(self, state):
+        for e in self._up(state):
+            entry = state.entries[e]
+            if entry.epoch == NO_EPOCH:
+                if self._left(state, "takeovers") and self._is_candidate(state, e):
+                    yield st.Takeover(e)
+                continue
+            for a in range(self.limits.agents):
+                if not self._linked(state, e, a):
+                    continue
+                agent = state.agents[a]
+                held = a in entry.fenced and agent.owner == e and not agent.woken
+                if not held and self._may_fence(state, e, a):
+                    yield st.Fence(e, a)
+                    if self._left(state, "lost_answers"):
+                        yield st.Fence(e, a, lost=True)
+                if held and a not in entry.support and agent.granted == entry.epoch:
+                    yield st.Renew(e, a)
+        for e, entry in enumerate(state.entries):
+            for a in entry.support:
+                if entry.mode == Mode.PAUSED or not self._linked(state, e, a):
+                    yield st.Lapse(e, a)
+
+    def _roster_steps(self, state):
+        for e in self._up(state):
+            entry = state.entries[e]
+            if entry.epoch == NO_EPOCH or entry.roster is None:
+                continue
+            if not self._has_quorum(entry):
+                continue
+            for a, place in enumerate(entry.roster.places):
+                agent = state.agents[a]
+                others = [
+                    b for b in entry.fenced if b != a and self._may_send(state, e, b)
+                ]
+                if place == Place.LIVE and not self._linked(state, e, a):
+                    yield st.DeclareLost(e, a)
+                known = a in entry.fenced or not self.rules.account_only_fenced
+                if place == Place.LOST and known:
+                    for b in others:
+                        yield st.Account(e, a, b)
+                running = any(
+                    task.mark == Mark.SENT for row in agent.records for task in row
+                )
+                if (
+                    agent.leaving
+                    and not running
+                    and place == Place.LIVE
+                    and agent.granted == entry.epoch
+                    and self._linked(state, e, a)
+                ):
+                    for b in others:
+                        yield st.EndLeave(e, a, b)
+
+    def _fault_steps(self, state):
+        for e, entry in enumerate(state.entries):
+            if entry.mode == Mode.UP:
+                if self._left(state, "crashes"):
+                    yield st.Crash(e)
+                if self._left(state, "pauses"):
+                    yield st.Pause(e)
+                if entry.epoch != NO_EPOCH and self._left(state, "releases"):
+                    yield from (
+                        st.Release(e, heir)
+                        for heir in (-1, *self._up(state))
+                        if heir != e
+                    )
+            if entry.mode == Mode.PAUSED:
+                yield st.Wake(e)
+            if entry.mode == Mode.DOWN and self._left(state, "restarts"):
+                yield st.Restart(e)
+        for a, agent in enumerate(state.agents):
+            if agent.mode == Mode.UP:
+                if self._left(state, "agent_losses"):
+                    yield st.AgentCrash(a)
+                if self._left(state, "agent_pauses"):
+                    yield st.AgentPause(a)
+                if not agent.leaving and self._left(state, "leaves"):
+                    yield st.Leave(a)
+            if agent.mode == Mode.PAUSED:
+                yield st.AgentWake(a)
+            unborn = Agent(mode=Mode.DOWN, records=agent.records)
+            spare = a >= self.limits.joined and agent == unborn
+            if spare and self._left(state, "joins"):
+                yield st.AgentStart(a)
+        if self._left(state, "breaks"):
+            pairs = product(range(self.limits.entries), range(self.limits.agents))
+            yield from (st.Cut(e, a) for e, a in pairs if (e, a) not in state.cut)
+        if self._left(state, "retentions"):
+            yield st.Retain()
+
+    def _store_steps(self, state):
+        if not state.store_up:
+            yield st.StoreUp()
+            return
+        if self._left(state, "store_outages"):
+            yield st.StoreDown()
+        for e in self._up(state):
+            if self._left(state, "table_writes"):
+                yield st.WriteTable(e)
+                if self._left(state, "lost_answers"):
+                    yield st.WriteTable(e, lost=True)
+            if state.entries[e].table < len(state.tables):
+                yield st.ReadTable(e)
--- /dev/null
+++ b/spec/ownership_effects.py
@@ -0,0 +1,583 @@
+"""Effects of the steps of the specification of ownership."""
+
+from spec import ownership_steps as st
+from spec.ownership_rules import (
+    DOUBLE_START,
+    FALSE_NOT_RUN,
+    FIRST_EPOCH,
+    PARTIAL_ANSWER,
+    SENT_OR_RAN,
+    OwnershipRules,
+)
+from spec.ownership_state import (
+    BUDGETS,
+    NO_EPOCH,
+    Agent,
+    Call,
+    DoneMessage,
+    Job,
+    Mark,
+    Mode,
+    Outcome,
+    Place,
+    Roster,
+    StartMessage,
+    SubmitMessage,
+    Task,
+    change,
+)
+
+
+def _put(items, index, item):
+    return items[:index] + (item,) + items[index + 1 :]
+
+
+def _merge_task(known, record):
+    """Return what is known of a task after a start record was seen."""
+    attempt = max(known.attempt, record.attempt)
+    if Mark.ENDED in (known.mark, record.mark):
+        result = max(known.result, record.result)
+        return Task(Mark.ENDED, attempt, result)
+    if known.mark == Mark.SENT:
+        return change(known, attempt=attempt)
+    if record.mark in (Mark.SENT, Mark.COPIED):
+        return Task(Mark.SENT, attempt, agent=record.agent)
+    return Task(known.mark, attempt)
+
+
+class OwnershipEffects(OwnershipRules):
+    """What each step makes of a state."""
+
+    def apply(self, state, step):
+        """Return the state after a step."""
+        return self._effects[type(step)](self, state, step)
+
+    def _spend(self, state, budget):
+        place = BUDGETS.index(budget)
+        return change(state, spent=_put(state.spent, place, state.spent[place] + 1))
+
+    def _entry(self, state, e, **changes):
+        entry = change(state.entries[e], **changes)
+        return change(state, entries=_put(state.entries, e, entry))
+
+    def _agent(self, state, a, **changes):
+        agent = change(state.agents[a], **changes)
+        return change(state, agents=_put(state.agents, a, agent))
+
+    def _job(self, state, e, k, job):
+        return self._entry(state, e, jobs=_put(state.entries[e].jobs, k, job))
+
+    def _task(self, state, e, k, t, task):
+        job = state.entries[e].jobs[k]
+        return self._job(state, e, k, change(job, tasks=_put(job.tasks, t, task)))
+
+    def _record(self, state, a, k, t, task):
+        records = state.agents[a].records
+        row = _put(records[k], t, task)
+        return self._agent(state, a, records=_put(records, k, row))
+
+    def _call(self, state, c, **changes):
+        call = change(state.calls[c], **changes)
+        return change(state, calls=_put(state.calls, c, call))
+
+    def _break(self, state, invariant):
+        return change(state, broken=state.broken | {invariant})
+
+    def _send(self, state, message):
+        return change(state, net=state.net | {message})
+
+    def _take(self, state, message, repeat=False):
+        if repeat:
+            return self._spend(state, "repeats")
+        return change(state, net=state.net - {message})
+
+    def _deny(self, state, c):
+        """Return the state after a copy of a call was refused as `not run`."""
+        call = state.calls[c]
+        call = change(call, refused=call.refused + 1)
+        state = change(state, calls=_put(state.calls, c, call))
+        settled = call.refused + call.void == call.sent
+        if not settled and self.rules.all_copies_refused:
+            return state
+        state = self._call(state, c, denied=True)
+        if any(state.starts[call.key]):
+            state = self._break(state, FALSE_NOT_RUN)
+        return state
+
+    def _void(self, state, c):
+        """Return the state after an entry turned a copy away as no owner."""
+        call = state.calls[c]
+        state = self._call(state, c, void=call.void + 1)
+        if call.refused and call.refused + call.void + 1 == call.sent:
+            state = self._call(state, c, refused=call.refused - 1)
+            state = self._deny(state, c)
+        return state
+
+    def _depose(self, state, e, **changes):
+        """Return the state after an entry learned that it owns nothing."""
+        entry = state.entries[e]
+        waiting = [
+            c for job in entry.jobs if job and not job.answered for c in job.calls
+        ]
+        answer = self._void if self.rules.deposed_is_silent else self._deny
+        for c in sorted(waiting):
+            state = answer(state, c)
+        return self._entry(state, e, **_no_owner(entry), **changes)
+
+    def _do_submit(self, state, step):
+        key = state.keys[step.key]
+        if not key.submitted:
+            fresh = frozenset(
+                e
+                for e, entry in enumerate(state.entries)
+                if entry.fenced and self._has_quorum(entry)
+            )
+            key = change(key, submitted=True, fresh=fresh)
+            state = change(state, keys=_put(state.keys, step.key, key))
+        state = change(state, calls=(*state.calls, Call(step.key)))
+        call = len(state.calls) - 1
+        return self._send(state, SubmitMessage(step.entry, step.key, call))
+
+    def _do_resend(self, state, step):
+        call = state.calls[step.call]
+        state = self._call(state, step.call, sent=call.sent + 1)
+        return self._send(state, SubmitMessage(step.entry, call.key, step.call))
+
+    def _do_accept(self, state, step):
+        e, k, c = step.message.entry, step.message.key, step.message.call
+        state = self._take(state, step.message)
+        entry = state.entries[e]
+        if entry.epoch == NO_EPOCH:
+            return self._void(state, c)
+        job = entry.jobs[k]
+        if job is not None:
+            calls = job.calls if job.answered else job.calls | {c}
+            return self._job(state, e, k, change(job, calls=calls, body=True))
+        if self._may_start(state, e, k):
+            job = Job((Task(),) * self.limits.tasks, frozenset({c}), body=True)
+            return self._job(state, e, k, job)
+        if self.rules.unfamiliar_is_unknown:
+            return state
+        return self._deny(state, c)
+
+    def _do_refuse(self, state, step):
+        state = self._spend(self._take(state, step.message), "refusals")
+        return self._deny(state, step.message.call)
+
+    def _do_dispatch(self, state, step):
+        entry = state.entries[step.entry]
+        attempt = entry.jobs[step.key].tasks[step.task].attempt + 1
+        task = Task(Mark.SENT, attempt, agent=step.agent)
+        state = self._task(state, step.entry, step.key, step.task, task)
+        return self._send(
+            state,
+            StartMessage(
+                step.entry, step.agent, entry.epoch, step.key, step.task, attempt
+            ),
+        )
+
+    def _done(self, state, message, outcome, entry):
+        return self._send(
+            state,
+            DoneMessage(
+                entry,
+                message.agent,
+                message.key,
+                message.task,
+                message.attempt,
+                outcome,
+            ),
+        )
+
+    def _do_deliver_start(self, state, step):
+        message = step.message
+        state = self._take(state, message, step.repeat)
+        agent = state.agents[message.agent]
+        k, t = message.key, message.task
+        if self._accepts(state, message):
+            return self._run(state, message)
+        record = agent.records[k][t]
+        if self.rules.agents_fence and message.epoch < agent.granted:
+            return self._done(state, message, Outcome.STALE, message.entry)
+        if record.mark in SENT_OR_RAN:
+            return self._done(state, message, Outcome.DUPLICATE, message.entry)
+        return self._refuse_start(state, message)
+
+    def _run(self, state, message):
+        k, t = message.key, message.task
+        count = state.starts[k][t] + 1
+        row = _put(state.starts[k], t, count)
+        state = change(state, starts=_put(state.starts, k, row))
+        state = self._record(
+            state,
+            message.agent,
+            k,
+            t,
+            Task(Mark.SENT, message.attempt, agent=message.agent),
+        )
+        if count > 1:
+            state = self._break(state, DOUBLE_START)
+        if all(call.denied for call in state.calls if call.key == k):
+            state = self._break(state, FALSE_NOT_RUN)
+        return state
+
+    def _refuse_start(self, state, message):
+        if self.rules.refusals_kept:
+            task = Task(Mark.REFUSED, message.attempt)
+            state = self._record(state, message.agent, message.key, message.task, task)
+        return self._done(state, message, Outcome.BUSY, message.entry)
+
+    def _do_refuse_start(self, state, step):
+        state = self._take(state, step.message, step.repeat)
+        return self._refuse_start(self._spend(state, "refusals"), step.message)
+
+    def _do_end_task(self, state, step):
+        agent = state.agents[step.agent]
+        record = agent.records[step.key][step.task]
+        task = Task(Mark.ENDED, record.attempt, step.task)
+        state = self._record(state, step.agent, step.key, step.task, task)
+        if agent.owner == -1:
+            return state
+        return self._send(
+            state,
+            DoneMessage(
+                agent.owner,
+                step.agent,
+                step.key,
+                step.task,
+                record.attempt,
+                Outcome.ENDED,
+            ),
+        )
+
+    def _do_deliver_done(self, state, step):
+        message = step.message
+        e, k, t = message.entry, message.key, message.task
+        state = self._take(state, message)
+        job = state.entries[e].jobs[k]
+        if message.outcome == Outcome.STALE:
+            return self._depose(state, e) if job is not None else state
+        if job is None:
+            return state
+        if message.outcome == Outcome.ENDED:
+            place = t
+            if not self.rules.results_by_task:
+                place = [task.mark == Mark.ENDED for task in job.tasks].index(False)
+            task = Task(Mark.ENDED, message.attempt, t)
+            return self._task(state, e, k, place, task)
+        refused = message.outcome == Outcome.BUSY or (
+            not self.rules.duplicate_is_no_refusal
+        )
+        task = job.tasks[t]
+        matched = (task.mark, task.attempt) == (Mark.SENT, message.attempt)
+        if self.rules.outcome_matched_by_agent:
+            matched = matched and task.agent == message.agent
+        if refused and matched:
+            return self._task(state, e, k, t, Task(Mark.REFUSED, message.attempt))
+        return state
+
+    def _do_reconcile(self, state, step):
+        e, a, k, t = step.entry, step.agent, step.key, step.task
+        state = self._spend(state, "reconciles")
+        known = state.entries[e].jobs[k].tasks[t]
+        record = state.agents[a].records[k][t]
+        if record.mark in SENT_OR_RAN:
+            return self._task(state, e, k, t, _merge_task(known, record))
+        refused = Task(Mark.REFUSED, known.attempt)
+        if self.rules.reconcile_refuses:
+            state = self._record(state, a, k, t, refused)
+        return self._task(state, e, k, t, refused)
+
+    def _do_answer(self, state, step):
+        job = state.entries[step.entry].jobs[step.key]
+        state = self._job(state, step.entry, step.key, change(job, answered=True))
+        if any(task.result != t for t, task in enumerate(job.tasks)):
+            state = self._break(state, PARTIAL_ANSWER)
+        return state
+
+    def _do_give_up(self, state, step):
+        job = state.entries[step.entry].jobs[step.key]
+        for c in sorted(job.calls):
+            state = self._deny(state, c)
+        return self._job(state, step.entry, step.key, None)
+
+    def _do_crash(self, state, step):
+        e = step.entry
+        state = self._spend(state, "crashes")
+        net = frozenset(
+            m for m in state.net if isinstance(m, StartMessage) or m.entry != e
+        )
+        state = change(state, net=net)
+        entry = state.entries[e]
+        return self._entry(
+            state,
+            e,
+            mode=Mode.DOWN,
+            listed=False,
+            term=0,
+            roster=None,
+            **_no_owner(entry),
+        )
+
+    def _do_restart(self, state, step):
+        return self._entry(self._spend(state, "restarts"), step.entry, mode=Mode.UP)
+
+    def _do_pause(self, state, step):
+        return self._entry(self._spend(state, "pauses"), step.entry, mode=Mode.PAUSED)
+
+    def _do_wake(self, state, step):
+        return self._entry(state, step.entry, mode=Mode.UP)
+
+    def _do_cut(self, state, step):
+        state = self._spend(state, "breaks")
+        return change(state, cut=state.cut | {(step.entry, step.agent)})
+
+    def _do_takeover(self, state, step):
+        e = step.entry
+        state = self._spend(state, "takeovers")
+        entry = state.entries[e]
+        rank = (
+            state.tables[entry.table - 1].index(e) if self.rules.epoch_has_rank else 0
+        )
+        keys = tuple(change(key, fresh=key.fresh - {e}) for key in state.keys)
+        roster = entry.roster
+        if not self.rules.keep_roster:
+            roster = Roster(NO_EPOCH, 0, (Place.ABSENT,) * self.limits.agents)
+        return self._entry(
+            change(state, keys=keys),
+            e,
+            epoch=(entry.table, entry.term + 1, rank),
+            term=entry.term + 1,
+            fenced=frozenset(),
+            support=frozenset(),
+            roster=roster,
+        )
+
+    def _do_fence(self, state, step):
+        e, a = step.entry, step.agent
+        entry, agent = state.entries[e], state.agents[a]
+        if agent.granted > entry.epoch:
+            term = max(entry.term, agent.granted[1])
+            return self._depose(state, e, term=term)
+        state = self._agent(state, a, granted=entry.epoch, owner=e, woken=False)
+        if step.lost:
+            return self._spend(state, "lost_answers")
+        state = self._learn(state, e, agent)
+        entry = state.entries[e]
+        state = self._entry(
+            state,
+            e,
+            fenced=entry.fenced | {a},
+            support=entry.support | {a},
+        )
+        roster = entry.roster
+        if roster is not None and roster.places[a] != Place.LIVE:
+            state = self._change_roster(state, e, a, Place.LIVE)
+        elif roster is not None:
+            state = self._copy_roster(state, e)
+        return state
+
+    def _learn(self, state, e, agent):
+        """Return the state after an entry merged an agent's records and roster."""
+        entry = state.entries[e]
+        jobs = list(entry.jobs)
+        for k, row in enumerate(agent.records):
+            if any(record.mark != Mark.NONE for record in row):
+                job = jobs[k] or Job((Task(),) * self.limits.tasks)
+                tasks = tuple(map(_merge_task, job.tasks, row))
+                if jobs[k] or any(task.mark in SENT_OR_RAN for task in tasks):
+                    jobs[k] = change(job, tasks=tasks)
+        roster = entry.roster
+        if self.rules.keep_roster:
+            roster = _newer(roster, agent.roster)
+        return self._entry(state, e, jobs=tuple(jobs), roster=roster)
+
+    def _change_roster(self, state, e, a, place):
+        entry = state.entries[e]
+        version = entry.roster.version + 1
+        places = _put(entry.roster.places, a, place)
+        state = self._entry(state, e, roster=Roster(entry.epoch, version, places))
+        return self._copy_roster(state, e)
+
+    def _copy_roster(self, state, e):
+        """Return the state after the agents that an owner reaches got its roster."""
+        entry = state.entries[e]
+        if not (self.rules.roster_before_start and self._has_quorum(entry)):
+            return state
+        for a in sorted(entry.support):
+            agent = state.agents[a]
+            held = agent.owner == e and agent.granted == entry.epoch
+            if held and self._linked(state, e, a):
+                state = self._agent(state, a, roster=entry.roster)
+        return state
+
+    def _do_lapse(self, state, step):
+        support = state.entries[step.entry].support - {step.agent}
+        return self._entry(state, step.entry, support=support)
+
+    def _do_renew(self, state, step):
+        support = state.entries[step.entry].support | {step.agent}
+        state = self._entry(state, step.entry, support=support)
+        return self._copy_roster(state, step.entry)
+
+    def _do_agent_start(self, state, step):
+        return self._agent(self._spend(state, "joins"), step.agent, mode=Mode.UP)
+
+    def _do_agent_crash(self, state, step):
+        state = self._spend(state, "agent_losses")
+        return self._end_agent(state, step.agent)
+
+    def _end_agent(self, state, a):
+        net = frozenset(
+            m for m in state.net if not isinstance(m, StartMessage) or m.agent != a
+        )
+        blank = ((Task(),) * self.limits.tasks,) * self.limits.keys
+        ended = Agent(mode=Mode.DOWN, granted=FIRST_EPOCH, records=blank)
+        return change(state, net=net, agents=_put(state.agents, a, ended))
+
+    def _do_agent_pause(self, state, step):
+        state = self._spend(state, "agent_pauses")
+        return self._agent(state, step.agent, mode=Mode.PAUSED)
+
+    def _do_agent_wake(self, state, step):
+        return self._agent(state, step.agent, mode=Mode.UP, woken=True)
+
+    def _do_declare_lost(self, state, step):
+        return self._change_roster(state, step.entry, step.agent, Place.LOST)
+
+    def _do_account(self, state, step):
+        if self.rules.copy_before_accounting:
+            state = self._copy_records(state, step.entry, step.to)
+        return self._change_roster(state, step.entry, step.agent, Place.ACCOUNTED)
+
+    def _copy_records(self, state, e, to):
+        for k, job in enumerate(state.entries[e].jobs):
+            for t, task in enumerate(job.tasks if job else ()):
+                record = state.agents[to].records[k][t]
+                if task.mark == Mark.ENDED and record.mark != Mark.SENT:
+                    state = self._record(state, to, k, t, task)
+                elif task.mark in SENT_OR_RAN and record.mark not in SENT_OR_RAN:
+                    copy = Task(Mark.COPIED, task.attempt)
+                    state = self._record(state, to, k, t, copy)
+        return state
+
+    def _do_leave(self, state, step):
+        return self._agent(self._spend(state, "leaves"), step.agent, leaving=True)
+
+    def _do_end_leave(self, state, step):
+        e, a = step.entry, step.agent
+        state = self._learn(state, e, state.agents[a])
+        if self.rules.copy_before_leave_reply:
+            state = self._copy_records(state, e, step.to)
+        state = self._change_roster(state, e, a, Place.ACCOUNTED)
+        return self._end_agent(state, a)
+
+    def _do_release(self, state, step):
+        e, heir = step.entry, step.heir
+        entry = state.entries[e]
+        state = self._spend(state, "releases")
+        if heir != -1 and state.entries[heir].epoch == NO_EPOCH:
+            state = self._entry(state, heir, jobs=entry.jobs, roster=entry.roster)
+        return self._entry(state, e, **_no_owner(entry))
+
+    def _do_store_down(self, state, step):
+        return change(self._spend(state, "store_outages"), store_up=False)
+
+    def _do_store_up(self, state, step):
+        return change(state, store_up=True)
+
+    def _do_write_table(self, state, step):
+        e = step.entry
+        state = self._spend(state, "table_writes")
+        kept = [
+            f for f in state.tables[-1] if f != e and state.entries[f].mode != Mode.DOWN
+        ]
+        state = change(state, tables=(*state.tables, (*kept, e)))
+        if step.lost:
+            return self._spend(state, "lost_answers")
+        return self._do_read_table(state, step)
+
+    def _do_read_table(self, state, step):
+        version = len(state.tables)
+        entry = state.entries[step.entry]
+        listed = entry.listed or step.entry in state.tables[-1]
+        return self._entry(state, step.entry, table=version, listed=listed)
+
+    def _do_retain(self, state, step):
+        state = self._spend(state, "retentions")
+        keys = tuple(
+            change(key, expired=key.submitted and self.rules.stamped_keys)
+            for key in state.keys
+        )
+        blank = ((Task(),) * self.limits.tasks,) * self.limits.keys
+        agents = tuple(change(agent, records=blank) for agent in state.agents)
+        entries = tuple(
+            change(entry, jobs=(None,) * self.limits.keys, roster=_aged(entry.roster))
+            for entry in state.entries
+        )
+        return change(state, keys=keys, agents=agents, entries=entries, net=frozenset())
+
+    _effects = {
+        st.Submit: _do_submit,
+        st.Resend: _do_resend,
+        st.Accept: _do_accept,
+        st.Refuse: _do_refuse,
+        st.Dispatch: _do_dispatch,
+        st.DeliverStart: _do_deliver_start,
+        st.RefuseStart: _do_refuse_start,
+        st.EndTask: _do_end_task,
+        st.DeliverDone: _do_deliver_done,
+        st.Reconcile: _do_reconcile,
+        st.Answer: _do_answer,
+        st.GiveUp: _do_give_up,
+        st.Crash: _do_crash,
+        st.Restart: _do_restart,
+        st.Pause: _do_pause,
+        st.Wake: _do_wake,
+        st.Cut: _do_cut,
+        st.Takeover: _do_takeover,
+        st.Fence: _do_fence,
+        st.Lapse: _do_lapse,
+        st.Renew: _do_renew,
+        st.AgentStart: _do_agent_start,
+        st.AgentCrash: _do_agent_crash,
+        st.AgentPause: _do_agent_pause,
+        st.AgentWake: _do_agent_wake,
+        st.DeclareLost: _do_declare_lost,
+        st.Account: _do_account,
+        st.Leave: _do_leave,
+        st.EndLeave: _do_end_leave,
+        st.Release: _do_release,
+        st.StoreDown: _do_store_down,
+        st.StoreUp: _do_store_up,
+        st.WriteTable: _do_write_table,
+        st.ReadTable: _do_read_table,
+        st.Retain: _do_retain,
+    }
+
+
+def _newer(roster, other):
+    """Return the newer of two rosters, each of which may be missing."""
+    if roster is None or (other is not None and other.order > roster.order):
+        return other
+    return roster
+
+
+def _no_owner(entry):
+    """Return the fields of an entry that owns nothing."""
+    return {
+        "epoch": NO_EPOCH,
+        "fenced": frozenset(),
+        "support": frozenset(),
+        "jobs": (None,) * len(entry.jobs),
+    }
+
+
+def _aged(roster):
+    """Return a roster without the agents that were lost before the retention."""
+    if roster is None:
+        return None
+    places = tuple(
+        Place.ACCOUNTED if place == Place.LOST else place for place in roster.places
+    )
+    return change(roster, places=places)
--- /dev/null
+++ b/spec/ownership_rules.py
@@ -0,0 +1,185 @@
+"""Rules of ownership: what an owner, an agent and a candidate may do in a state."""
+
+from spec.checking import Specification
+from spec.ownership_state import (
+    BUDGETS,
+    NO_EPOCH,
+    Agent,
+    Entry,
+    Key,
+    Mark,
+    Mode,
+    Place,
+    Roster,
+    Rules,
+    State,
+    Task,
+    change,
+)
+
+FIRST_EPOCH = (1, 1, 0)
+DOUBLE_START = "no task starts twice"
+FALSE_NOT_RUN = "no false not run"
+PARTIAL_ANSWER = "no partial answer"
+SENT_OR_RAN = (Mark.SENT, Mark.ENDED, Mark.COPIED)
+
+
+class OwnershipRules(Specification):
+    """First state of a partition, and the rules that hold in each state.
+
+    Parameters
+    ----------
+    name : str
+        Name of the variant.
+    bounds : Bounds
+        Sizes, and how often each kind of fault may occur.
+    rules : Rules
+        Rules in force.
+    """
+
+    invariants = (DOUBLE_START, FALSE_NOT_RUN, PARTIAL_ANSWER)
+
+    def __init__(self, name, bounds, rules=None):
+        self.name = name
+        self.limits = bounds
+        self.bounds = str(bounds)
+        self.rules = rules or Rules()
+
+    def initial(self):
+        """Return a partition that entry 0 owns, with rosters everywhere."""
+        limits = self.limits
+        places = tuple(
+            Place.LIVE if a < limits.joined else Place.ABSENT
+            for a in range(limits.agents)
+        )
+        roster = Roster(FIRST_EPOCH, 1, places)
+        joined = frozenset(range(limits.joined))
+        blank = ((Task(),) * limits.tasks,) * limits.keys
+        entry = Entry(roster=roster, jobs=(None,) * limits.keys)
+        owner = change(entry, epoch=FIRST_EPOCH, fenced=joined, support=joined)
+        agent = Agent(granted=FIRST_EPOCH, owner=0, records=blank, roster=roster)
+        spare = Agent(mode=Mode.DOWN, records=blank)
+        return State(
+            entries=(owner,) + (entry,) * (limits.entries - 1),
+            agents=tuple(agent if a in joined else spare for a in range(limits.agents)),
+            keys=(Key(),) * limits.keys,
+            starts=((0,) * limits.tasks,) * limits.keys,
+            tables=(tuple(range(limits.entries)),),
+            spent=(0,) * len(BUDGETS),
+        )
+
+    def violations(self, state):
+        """Return the invariants that a step has broken."""
+        return state.broken
+
+    def _left(self, state, budget):
+        place = BUDGETS.index(budget)
+        return state.spent[place] < getattr(self.limits, budget)
+
+    def _up(self, state):
+        return [e for e, entry in enumerate(state.entries) if entry.mode == Mode.UP]
+
+    def _linked(self, state, e, a):
+        return state.agents[a].mode == Mode.UP and (e, a) not in state.cut
+
+    def _has_quorum(self, entry):
+        """Return whether an owner holds the promises of a quorum of its agents.
+
+        A quorum is more than half of the agents of the roster, or half of them
+        with the first one; any two quorums share an agent.
+        """
+        if not self.rules.owner_lease:
+            return True
+        if entry.roster is None:
+            return not self.rules.no_roster_is_incomplete
+        members = [
+            a
+            for a, place in enumerate(entry.roster.places)
+            if place in (Place.LIVE, Place.LOST)
+        ]
+        held = [a for a in members if a in entry.support]
+        if 2 * len(held) == len(members):
+            return bool(held) and held[0] == members[0]
+        return 2 * len(held) > len(members)
+
+    def _is_complete(self, entry):
+        """Return whether an owner has the records of each agent that could run."""
+        if not self.rules.wait_for_completeness:
+            return True
+        if entry.roster is None:
+            return not self.rules.no_roster_is_incomplete
+        return all(
+            place in (Place.ABSENT, Place.ACCOUNTED)
+            or (place == Place.LIVE and a in entry.fenced)
+            for a, place in enumerate(entry.roster.places)
+        )
+
+    def _may_start(self, state, e, k):
+        """Return whether an owner may start tasks of a key that have no record."""
+        entry, key = state.entries[e], state.keys[k]
+        if key.expired or not self._has_quorum(entry):
+            return False
+        if not self.rules.completeness_by_task and entry.jobs[k] is not None:
+            return True
+        return e in key.fresh or self._is_complete(entry)
+
+    def _may_refuse(self, state, message):
+        entry = state.entries[message.entry]
+        return (
+            entry.epoch != NO_EPOCH
+            and entry.jobs[message.key] is None
+            and self._may_start(state, message.entry, message.key)
+        )
+
+    def _may_send(self, state, e, a):
+        """Return whether an owner may send starts to an agent."""
+        entry = state.entries[e]
+        if entry.roster is None or entry.roster.places[a] != Place.LIVE:
+            return entry.roster is None and not self.rules.no_roster_is_incomplete
+        if not self._linked(state, e, a):
+            return False
+        if not self.rules.roster_before_start:
+            return True
+        order = entry.roster.order
+        kept = [
+            b
+            for b in entry.support
+            if state.agents[b].roster is not None
+            and state.agents[b].roster.order == order
+        ]
+        return a in kept and self._has_quorum(change(entry, support=frozenset(kept)))
+
+    def _is_candidate(self, state, e):
+        entry = state.entries[e]
+        listed = entry.listed or not self.rules.incarnation_listed
+        return listed and e in state.tables[entry.table - 1]
+
+    def _may_fence(self, state, e, a):
+        """Return whether an agent answers a fence, with a grant or its epoch."""
+        entry, agent = state.entries[e], state.agents[a]
+        if agent.granted >= entry.epoch:
+            return True
+        place = Place.LIVE
+        if entry.roster is not None:
+            place = entry.roster.places[a]
+        joins = self.rules.keep_roster and place in (Place.ABSENT, Place.ACCOUNTED)
+        if joins and not self._has_quorum(entry):
+            return False
+        if agent.owner in (-1, e):
+            return True
+        owner = state.entries[agent.owner]
+        if owner.mode == Mode.DOWN or owner.epoch != agent.granted:
+            return True
+        silent = owner.mode == Mode.PAUSED or not self._linked(state, agent.owner, a)
+        return silent and not (self.rules.owner_lease and a in owner.support)
+
+    def _accepts(self, state, message):
+        """Return whether an agent would run a start."""
+        agent = state.agents[message.agent]
+        record = agent.records[message.key][message.task]
+        current = not agent.woken and message.epoch == agent.granted
+        fenced_off = self.rules.agents_fence and not current
+        refused = record.mark == Mark.REFUSED and message.attempt <= record.attempt
+        return not (
+            fenced_off or agent.leaving or refused or record.mark in SENT_OR_RAN
+        )
--- /dev/null
+++ b/spec/ownership_variants.py
@@ -0,0 +1,143 @@
+"""Variants of the specification of ownership that `make model` explores."""
+
+from spec.ownership import Ownership
+from spec.ownership_rules import DOUBLE_START, FALSE_NOT_RUN, PARTIAL_ANSWER
+from spec.ownership_state import Bounds, Rules
+from spec.variant import Variant
+
+
+def _sound(name, **bounds):
+    return Variant(Ownership(f"ownership: {name}", Bounds(**bounds)))
+
+
+def _broken(rule, invariant, *, written=False, **bounds):
+    spec = Ownership(f"without {rule}", Bounds(**bounds), Rules(**{rule: False}))
+    return Variant(spec, invariant, written)
+
+
+SOUND = (
+    _sound("owner crashes", crashes=1),
+    _sound("owner crashes, two tasks", tasks=2, crashes=1),
+    _sound("owner pauses", pauses=1, refusals=1),
+    _sound("connections break", breaks=2),
+    _sound("copies of a submission", calls=1, copies=2, refusals=1, crashes=1),
+    _sound("starts refused and repeated", calls=1, attempts=2, repeats=1, refusals=1),
+    _sound(
+        "outcome by identifier",
+        calls=1,
+        copies=2,
+        attempts=2,
+        reconciles=1,
+        crashes=1,
+    ),
+    _sound("agent lost", crashes=1, agent_losses=1),
+    _sound("agent pauses", crashes=1, agent_pauses=1),
+    _sound("agent joins", joined=1, joins=1, crashes=1, agent_losses=1),
+    _sound("agent leaves", crashes=1, leaves=1),
+    _sound("handover", releases=1, takeovers=2),
+    _sound("three candidates", entries=3, calls=2, takeovers=2, crashes=1),
+    _sound(
+        "store down, answers lost",
+        calls=1,
+        copies=2,
+        crashes=1,
+        takeovers=2,
+        table_writes=1,
+        store_outages=1,
+        lost_answers=1,
+    ),
+    _sound("retention passes", crashes=1, retentions=1),
+)
+
+# Rules that the design as first written did not state are marked `written`.
+BROKEN = (
+    _broken("owner_lease", DOUBLE_START, written=True, breaks=1),
+    _broken("owner_lease", FALSE_NOT_RUN, written=True, breaks=1, refusals=1),
+    _broken("agents_fence", DOUBLE_START, pauses=1),
+    _broken("epoch_has_rank", DOUBLE_START, takeovers=2, releases=1),
+    _broken(
+        "incarnation_listed",
+        DOUBLE_START,
+        written=True,
+        entries=1,
+        crashes=1,
+        restarts=1,
+    ),
+    _broken("wait_for_completeness", DOUBLE_START, crashes=1),
+    _broken("completeness_by_task", DOUBLE_START, written=True, tasks=2, crashes=1),
+    _broken("keep_roster", DOUBLE_START, crashes=1),
+    _broken(
+        "roster_before_start",
+        DOUBLE_START,
+        written=True,
+        joined=1,
+        joins=1,
+        crashes=1,
+    ),
+    _broken(
+        "no_roster_is_incomplete",
+        DOUBLE_START,
+        written=True,
+        entries=1,
+        joined=1,
+        joins=1,
+        crashes=1,
+        agent_losses=1,
+        restarts=1,
+        table_writes=1,
+    ),
+    _broken("copy_before_accounting", DOUBLE_START, crashes=1, agent_losses=1),
+    _broken("account_only_fenced", DOUBLE_START, breaks=1, crashes=1),
+    _broken("unfamiliar_is_unknown", FALSE_NOT_RUN, crashes=1),
+    _broken(
+        "refusals_kept",
+        DOUBLE_START,
+        written=True,
+        calls=1,
+        attempts=2,
+        repeats=1,
+        refusals=1,
+        takeovers=0,
+    ),
+    _broken(
+        "reconcile_refuses",
+        DOUBLE_START,
+        calls=1,
+        attempts=2,
+        reconciles=1,
+        takeovers=0,
+    ),
+    _broken(
+        "duplicate_is_no_refusal",
+        DOUBLE_START,
+        written=True,
+        calls=1,
+        attempts=2,
+        repeats=1,
+        takeovers=0,
+    ),
+    _broken(
+        "outcome_matched_by_agent",
+        DOUBLE_START,
+        written=True,
+        calls=1,
+        copies=2,
+        attempts=2,
+        reconciles=1,
+        takeovers=0,
+    ),
+    _broken(
+        "all_copies_refused",
+        FALSE_NOT_RUN,
+        written=True,
+        calls=1,
+        copies=2,
+        refusals=1,
+        crashes=1,
+    ),
+    _broken("deposed_is_silent", FALSE_NOT_RUN, written=True, pauses=1),
+    _broken("wait_for_all_results", PARTIAL_ANSWER, calls=1, tasks=2, takeovers=0),
+    _broken("results_by_task", PARTIAL_ANSWER, calls=1, tasks=2, takeovers=0),
+    _broken("copy_before_leave_reply", DOUBLE_START, written=True, crashes=1, leaves=1),
+    _broken("stamped_keys", DOUBLE_START, written=True, takeovers=0, retentions=1),
+)
