Specify configuration and leaving targets, and test the model

Cause: P6 and P8 had no exhaustive check, and an exploration with three agents showed that a roster change needs a quorum of the roster before it.

--- /dev/null
+++ b/spec/configuration.py
@@ -0,0 +1,342 @@
+"""Specification of the configuration: one store, operators, replicas and peers."""
+
+from dataclasses import dataclass, replace
+
+from spec.checking import Specification
+from spec.variant import Variant
+
+NO_REVISION = 0
+NEVER_BACK = "no process goes back to a lower revision"
+ONE_CONTENT = "a revision has one content"
+NO_UNSEEN_LOSS = "no accepted change is overwritten unseen"
+TRUE_VERDICT = "an operator is told what became of its change"
+STAYS_IN_FORCE = "a change announced as in force stays in force"
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """An operator reads the revision that its change is based on."""
+
+    operator: int
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """An operator writes its change by compare-and-swap; `lost` loses the answer."""
+
+    operator: int
+    lost: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ReadBack:
+    """An operator without an answer looks for its change in the store."""
+
+    operator: int
+
+
+@dataclass(frozen=True, slots=True)
+class Update:
+    """Revision and content on their way to a replica."""
+
+    replica: int
+    revision: int
+    content: int
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """The store sends its present revision to a replica."""
+
+    replica: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pull:
+    """A peer that is ahead sends its revision to a replica."""
+
+    replica: int
+    peer: int
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """A replica receives an update."""
+
+    update: Update
+
+
+@dataclass(frozen=True, slots=True)
+class RestartReplica:
+    """A replica starts anew with nothing in memory."""
+
+    replica: int
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """The system tells an operator that a revision is in force everywhere."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class SwitchStore:
+    """The store goes down or comes back."""
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """Operator: base of its change, revision told (0: none, -1: it lost the race)."""
+
+    phase: str = "idle"
+    base: int = NO_REVISION
+    told: int = NO_REVISION
+
+
+@dataclass(frozen=True, slots=True)
+class Replica:
+    """Process with the revision in force; `highest` is the highest since its start."""
+
+    revision: int = 1
+    content: int = -1
+    highest: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Revision of the store: who wrote it, on which base."""
+
+    base: int
+    author: int
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """Store with its history, operators, replicas, network, and faults left."""
+
+    history: tuple[Change, ...]
+    operators: tuple[Operator, ...]
+    replicas: tuple[Replica, ...]
+    net: frozenset = frozenset()
+    store_up: bool = True
+    announced: int = 1
+    outages: int = 0
+    losses: int = 0
+    restarts: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Rules of the protocol; a broken variant switches some of them off."""
+
+    only_higher: bool = True
+    compare: bool = True
+    read_back: bool = True
+    value_names_earlier: bool = True
+    count_starting: bool = True
+
+
+def _put(items, index, item):
+    return items[:index] + (item,) + items[index + 1 :]
+
+
+class Configuration(Specification):
+    """Two operators race; replicas watch the store and pull from each other."""
+
+    invariants = (
+        NEVER_BACK,
+        ONE_CONTENT,
+        NO_UNSEEN_LOSS,
+        TRUE_VERDICT,
+        STAYS_IN_FORCE,
+    )
+    outages = 1
+    losses = 1
+
+    def __init__(self, name, operators=2, replicas=2, restarts=1, rules=None):
+        self.name = name
+        self.operators = operators
+        self.replicas = replicas
+        self.restarts = restarts
+        self.rules = rules or Rules()
+        self.bounds = (
+            f"operators={self.operators} replicas={replicas} restarts={restarts} "
+            f"outages={self.outages} lost_answers={self.losses}"
+        )
+
+    def initial(self):
+        """Return a deployment whose processes all have revision 1."""
+        return State(
+            history=(Change(0, -1),),
+            operators=(Operator(),) * self.operators,
+            replicas=(Replica(),) * self.replicas,
+        )
+
+    def violations(self, state):
+        """Return the names of the invariants that a state breaks."""
+        replicas, history = state.replicas, state.history
+        in_force = [r for r in replicas if r.revision != NO_REVISION]
+        checks = {
+            NEVER_BACK: all(r.revision == r.highest for r in replicas),
+            ONE_CONTENT: all(
+                history[r.revision - 1].author == r.content for r in in_force
+            ),
+            NO_UNSEEN_LOSS: all(
+                change.base == number for number, change in enumerate(history)
+            ),
+            TRUE_VERDICT: all(
+                self._told_truth(history, author, operator)
+                for author, operator in enumerate(state.operators)
+            ),
+            STAYS_IN_FORCE: all(r.revision >= state.announced for r in in_force),
+        }
+        return frozenset(name for name, holds in checks.items() if not holds)
+
+    @staticmethod
+    def _told_truth(history, author, operator):
+        if operator.told == -1:
+            return all(change.author != author for change in history)
+        if operator.told > 0:
+            return history[operator.told - 1].author == author
+        return True
+
+    def steps(self, state):
+        """Return the steps that are possible in a state."""
+        found = [Take(update) for update in state.net]
+        if state.store_up:
+            found += [Watch(r) for r in range(self.replicas)]
+            for number, operator in enumerate(state.operators):
+                found += self._operator_steps(state, number, operator)
+        if not state.store_up or state.outages < self.outages:
+            found.append(SwitchStore())
+        if state.restarts < self.restarts:
+            found += [RestartReplica(r) for r in range(self.replicas)]
+        revisions = [r.revision for r in state.replicas]
+        for peer, theirs in enumerate(revisions):
+            found += [Pull(r, peer) for r, own in enumerate(revisions) if own < theirs]
+        if not self.rules.count_starting:
+            revisions = [r for r in revisions if r != NO_REVISION]
+        if revisions and min(revisions) > state.announced:
+            found.append(Announce(min(revisions)))
+        return found
+
+    def _operator_steps(self, state, number, operator):
+        if operator.phase == "idle":
+            return [Read(number)]
+        if operator.phase == "unsure":
+            return [ReadBack(number)]
+        if operator.phase == "told":
+            return []
+        lost = [Write(number, lost=True)] if state.losses < self.losses else []
+        return [Write(number), *lost]
+
+    def apply(self, state, step):
+        """Return the state after a step."""
+        return self._effects[type(step)](self, state, step)
+
+    def _operator(self, state, number, **changes):
+        operator = replace(state.operators[number], **changes)
+        return replace(state, operators=_put(state.operators, number, operator))
+
+    def _do_read(self, state, step):
+        base = len(state.history)
+        return self._operator(state, step.operator, phase="ready", base=base)
+
+    def _do_write(self, state, step):
+        number = step.operator
+        base = state.operators[number].base
+        told = -1
+        if base == len(state.history) or not self.rules.compare:
+            change = Change(base, number)
+            state = replace(state, history=(*state.history, change))
+            told = len(state.history)
+        if not step.lost:
+            return self._operator(state, number, phase="told", told=told)
+        state = replace(state, losses=state.losses + 1)
+        phase = "unsure" if self.rules.read_back else "ready"
+        return self._operator(state, number, phase=phase)
+
+    def _do_read_back(self, state, step):
+        """Tell the operator what the store says.
+
+        The store keeps the present value only; it names the change that it holds
+        and, by the rule, the changes before it.
+        """
+        number = step.operator
+        written = [
+            place
+            for place, written in enumerate(state.history, 1)
+            if written.author == number
+            and (self.rules.value_names_earlier or place == len(state.history))
+        ]
+        told = written[0] if written else -1
+        return self._operator(state, number, phase="told", told=told)
+
+    def _send(self, state, replica, revision, content):
+        update = Update(replica, revision, content)
+        return replace(state, net=state.net | {update})
+
+    def _do_watch(self, state, step):
+        content = state.history[-1].author
+        return self._send(state, step.replica, len(state.history), content)
+
+    def _do_pull(self, state, step):
+        peer = state.replicas[step.peer]
+        return self._send(state, step.replica, peer.revision, peer.content)
+
+    def _do_take(self, state, step):
+        update = step.update
+        state = replace(state, net=state.net - {update})
+        held = state.replicas[update.replica]
+        if update.revision <= held.revision and self.rules.only_higher:
+            return state
+        highest = max(held.highest, update.revision)
+        taken = Replica(update.revision, update.content, highest)
+        return replace(state, replicas=_put(state.replicas, update.replica, taken))
+
+    def _do_restart_replica(self, state, step):
+        blank = Replica(NO_REVISION, -1, NO_REVISION)
+        return replace(
+            state,
+            restarts=state.restarts + 1,
+            replicas=_put(state.replicas, step.replica, blank),
+            net=frozenset(u for u in state.net if u.replica != step.replica),
+        )
+
+    def _do_announce(self, state, step):
+        return replace(state, announced=step.revision)
+
+    def _do_switch_store(self, state, step):
+        outages = state.outages + state.store_up
+        return replace(state, store_up=not state.store_up, outages=outages)
+
+    _effects = {
+        Read: _do_read,
+        Write: _do_write,
+        ReadBack: _do_read_back,
+        Watch: _do_watch,
+        Pull: _do_pull,
+        Take: _do_take,
+        RestartReplica: _do_restart_replica,
+        Announce: _do_announce,
+        SwitchStore: _do_switch_store,
+    }
+
+
+def _broken(rule, invariant, *, written=False):
+    spec = Configuration(f"without {rule}", rules=Rules(**{rule: False}))
+    return Variant(spec, invariant, written)
+
+
+SOUND = (
+    Variant(Configuration("configuration: restart")),
+    Variant(Configuration("configuration: three replicas", 1, replicas=3, restarts=1)),
+)
+BROKEN = (
+    _broken("only_higher", NEVER_BACK),
+    _broken("compare", NO_UNSEEN_LOSS),
+    _broken("read_back", TRUE_VERDICT),
+    _broken("value_names_earlier", TRUE_VERDICT, written=True),
+    _broken("count_starting", STAYS_IN_FORCE, written=True),
+)
--- /dev/null
+++ b/spec/leaving.py
@@ -0,0 +1,174 @@
+"""Specification of a leaving target: when the last work starts on it."""
+
+from dataclasses import dataclass, replace
+
+from spec.checking import Specification
+from spec.variant import Variant
+
+BOUND_TICKS = 2  # P6 allows 2 s; a tick is 1 s.
+PROBE_TICKS = 1  # The agent learns within 1 s that its target leaves.
+NOT_LEFT = -1
+NO_LATE_START = "no work starts more than the bound after leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveTarget:
+    """The target leaves."""
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """The agent learns whether its target leaves."""
+
+
+@dataclass(frozen=True, slots=True)
+class TellOwner:
+    """The owner learns that the target leaves."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendStart:
+    """The owner sends a start."""
+
+
+@dataclass(frozen=True, slots=True)
+class DeliverStart:
+    """The agent takes a start and runs or refuses it."""
+
+
+@dataclass(frozen=True, slots=True)
+class PauseAgent:
+    """The agent stands still."""
+
+
+@dataclass(frozen=True, slots=True)
+class WakeAgent:
+    """The agent goes on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passes."""
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """Clock, target, agent, owner and starts under way."""
+
+    now: int = 0
+    left_at: int = NOT_LEFT
+    probed_at: int = 0
+    noticed: bool = False
+    paused: bool = False
+    pauses: int = 0
+    owner_knows: bool = False
+    sent: int = 0
+    under_way: int = 0
+    late: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """Rules of the protocol; a broken variant switches some of them off."""
+
+    agent_refuses: bool = True
+    probe_is_recent: bool = True
+
+
+class Leaving(Specification):
+    """One target with its agent, and an owner whose messages may be delayed."""
+
+    invariants = (NO_LATE_START,)
+
+    def __init__(self, name, ticks=8, starts=3, pauses=1, rules=None):
+        self.name = name
+        self.ticks = ticks
+        self.starts = starts
+        self.pauses = pauses
+        self.rules = rules or Rules()
+        self.bounds = (
+            f"ticks={ticks} starts={starts} pauses={pauses} bound={BOUND_TICKS}"
+        )
+
+    def initial(self):
+        """Return a target that serves."""
+        return State()
+
+    def violations(self, state):
+        """Return the invariant if work has started too late."""
+        return frozenset((NO_LATE_START,) if state.late else ())
+
+    def steps(self, state):
+        """Return the steps that are possible in a state.
+
+        Time does not pass while a running agent's probe is overdue.
+        """
+        overdue = not state.paused and state.now - state.probed_at >= PROBE_TICKS
+        choices = (
+            (LeaveTarget(), state.left_at == NOT_LEFT),
+            (Probe(), not state.paused and state.probed_at < state.now),
+            (TellOwner(), state.noticed and not state.owner_knows),
+            (SendStart(), state.sent < self.starts and not state.owner_knows),
+            (DeliverStart(), state.under_way > 0 and not state.paused),
+            (PauseAgent(), not state.paused and state.pauses < self.pauses),
+            (WakeAgent(), state.paused),
+            (Tick(), state.now < self.ticks and not overdue),
+        )
+        return [step for step, possible in choices if possible]
+
+    def apply(self, state, step):
+        """Return the state after a step."""
+        return self._effects[type(step)](self, state)
+
+    def _do_leave_target(self, state):
+        return replace(state, left_at=state.now)
+
+    def _do_probe(self, state):
+        noticed = state.left_at != NOT_LEFT
+        return replace(state, probed_at=state.now, noticed=noticed)
+
+    def _do_tell_owner(self, state):
+        return replace(state, owner_knows=True)
+
+    def _do_send_start(self, state):
+        return replace(state, sent=state.sent + 1, under_way=state.under_way + 1)
+
+    def _do_deliver_start(self, state):
+        state = replace(state, under_way=state.under_way - 1)
+        stale = state.now - state.probed_at > PROBE_TICKS
+        if self.rules.agent_refuses and state.noticed:
+            return state
+        if self.rules.probe_is_recent and stale:
+            return state
+        left = state.left_at != NOT_LEFT
+        late = left and state.now - state.left_at > BOUND_TICKS
+        return replace(state, late=late)
+
+    def _do_pause_agent(self, state):
+        return replace(state, paused=True, pauses=state.pauses + 1)
+
+    def _do_wake_agent(self, state):
+        return replace(state, paused=False)
+
+    def _do_tick(self, state):
+        return replace(state, now=state.now + 1)
+
+    _effects = {
+        LeaveTarget: _do_leave_target,
+        Probe: _do_probe,
+        TellOwner: _do_tell_owner,
+        SendStart: _do_send_start,
+        DeliverStart: _do_deliver_start,
+        PauseAgent: _do_pause_agent,
+        WakeAgent: _do_wake_agent,
+        Tick: _do_tick,
+    }
+
+
+def _broken(rule, *, written=False):
+    spec = Leaving(f"without {rule}", rules=Rules(**{rule: False}))
+    return Variant(spec, NO_LATE_START, written)
+
+
+SOUND = (Variant(Leaving("leaving target")),)
+BROKEN = (_broken("agent_refuses"), _broken("probe_is_recent", written=True))
--- a/spec/ownership_state.py
+++ b/spec/ownership_state.py
@@ -277,6 +277,7 @@
     copy_before_accounting: bool = True
     account_only_fenced: bool = True
     owner_lease: bool = True
+    roster_change_by_quorum: bool = True
     unfamiliar_is_unknown: bool = True
     refusals_kept: bool = True
     reconcile_refuses: bool = True
