--- a/packages/base/src/hornbeamshore/base/faults.py
+++ b/packages/base/src/hornbeamshore/base/faults.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 import msgspec
+
 from hornbeamshore.base.units import Bounds, ByteSize, Duration, decode_unit
 
 MAX_VALUE_CHARS = 60
--- a/packages/base/src/hornbeamshore/base/settings.py
+++ b/packages/base/src/hornbeamshore/base/settings.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import msgspec
+
 from hornbeamshore.base.faults import find_faults
 from hornbeamshore.base.units import ByteSize, Duration, decode_unit
 
--- a/packages/base/src/hornbeamshore/base/yamltext.py
+++ b/packages/base/src/hornbeamshore/base/yamltext.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import yaml
+
 from hornbeamshore.base.faults import Fault, shown
 
 MAX_NODES = 500_000  # aliases of aliases can expand without end
--- a/packages/config/src/hornbeamshore/config/apply.py
+++ b/packages/config/src/hornbeamshore/config/apply.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 import trio
+from returns.result import Failure, Result, Success
+
 from hornbeamshore.base.clock import random_id
 from hornbeamshore.base.codes import ResultCode, RunState, refuse
 from hornbeamshore.base.logs import PartLogger
@@ -14,7 +16,6 @@
     StoreUnavailable,
     deployment_key,
 )
-from returns.result import Failure, Result, Success
 
 CONFIG_KEY = "config"
 
--- a/packages/config/src/hornbeamshore/config/check.py
+++ b/packages/config/src/hornbeamshore/config/check.py
@@ -2,11 +2,12 @@
 
 from dataclasses import dataclass
 
+from returns.result import Failure, Success
+
 from hornbeamshore.base.faults import Fault, find_faults, shown
 from hornbeamshore.base.settings import convert
 from hornbeamshore.base.yamltext import NotYaml, parse_yaml
 from hornbeamshore.config.model import Deployment
-from returns.result import Failure, Success
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/config/src/hornbeamshore/config/content.py
+++ b/packages/config/src/hornbeamshore/config/content.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import msgspec
+
 from hornbeamshore.base.units import decode_unit, encode_unit
 from hornbeamshore.config.model import Deployment
 
--- a/packages/config/src/hornbeamshore/config/model.py
+++ b/packages/config/src/hornbeamshore/config/model.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass, field
 from typing import Annotated
 
-from hornbeamshore.base.units import Bounds, ByteSize, Duration
 from msgspec import Meta
 
+from hornbeamshore.base.units import Bounds, ByteSize, Duration
+
 # Names appear in paths of the HTTP interface and in keys of the store.
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
 Label = Annotated[str, Meta(min_length=1, max_length=64)]
--- a/packages/config/src/hornbeamshore/config/reference.py
+++ b/packages/config/src/hornbeamshore/config/reference.py
@@ -11,6 +11,7 @@
 import typing
 
 import msgspec
+
 from hornbeamshore.base.faults import fields_of
 from hornbeamshore.base.units import Bounds, ByteSize, Duration
 from hornbeamshore.config.model import Deployment
--- a/packages/config/src/hornbeamshore/config/replica.py
+++ b/packages/config/src/hornbeamshore/config/replica.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import trio
+
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.units import Duration
 from hornbeamshore.config import content
--- a/tests/bench/test_replay.py
+++ b/tests/bench/test_replay.py
@@ -1,6 +1,7 @@
 """Offline replay: the stated objectives hold in simulated time."""
 
 import pytest
+
 from hornbeamshore.bench.replay import (
     LEAST_URGENT_FLOOD,
     MOST_URGENT_FLOOD,
--- a/tests/config/test_apply.py
+++ b/tests/config/test_apply.py
@@ -7,6 +7,7 @@
 
 import pytest
 import trio
+
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.units import Duration
 from hornbeamshore.bench.standin_store import StandinStore
--- a/tests/config/test_check.py
+++ b/tests/config/test_check.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 import pytest
+
 from hornbeamshore.config import check, reference
 from hornbeamshore.config.model import Urgency
 
--- a/tests/config/test_replica.py
+++ b/tests/config/test_replica.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+
 from hornbeamshore.base.units import Duration
 from hornbeamshore.config import content
 from hornbeamshore.config.model import Deployment, Kind, Service
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 import pytest
+
 from hornbeamshore.base import settings
 from hornbeamshore.base.units import Bounds, ByteSize, Duration
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -7,6 +7,7 @@
 import httpcore
 import pytest
 import trio
+
 from hornbeamshore.base.codes import Refusal, ResultCode, refuse
 from hornbeamshore.base.settings import ByteSize
 from hornbeamshore.base.types import Header, JobAnswer, TaskResult
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 import pytest
+
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.types import JobKey
 from hornbeamshore.policy.admission import Forecast, TimeBound
--- a/tests/policy/test_outliers.py
+++ b/tests/policy/test_outliers.py
@@ -1,6 +1,7 @@
 """Outliers: ejected fast, probed with growing pauses, never too many."""
 
 import pytest
+
 from hornbeamshore.policy.outliers import FailureOutliers, Health
 from hornbeamshore.policy.settings import OutlierSettings
 from hornbeamshore.policy.types import Outcome
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -1,6 +1,7 @@
 """Placement: earliest expected end, hard limits, near targets first."""
 
 import pytest
+
 from hornbeamshore.base.types import JobKey
 from hornbeamshore.policy.fleet import Fleet, Running
 from hornbeamshore.policy.outliers import Health
--- a/tests/policy/test_queueing.py
+++ b/tests/policy/test_queueing.py
@@ -1,6 +1,7 @@
 """Queueing: urgency, entitlement, fair shares, and no class that starves."""
 
 import pytest
+
 from hornbeamshore.base.types import JobKey
 from hornbeamshore.config.model import Deployment, Kind, Service, Team, Urgency
 from hornbeamshore.policy.queueing import FairQueue
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from hornbeamshore.config.model import RetryRules
 from hornbeamshore.policy.retries import BudgetedRetries
 from hornbeamshore.policy.settings import RetrySettings
--- a/tests/policy/test_runtimes.py
+++ b/tests/policy/test_runtimes.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from hornbeamshore.policy.runtimes import LearnedRunTimes
 from hornbeamshore.policy.settings import RunTimeSettings
 
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.base.types import JobKey
 from hornbeamshore.config.model import Deployment, Kind, Service, Team
