Say 'not run' only where no other copy can run

Cause: the model of the protocol shows that a refusal can be belied by another copy of the submission: one that lies unread at a paused owner, or one that a newer owner runs while the old one still answers. Change: a front that lost contact with an owner turns a later 'not run' into 'unknown'; an owner without a quorum does so too; outcomes are matched by agent as well as by attempt; a reset that is noticed while writing counts as ended by the peer.

--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -77,12 +77,15 @@
         Configuration in force.
     metrics : EntryMetrics
         Where events are counted.
+    holds_quorum : callable
+        Returns whether this entry certainly is the only active owner now.
     """
 
-    def __init__(self, partition, cfg, deployment, metrics):
+    def __init__(self, partition, cfg, deployment, metrics, holds_quorum):
         self.partition = partition
         self.cfg = cfg
         self.metrics = metrics
+        self._holds_quorum = holds_quorum
         policy = replace(cfg.policy, data_centre=cfg.data_centre)
         self.scheduler = Scheduler(policy)
         self.book = JobBook(deployment.retention, MAX_RESULT_BYTES)
@@ -410,7 +413,10 @@
         job = self.book.get(body.key)
         result = body.result
         entry = job.tasks.get(result.index) if job is not None else None
-        if entry is None or entry.attempt != result.attempt:
+        if entry is None or (entry.agent_id, entry.attempt) != (
+            agent_id,
+            result.attempt,
+        ):
             self.metrics.wasted_message("late answer")
             self._acknowledge(agent_id, TaskRef(body.key, result.index, result.attempt))
         elif entry.phase is TaskPhase.RUNNING:
@@ -509,6 +515,9 @@
         self._end(job, JobAnswer.refused(job.key, refusal))
 
     def _end(self, job, answer):
+        if answer.run_state == RunState.NOT_RUN and not self._holds_quorum():
+            # Another entry may own the partition by now and run a later copy.
+            answer = replace(answer, run_state=int(RunState.UNKNOWN))
         job.end(answer, unix_ms())
         self.book.note_ended(job)
         self._acknowledge_job(job)
--- a/packages/entry/src/hornbeamshore/entry/front.py
+++ b/packages/entry/src/hornbeamshore/entry/front.py
@@ -4,11 +4,11 @@
 
 import trio
 
-from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.codes import ResultCode, RunState, refuse
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import JobAnswer, partition_of
 from hornbeamshore.entry.service import SubmissionService
-from hornbeamshore.wire.connection import CallTimeout, ConnectionLost
+from hornbeamshore.wire.connection import CallTimeout, ConnectionLost, NotSent
 from hornbeamshore.wire.messages import JobCancel, JobQuery, Submit
 
 # The owner answers by the deadline; this is for its last message to arrive.
@@ -69,12 +69,18 @@
         if service is None:
             return JobAnswer.refused(key, refuse(ResultCode.UNKNOWN_SERVICE))
         partition = partition_of(key, service.partitions)
+        unanswered = False
         while trio.current_time() < due:
             seen = self._entry.owner_of(partition)
             if seen is not None:
-                answer = await self._ask(seen.entry_id, partition, make_body(), due)
+                try:
+                    answer = await self._ask(seen.entry_id, partition, make_body(), due)
+                except (ConnectionLost, CallTimeout) as exc:
+                    log.info("Owner %s of %s: %s", seen.entry_id, partition, exc)
+                    answer = None
+                    unanswered |= not isinstance(exc, NotSent)
                 if answer is not None:
-                    return answer
+                    return _qualified(answer, unanswered)
             await self._wait_for_other_owner(partition, seen, due)
         refusal = refuse(ResultCode.OWNER_UNREACHABLE, retry_after_s=RETRY_AFTER_S)
         return JobAnswer.refused(key, refusal)
@@ -82,17 +88,13 @@
     async def _ask(self, entry_id, partition, body, due):
         """Return the owner's answer, or None if another owner must be asked."""
         timeout_s = due - trio.current_time()
-        try:
-            if entry_id == self._entry.entry_id:
-                answer = await self._ask_self(partition, body, timeout_s)
-            else:
-                conn = self._entry.peers.get(entry_id)
-                if conn is None:
-                    return None
-                answer = (await conn.call(body, timeout_s)).answer
-        except (ConnectionLost, CallTimeout) as exc:
-            log.info("Owner %s of %s: %s", entry_id, partition, exc)
-            return None
+        if entry_id == self._entry.entry_id:
+            answer = await self._ask_self(partition, body, timeout_s)
+        else:
+            conn = self._entry.peers.get(entry_id)
+            if conn is None:
+                return None
+            answer = (await conn.call(body, timeout_s)).answer
         return None if answer.code == ResultCode.NOT_OWNER else answer
 
     async def _ask_self(self, partition, body, timeout_s):
@@ -109,3 +111,14 @@
             lambda: self._entry.owner_of(partition) not in (None, seen),
             min(left, 0.1),
         )
+
+
+def _qualified(answer, unanswered):
+    """Return the answer, without a ``not run`` that an earlier copy may belie.
+
+    A copy whose connection was lost may still lie unread at an owner that was
+    paused, which would run it after it refused the copy that was sent later.
+    """
+    if unanswered and answer.run_state == RunState.NOT_RUN:
+        return replace(answer, run_state=int(RunState.UNKNOWN))
+    return answer
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -65,7 +65,11 @@
         self.entry = entry
         self.cfg = entry.cfg.ownership
         self.dispatcher = Dispatcher(
-            partition, entry.cfg, entry.deployment(), entry.metrics
+            partition,
+            entry.cfg,
+            entry.deployment(),
+            entry.metrics,
+            self._has_quorum,
         )
         self.roster = Roster()
         self.epoch = NO_EPOCH
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -31,6 +31,10 @@
     """The host of the peer refused the connection: nothing listens there."""
 
 
+class NotSent(ConnectionLost):
+    """The connection had ended before the message was queued; it was not sent."""
+
+
 class CallTimeout(Exception):  # noqa: N818
     """The peer did not reply in time; what became of the call is unknown."""
 
@@ -127,11 +131,11 @@
 
         Raises
         ------
-        ConnectionLost
+        NotSent
             If the connection is closed.
         """
         if not self.is_open:
-            raise ConnectionLost(f"{self!r} is closed")
+            raise NotSent(f"{self!r} is closed")
         message = Message(next(self._ids), reply_to, body)
         self._outbox.append(message)
         if len(self._outbox) > MAX_OUTBOX_MESSAGES:
@@ -154,7 +158,8 @@
         Raises
         ------
         ConnectionLost
-            If the connection ends first; the peer may have received the call.
+            If the connection ends first; the peer may have received the call, unless
+            this is a `NotSent`.
         CallTimeout
             If no reply comes within `timeout_s` seconds.
         """
@@ -252,6 +257,7 @@
                 with trio.fail_after(self.cfg.dead_after):
                     await self._stream.send_all(framing.frame(payload))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.ended_by_peer = True
                 self.close()
                 return
             except trio.TooSlowError:
