--- a/packages/bench/src/hornbeamshore/bench/dispatchers.py
+++ b/packages/bench/src/hornbeamshore/bench/dispatchers.py
@@ -89,12 +89,16 @@
         Returns the true seconds from start to answer for a task and an agent id.
     urgency : dict of str to Urgency
         Class of each kind.
+    smallest_first : bool
+        Whether the job with the least work comes before older ones of its class.
     """
 
-    def __init__(self, run_time, urgency):
+    def __init__(self, run_time, urgency, smallest_first=False):
         self._run_time = run_time
+        self._smallest_first = smallest_first
         self._rank = {kind: URGENCY_RANK[value] for kind, value in urgency.items()}
         self._waiting = [deque() for _ in Urgency]
+        self._work = {}
         self._slots = {}
         self._ends = {}
 
@@ -112,8 +116,14 @@
 
     def enqueue(self, tasks, now):
         """Queue tasks."""
-        for task in tasks:
-            self._waiting[self._rank[task.kind]].append(task)
+        rank = self._rank[tasks[0].kind]
+        agent_id = next(iter(self._slots))
+        work = sum(self._run_time(task, agent_id) for task in tasks)
+        self._work[tasks[0].key] = work
+        self._waiting[rank].extend(tasks)
+        if self._smallest_first:
+            ordered = sorted(self._waiting[rank], key=lambda task: self._work[task.key])
+            self._waiting[rank] = deque(ordered)
 
     def cancel(self, key):
         """Remove the queued tasks of a job."""
--- a/packages/bench/src/hornbeamshore/bench/replay.py
+++ b/packages/bench/src/hornbeamshore/bench/replay.py
@@ -217,7 +217,7 @@
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
 
 
-def ideal_of(replay):
+def ideal_of(replay, smallest_first=False):
     """Return the `Replayed` outcome of the all-knowing schedule."""
     kinds = replay.deployment.services[SERVICE].kinds
     urgency = {name: kind.urgency for name, kind in kinds.items()}
@@ -225,7 +225,7 @@
     def run_time(task, agent_id):
         return replay.run_time(task, agent_id) + replay.round_trip(agent_id)
 
-    return replay.run(IdealDispatcher(run_time, urgency))
+    return replay.run(IdealDispatcher(run_time, urgency, smallest_first))
 
 
 def make_dispatcher(name, seed):
@@ -235,19 +235,20 @@
     return kind(cfg, random.Random(seed))
 
 
-def compare_with_ideal(scenario, name, urgency=Urgency.URGENT):
+def compare_with_ideal(scenario, name, smallest_first=False):
     """Return urgent response times over the ideal ones.
 
     Both the quantiles of the ratio of each job and the ratio of the quantiles are
     given; a job without an answer counts as infinitely late.
     """
     replay = Replay(scenario)
-    ideal, real = ideal_of(replay), replay.run(make_dispatcher(name, scenario.seed))
+    ideal = ideal_of(replay, smallest_first)
+    real = replay.run(make_dispatcher(name, scenario.seed))
     counted = [
         job.key
         for job in replay.jobs
         if job.arrival >= scenario.measured_from
-        and job.stream.urgency is urgency
+        and job.stream.urgency is Urgency.URGENT
         and job.key in ideal.responses
     ]
     missing = float("inf")
@@ -328,10 +329,11 @@
             )
             _print(f"{targets} targets, flood {flood or 'none'}", cost(case))
 
-    def ideal(self, seeds=3, dispatcher="scheduler", **scenario):
+    def ideal(self, seeds=3, dispatcher="scheduler", smallest_first=False, **scenario):
         """Print urgent response times over the ideal for some seeds."""
         for seed in range(1, seeds + 1):
-            row = compare_with_ideal(Scenario(seed=seed, **scenario), dispatcher)
+            case = Scenario(seed=seed, **scenario)
+            row = compare_with_ideal(case, dispatcher, smallest_first)
             _print(f"{dispatcher} seed {seed}", row)
 
     def floods(self, seeds=3, dispatcher="scheduler", **scenario):
--- a/packages/policy/src/hornbeamshore/policy/fleet.py
+++ b/packages/policy/src/hornbeamshore/policy/fleet.py
@@ -46,6 +46,8 @@
         Slowness, raised for a target that fails; placement multiplies by it.
     open : bool
         Whether new work may start here at all.
+    open_slots : int
+        Slots that new work may use when they are free.
     reserve : int
         Free slots that flows above their entitlement must leave.
     usable : int
@@ -54,7 +56,7 @@
 
     __slots__ = (
         "agent_id", "info", "labels", "running", "draining", "health", "delay",
-        "slowness", "factor", "open", "reserve", "usable", "_ends",
+        "slowness", "factor", "open", "open_slots", "reserve", "usable", "_ends",
     )  # fmt: skip
 
     def __init__(self, info):
@@ -76,15 +78,16 @@
 
     def update(self):
         """Recompute the free slots after a change of state."""
-        self.open = not self.draining and self.health is not Health.EJECTED
         self._ends = None
-        if not self.open:
-            self.usable = 0
-            return
-        self.usable = max(0, self.info.slots - len(self.running))
+        self.open = not self.draining and self.health is not Health.EJECTED
+        self.open_slots = self.info.slots if self.open else 0
         if self.health is Health.PROBING:
+            self.open_slots = min(self.open_slots, PROBE_SLOTS)
             probes = sum(entry.probe for entry in self.running.values())
-            self.usable = min(self.usable, max(0, PROBE_SLOTS - probes))
+            unused = max(0, self.open_slots - probes)
+            self.usable = min(unused, max(0, self.info.slots - len(self.running)))
+        else:
+            self.usable = max(0, self.open_slots - len(self.running))
 
     def rate(self, slowness, success_rate):
         """Take what was learned of the target."""
@@ -173,11 +176,11 @@
 
     def change(self, target, act, *args):
         """Change a target and keep the sums."""
-        was_open = target.open
+        before = target.open_slots
         self._count(target, -1)
         act(*args)
         self._count(target, 1)
-        self.version += was_open != target.open
+        self.version += before != target.open_slots
 
     def start(self, target, running):
         """Put a task into a slot."""
@@ -197,9 +200,9 @@
     def capacity(self, requires):
         """Return the work that open targets with the labels do each second."""
         return sum(
-            target.info.slots / target.slowness
+            target.open_slots / target.slowness
             for target in self._targets.values()
-            if target.open and requires <= target.labels
+            if requires <= target.labels
         )
 
     def reserve(self, slots):
--- a/packages/policy/src/hornbeamshore/policy/forecast.py
+++ b/packages/policy/src/hornbeamshore/policy/forecast.py
@@ -36,7 +36,7 @@
         self._seen = {k: seen for k, seen in self._seen.items() if seen >= kept}
         self._served = sum(flow.served for flow in self._queue.flows())
         self._fastest = min((target.slowness for target in targets), default=1.0)
-        slots = sum(target.info.slots for target in targets if target.open)
+        slots = sum(target.open_slots for target in targets)
         self._mean_speed = self.capacity(frozenset()) / slots if slots else 1.0
 
     def capacity(self, requires):
--- a/packages/policy/src/hornbeamshore/policy/placement.py
+++ b/packages/policy/src/hornbeamshore/policy/placement.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from hornbeamshore.policy.fleet import Target
+from hornbeamshore.policy.outliers import Health
 
 # A kind departs from the slowness of its target by less than this factor, which
 # lets the search stop at targets that are too slow even if they are free.
@@ -57,6 +58,7 @@
         self._fleet = fleet
         self._data_centre = data_centre
         self._order = []
+        self._free = []
         self._order_until = float("-inf")
         self._version = None
         self._capacity_before = {}
@@ -69,6 +71,7 @@
         self._awaited = None
         if now >= self._order_until or self._version != self._fleet.version:
             self._reorder(now)
+        self._free = [target for target in self._order if target.usable]
 
     def choose(self, flow, now):
         """Return a `Choice` for a task of a flow to start now, or None to wait."""
@@ -109,7 +112,7 @@
     def _best_free(self, flow, base, departures, now):
         best, best_end = None, float("inf")
         requires, excess = flow.requires, flow.excess
-        for target in self._order:
+        for target in self._free:
             usable = target.usable
             if not usable or (excess and usable <= target.reserve):
                 continue
@@ -131,7 +134,10 @@
             run = base * target.factor
             if now + run * MIN_DEPARTURE >= end:
                 break
-            if target.usable or (requires and not requires <= target.labels):
+            # What ends on a probed target frees no slot for other work.
+            if target.usable or target.health is Health.PROBING:
+                continue
+            if requires and not requires <= target.labels:
                 continue
             run *= departures.get(target.agent_id, 1.0)
             spare = end - target.delay - run
--- a/packages/policy/src/hornbeamshore/policy/queueing.py
+++ b/packages/policy/src/hornbeamshore/policy/queueing.py
@@ -278,7 +278,7 @@
             self._by_team.setdefault(team, []).append(flow)
             self._set_up(flow)
             flow.base = self._run_times.base(kind)
-            flow.tokens_at = self._learned_at or 0.0
+            flow.tokens_at = flow.last_used = self._learned_at or 0.0
             self._entitle(flow, self._total_weight())
             flow.tokens = flow.entitlement * self._cfg.burst
         return flow
@@ -365,7 +365,8 @@
 
     def correct(self, flow, work):
         """Charge a flow for work that its task took beyond what was expected."""
-        flow.tokens -= work
+        least = -flow.entitlement * self._cfg.max_debt
+        flow.tokens = max(min(flow.tokens, least), flow.tokens - work)
 
     def learn(self, now, capacity):
         """Update entitlements; called a few times each second."""
@@ -374,6 +375,7 @@
         passed = now - self._learned_at
         self._learned_at = now
         self._capacity = max(capacity, 1e-9)
+        self._drop_unused(now - self._cfg.forget)
         if passed > 0:
             self._learn_demand(now, passed)
         self._backlog = sum(flow.queued * flow.base for flow in self._flows.values())
@@ -525,6 +527,12 @@
             flow.requires = frozenset(kind.requires)
         flow.weight = (kind.weight if kind else 1.0) * (team.weight if team else 1.0)
 
+    def _drop_unused(self, before):
+        for key, flow in list(self._flows.items()):
+            if flow.last_used < before and not flow.queued and not flow.running:
+                del self._flows[key]
+                self._by_team[flow.team].remove(flow)
+
     def _learn_demand(self, now, passed):
         cfg = self._cfg
         served_gain = 1 - math.exp(-passed / cfg.served)
--- a/packages/policy/src/hornbeamshore/policy/scheduler.py
+++ b/packages/policy/src/hornbeamshore/policy/scheduler.py
@@ -5,7 +5,7 @@
 
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.policy.admission import TimeBound
-from hornbeamshore.policy.fleet import Fleet, Running
+from hornbeamshore.policy.fleet import Fleet, Running, task_id
 from hornbeamshore.policy.forecast import Forecaster
 from hornbeamshore.policy.outliers import FailureOutliers
 from hornbeamshore.policy.placement import EarliestEnd
@@ -158,7 +158,7 @@
     def adopt(self, agent_id, task, now):
         """Note a task that runs already, found after a takeover."""
         target = self._fleet.get(agent_id)
-        if target is not None:
+        if target is not None and task_id(task) not in target.running:
             self._start(task, target, now)
 
     def ended(self, agent_id, task, outcome, run_time_s, now):
@@ -171,9 +171,10 @@
         self._changed = True
         if outcome is Outcome.OK:
             self._run_times.observe(task.kind, agent_id, run_time_s)
-        if running.charged:
-            work = 0.0 if outcome is Outcome.REFUSED else run_time_s / target.slowness
-            self._queue.correct(running.flow, work - running.cost)
+        if running.charged and outcome in (Outcome.OK, Outcome.REFUSED):
+            # Time lost on a target that failed or stalled is not the flow's use.
+            done = run_time_s / target.slowness if outcome is Outcome.OK else 0.0
+            self._queue.correct(running.flow, done - running.cost)
         self._outliers.ended(agent_id, task.kind, outcome, now)
         self._rate(target)
 
@@ -294,6 +295,7 @@
         late = sum(
             now - entry.started > self._stalled_after(entry)
             for entry in target.running.values()
+            if self._run_times.is_learned(entry.task.kind)
         )
         if late >= max(2, len(target.running) / 2):
             self._outliers.stalled(target.agent_id, now)
--- a/packages/policy/src/hornbeamshore/policy/settings.py
+++ b/packages/policy/src/hornbeamshore/policy/settings.py
@@ -71,6 +71,9 @@
         Entitlement of a flow without usual demand, over its fair share.
     burst : Duration
         Time for which unused entitlement is kept.
+    max_debt : Duration
+        Time for which a flow is served last after its tasks took longer than
+        expected.
     promote_after : Duration
         Entitlement that a flow must have earned to be served by class again;
         without it a flooding flow changes its lane with each task.
@@ -95,6 +98,7 @@
     headroom: float = 1.3
     fair_floor: float = 0.5
     burst: Duration = Duration(5.0)
+    max_debt: Duration = Duration(1.0)
     promote_after: Duration = Duration(0.2)
     usual: Duration = Duration(20.0)
     served: Duration = Duration(2.0)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -44,6 +44,8 @@
         fleet.drain(fleet.get(agent_id))
     for agent_id in case.get("ejected", ()):
         fleet.set_health(fleet.get(agent_id), Health.EJECTED)
+    for agent_id in case.get("probing", ()):
+        fleet.set_health(fleet.get(agent_id), Health.PROBING)
     fleet.reserve(case.get("reserve", 0))
     run_times = LearnedRunTimes(RunTimeSettings())
     run_times.declare("k", RUN_S)
@@ -64,6 +66,14 @@
         ({"slowness": [0.5, 1.0], "centres": ["far", "near"]}, "a0"),
         ({"slowness": [1.0, 0.5], "draining": ["a1"]}, "a0"),
         ({"slowness": [1.0, 0.5], "ejected": ["a1"]}, "a0"),
+        (
+            {
+                "slowness": [2.0, 0.5],
+                "busy": [("a1", 0.9, 0.15)],
+                "probing": ["a1"],
+            },
+            "a0",
+        ),
         ({"slowness": [1.0], "draining": ["a0"]}, None),
         (
             {"slowness": [1.0, 0.5], "requires": ["gpu"], "labels": [["gpu"], []]},
@@ -101,6 +111,7 @@
         "far one if it is faster",
         "draining",
         "ejected",
+        "probed one is not waited for",
         "none open",
         "labels",
         "labels that no target has",
--- a/tests/policy/test_queueing.py
+++ b/tests/policy/test_queueing.py
@@ -155,3 +155,14 @@
     assert queue.pick(0.0) is None
     queue.unblock("t")
     assert len(_serve(queue, 9)) == 3
+
+
+def test_unused_flows_are_dropped():
+    """Guards against memory that grows with each team and kind ever seen."""
+    queue = _queue()
+    _add(queue, "n", 1)
+    queue.learn(1000.0, CAPACITY)
+    assert len(queue.flows()) == 1
+    _serve(queue, 1)
+    queue.learn(1000.0, CAPACITY)
+    assert not queue.flows()
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -58,6 +58,21 @@
     assert changed == (outcome is Outcome.OK)
 
 
+@pytest.mark.parametrize("outcome", [Outcome.OK, Outcome.LOST])
+def test_long_tasks_do_not_demote_their_flow_for_long(outcome):
+    """Guards against urgent work served last since a stalled target held its tasks."""
+    scheduler = _scheduler()
+    _enqueue(scheduler, 16)
+    started = scheduler.assign(0.0)
+    for item in started:
+        scheduler.ended(item.agent_id, item.task, outcome, 15.0, 15.0)
+    _enqueue(scheduler, 400, job="flood", now=15.0)
+    _enqueue(scheduler, 4, job="later", now=15.0)
+    scheduler.assign(15.0)
+    (flow,) = scheduler._queue.flows()
+    assert flow.tokens >= -2 * flow.entitlement
+
+
 @pytest.mark.parametrize("way", ["drain", "remove"])
 def test_target_that_leaves(way):
     """Guards against new work on a leaving target, and against lost accounting."""
@@ -81,7 +96,7 @@
     """Guards against overfilled targets after a takeover."""
     scheduler = _scheduler(targets=1)
     key = JobKey("t", "s", "old")
-    for index in range(6):
+    for index in [*range(6), 0, 1]:
         scheduler.adopt("a0", QueuedTask(key, index, 1, "t", "k", 30.0), 0.0)
     _enqueue(scheduler, 9)
     assert len(scheduler.assign(0.0)) == 2
