Account only for lost agents whose start records the owner has

Cause: an owner and an agent were killed together. The new owner, which had none of that agent's records, copied nothing, marked the agent as accounted for, called itself complete and started resubmitted jobs again. A restarted agent was also asked to reconcile tasks of its predecessor, which it had never received.

--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -507,7 +507,8 @@
         for task in self.scheduler.cancel(job.key):
             entry = job.tasks[task.index]
             job.tasks[task.index] = replace(entry, phase=TaskPhase.ENDED)
-        run_state = job.run_state()
+        is_uncertain = code == ResultCode.OUTCOME_UNKNOWN
+        run_state = RunState.UNKNOWN if is_uncertain else job.run_state()
         for index, entry in job.running():
             ref = TaskRef(job.key, index, entry.attempt)
             self._cancels.setdefault(entry.agent_id, []).append(ref)
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -77,9 +77,11 @@
         self._highest_epoch = NO_EPOCH
         self._leases = self._new_leases()
         self._grants = {}
+        self._known_records = {}
         self._holding = set()
         self._handover = None
         self._handover_jobs = []
+        self._handover_epoch = 0
         self._found_roster_epoch = 0
         self._founded_first = False
         self._known_complete = False
@@ -110,6 +112,9 @@
         if epoch > self._highest_epoch:
             self._highest_epoch = epoch
             self.changed.notify()
+        if self._handover is not None and epoch.pack() > self._handover.epoch:
+            # Another entry has owned the partition since.
+            self._handover = None
 
     def roster_told(self, roster):
         """Take the roster that the partition's owner told."""
@@ -117,6 +122,8 @@
 
     def handover_told(self, body):
         """Take a part of a handover by the leaving owner; return the reply."""
+        if body.epoch != self._handover_epoch:
+            self._handover_epoch, self._handover_jobs = body.epoch, []
         self._handover_jobs.extend(body.jobs)
         self.stale(Epoch.unpack(body.epoch))
         if body.last:
@@ -167,6 +174,7 @@
         self._highest_epoch = self.epoch
         self._leases = self._new_leases()
         self._grants = {}
+        self._known_records = {}
         self._holding = set()
         self._early_outcomes = []
         self._committed = None
@@ -275,8 +283,9 @@
         return replace(handover, jobs=tuple(jobs))
 
     def _update_tenure(self):
-        complete = self._known_complete or self._is_accounted_for()
-        tenure = Tenure(self.epoch.pack(), self._since_ms, complete)
+        # Once all is known it stays so: no other entry starts work meanwhile.
+        self._known_complete = self._known_complete or self._is_accounted_for()
+        tenure = Tenure(self.epoch.pack(), self._since_ms, self._known_complete)
         if tenure != self.dispatcher.tenure:
             self.dispatcher.activate(tenure)
 
@@ -288,7 +297,7 @@
         if not self.roster.entries:
             return False
         known = rosters.without_expired(self.roster, now_ms, retention_ms)
-        return not rosters.unaccounted(known, self._leases.incarnations)
+        return not rosters.unaccounted(known, self._known_records)
 
     # Serving
 
@@ -395,6 +404,7 @@
     def _granted(self, link, reply, sent_at):
         self._leases.confirm(link.agent_id, link.incarnation, sent_at)
         self._grants[link.agent_id] = reply
+        self._known_records[link.agent_id] = link.incarnation
         if self.dispatcher.is_active:
             self.dispatcher.merge_records(link.agent_id, reply.records)
             self._update_tenure()
@@ -403,10 +413,16 @@
         self.changed.notify()
 
     async def _reconcile(self, link):
-        """Ask an agent for the tasks that were sent over an earlier connection."""
+        """Ask an agent for the tasks that were sent over an earlier connection.
+
+        Only the incarnation to which they were sent can tell that it never received
+        them; a restarted agent has no records, and the tasks may have run.
+        """
         tasks = self.dispatcher.running_on(link.agent_id)
         if not tasks:
             return
+        if not rosters.lists(self.roster, link.agent_id, link.incarnation):
+            return
         body = Reconcile(self.name, self.epoch.pack(), tasks)
         reply = await link.conn.call(body, CALL_TIMEOUT_S)
         self.dispatcher.merge_records(link.agent_id, reply.records)
@@ -480,10 +496,20 @@
 
     async def _without_agent(self, agent_id):
         log.warning("Agent %s is lost.", agent_id)
+        is_known = self._knows_records(agent_id)
         self.dispatcher.agent_lost(agent_id)
         records = self.dispatcher.records_of(agent_id)
         copied = await self.copy_records(agent_id, records)
-        return rosters.with_lost(self.roster, agent_id, unix_ms(), accounted_for=copied)
+        return rosters.with_lost(
+            self.roster, agent_id, unix_ms(), accounted_for=is_known and copied
+        )
+
+    def _knows_records(self, agent_id):
+        """Return whether this owner knows all starts on a live agent of the roster."""
+        if self._known_complete:
+            return True
+        incarnation = self._known_records.get(agent_id)
+        return rosters.lists(self.roster, agent_id, incarnation)
 
     async def copy_records(self, agent_id, records):
         """Give an agent's start records to others; return whether enough have them."""
