End a planned stop only after each partition was handed over

Cause: the drain waited for the entry's own requests but not for its partitions, and a last entry gave its partitions up with jobs still open. Change: the drain waits until each partition's task has ended; without a successor a term goes on until no job is open. The owner table and the presence of entries are kept for each region.

--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -14,7 +14,7 @@
 from hornbeamshore.entry.http_api import HttpApi
 from hornbeamshore.entry.http_server import open_http_listeners, serve_http
 from hornbeamshore.entry.http_settings import HttpSettings
-from hornbeamshore.entry.membership import OWNERS, EntryMembership
+from hornbeamshore.entry.membership import EntryMembership, owners_key
 from hornbeamshore.entry.metrics import EntryMetrics
 from hornbeamshore.entry.objectives import BurnWindows
 from hornbeamshore.entry.observer import EntryObserver
@@ -22,7 +22,7 @@
 from hornbeamshore.entry.reporting import keep_reporting
 from hornbeamshore.entry.state import EntryState
 from hornbeamshore.entry.table import decode_table
-from hornbeamshore.store.base import StoreError, deployment_key
+from hornbeamshore.store.base import StoreError
 from hornbeamshore.store.etcd import EtcdStore
 from hornbeamshore.wire.connection import serve_connections
 from hornbeamshore.wire.handshake import Identity
@@ -156,8 +156,7 @@
 
     async def _watch_table(self, store):
         """Take each owner table that the store holds, until cancelled."""
-        key = deployment_key(self.cfg.deployment, OWNERS)
-        async with store.watch(key) as watch:
+        async with store.watch(owners_key(self.cfg)) as watch:
             while True:
                 try:
                     async for change in watch:
@@ -173,9 +172,14 @@
         self.entry.leaving = True
         for conn in self.entry.peers.all():
             conn.try_send(self.handler.heartbeat())
-        for owner in self.entry.owners.values():
+        owners = list(self.entry.owners.values())
+        for owner in owners:
             owner.resign()
-        if not await self.entry.wait_idle(self.cfg.drain_timeout):
+        with trio.move_on_after(self.cfg.drain_timeout) as limit:
+            for owner in owners:
+                await owner.has_ended.wait()
+            await self.entry.wait_idle()
+        if limit.cancelled_caught:
             log.warning("Requests were still in flight at the end of the drain.")
         with trio.move_on_after(self.cfg.wire.dead_after):
             await self.entry.membership.leave()
--- a/packages/entry/src/hornbeamshore/entry/membership.py
+++ b/packages/entry/src/hornbeamshore/entry/membership.py
@@ -15,13 +15,22 @@
 from hornbeamshore.wire.messages import OwnerTable
 
 OWNERS = "owners"
-PRESENCE = "entries/"
+PRESENCE = "entries"
 RETRY_S = 0.5
 MAX_RETRY_S = 5.0
 
 log = PartLogger("store")
 
 
+def owners_key(cfg):
+    """Return the key of the owner table of an entry's region."""
+    return deployment_key(cfg.deployment, _in_region(OWNERS, cfg.region))
+
+
+def _in_region(name, region):
+    return f"{name}/{region}" if region else name
+
+
 class EntryMembership:
     """Keeps this entry in the owner table, and dead ones out of it.
 
@@ -42,8 +51,9 @@
         self._cfg = cfg
         self._me = me
         self._take_table = take_table
-        self._owners_key = deployment_key(cfg.deployment, OWNERS)
-        self._presence_prefix = deployment_key(cfg.deployment, PRESENCE)
+        self._owners_key = owners_key(cfg)
+        presence = _in_region(PRESENCE, cfg.region) + "/"
+        self._presence_prefix = deployment_key(cfg.deployment, presence)
         self._rng = random.Random(me.incarnation)
         self._leaving = False
         self._lease_id = 0
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -74,6 +74,7 @@
         self.roster = Roster()
         self.epoch = NO_EPOCH
         self.changed = Changed()
+        self.has_ended = trio.Event()
         self._highest_epoch = NO_EPOCH
         self._leases = self._new_leases()
         self._grants = {}
@@ -133,7 +134,11 @@
         return HandoverReply(int(ResultCode.OK))
 
     def resign(self):
-        """Hand the partition over, if it is owned, and own it no more."""
+        """Hand the partition over, if it is owned, and own it no more.
+
+        Without a successor the term goes on until no job is open. `has_ended` is
+        set at the end.
+        """
         self._stop = True
         self.changed.notify()
 
@@ -144,13 +149,14 @@
         while not self._stop:
             await self.changed.wait_until(self._should_own)
             if self._stop:
-                return
+                break
             async with trio.open_nursery() as nursery:
                 await self._serve_term(nursery)
                 nursery.cancel_scope.cancel()
             if not self._stop:
                 pause = RETRY_ACQUIRE_S * self._rng.uniform(0.5, 1.5)
                 await trio.sleep(pause)
+        self.has_ended.set()
 
     def _should_own(self):
         if self._stop or self._handover is not None:
@@ -311,7 +317,7 @@
             if successor is not None:
                 await self._hand_over(successor)
                 return
-            if self._stop and successor is None:
+            if self._stop and not self.dispatcher.book.open_jobs():
                 return
             self._update_tenure()
             with trio.move_on_after(self.cfg.renew_every / 2):
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -210,9 +210,9 @@
             self.in_flight -= 1
             self.idle.notify()
 
-    async def wait_idle(self, timeout_s):
-        """Return whether all submissions were answered within a time."""
-        return await self.idle.wait_until(lambda: not self.in_flight, timeout_s)
+    async def wait_idle(self):
+        """Return when all submissions were answered."""
+        await self.idle.wait_until(lambda: not self.in_flight)
 
     def status(self):
         """Return the report for operators as plain values."""
