Refuse a foreign value of the owner table with an error of its own

Cause: a value that is no table would have ended the tasks that read it. Change: decode_table raises TableError, which the membership and the watch log.

--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -21,7 +21,7 @@
 from hornbeamshore.entry.peers import PeerLinks
 from hornbeamshore.entry.reporting import keep_reporting
 from hornbeamshore.entry.state import EntryState
-from hornbeamshore.entry.table import decode_table
+from hornbeamshore.entry.table import TableError, decode_table
 from hornbeamshore.store.base import StoreError
 from hornbeamshore.store.etcd import EtcdStore
 from hornbeamshore.wire.connection import serve_connections
@@ -156,14 +156,15 @@
 
     async def _watch_table(self, store):
         """Take each owner table that the store holds, until cancelled."""
-        async with store.watch(owners_key(self.cfg)) as watch:
+        key = owners_key(self.cfg)
+        async with store.watch(key) as watch:
             while True:
                 try:
                     async for change in watch:
-                        if change.item is not None:
+                        if change.key == key and change.item is not None:
                             self.entry.take_table(decode_table(change.item.value))
-                except StoreError as exc:
-                    log.debug("Watch of the owner table: %s", exc)
+                except (StoreError, TableError) as exc:
+                    log.warning("Watch of the owner table: %s", exc)
                     await trio.sleep(WATCH_RETRY_S)
 
     async def _drain(self):
--- a/packages/entry/src/hornbeamshore/entry/membership.py
+++ b/packages/entry/src/hornbeamshore/entry/membership.py
@@ -69,7 +69,7 @@
                 await self._stay()
             except LeaseNotFound:
                 log.warning("The presence lease has expired; joining again.")
-            except StoreError as exc:
+            except (StoreError, tables.TableError) as exc:
                 self.store_errors += 1
                 log.warning("Store: %s", exc)
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
@@ -82,7 +82,7 @@
         try:
             await self.change_table(lambda table: tables.without_entries(table, {name}))
             await self._store.revoke_lease(self._lease_id)
-        except StoreError as exc:
+        except (StoreError, tables.TableError) as exc:
             log.warning("Could not leave the owner table: %s", exc)
 
     async def found_partition(self, partition):
@@ -102,7 +102,7 @@
 
         try:
             await self.change_table(found)
-        except StoreError as exc:
+        except (StoreError, tables.TableError) as exc:
             log.warning("Could not found %s: %s", partition, exc)
             return None
         return first[0]
--- a/packages/entry/src/hornbeamshore/entry/table.py
+++ b/packages/entry/src/hornbeamshore/entry/table.py
@@ -12,6 +12,10 @@
 from hornbeamshore.wire.messages import OwnerTable
 
 
+class TableError(ValueError):
+    """The store holds something else than an owner table."""
+
+
 def encode_table(table):
     """Return the bytes that the store holds for a table."""
     return msgspec.json.encode(table)
@@ -22,10 +26,13 @@
 
     Raises
     ------
-    msgspec.ValidationError, msgspec.DecodeError
+    TableError
         If the bytes are no table.
     """
-    return msgspec.json.decode(data, type=OwnerTable)
+    try:
+        return msgspec.json.decode(data, type=OwnerTable)
+    except msgspec.DecodeError as exc:
+        raise TableError(f"owner table cannot be read: {exc}") from exc
 
 
 def candidates(table, partition):
--- a/tests/ownership/test_roster.py
+++ b/tests/ownership/test_roster.py
@@ -93,3 +93,12 @@
     owned = tables.with_owned(table, "service/0")
     assert owned.version == table.version + 1
     assert owned.owned == ("service/0",)
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b"{", b'{"version": "one"}', b'{"entries": [{}]}']
+)
+def test_foreign_value_is_no_table(data):
+    """Guards against a process that ends because of a value in the store."""
+    with pytest.raises(tables.TableError):
+        tables.decode_table(data)
