Report from each agent the revision it has in force

Cause: operators could not learn whether a change had reached the agents, and the debug logs did not name a job in each part. Change: entries send agents the slice of their service, or its digest where only other services changed; agents take higher revisions only, use the retention and report the revision in their heartbeat. Front, owner and agent log the identifier at level debug. Entry settings check names, addresses and the secret.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from hornbeamshore.agent.configuration import AgentConfig
 from hornbeamshore.agent.executor import Executor
 from hornbeamshore.agent.fencing import Fencing
 from hornbeamshore.agent.records import StartRecords
@@ -25,6 +26,8 @@
     Acknowledge,
     Announce,
     CancelTasks,
+    ConfigPull,
+    ConfigUpdate,
     CopyRecords,
     CopyRecordsReply,
     Fence,
@@ -92,6 +95,7 @@
         self.fencing = Fencing(cfg.service, cfg.wire.suspect_after, trio.current_time())
         self.records = StartRecords(cfg.retention)
         self.copies = StartRecords(cfg.retention)
+        self.config = AgentConfig()
         self.executor = Executor(cfg.slots, target, self._report)
         self.uplinks = None
         self.roster = Roster()
@@ -112,6 +116,7 @@
             CopyRecords: self._copy_records,
             RosterUpdate: self._update_roster,
             TableUpdate: self._update_table,
+            ConfigUpdate: self._update_config,
         }
 
     async def run(self):
@@ -139,6 +144,8 @@
         if old is not None:
             old.close()
         self.fencing.opened(_owner(conn), trio.current_time())
+        # The revision goes first, so that the entry need not send it again.
+        conn.try_send(self.heartbeat())
         self._announce(conn)
         self._owner_changed.set()
         self._choose_entries()
@@ -156,9 +163,12 @@
         self.fencing.refused((peer.process_id, peer.incarnation))
 
     def heartbeat(self):
-        """Return the `Heartbeat` with the version of the owner table."""
+        """Return the `Heartbeat` with revision and version that are in force."""
         return Heartbeat(
-            table_version=self.table.version, slots_in_use=self.executor.in_use
+            config_revision=self.config.revision,
+            table_version=self.table.version,
+            slots_in_use=self.executor.in_use,
+            leaving=self.leaving,
         )
 
     def handle(self, conn, message):
@@ -201,6 +211,7 @@
         ref = TaskRef(start.key, start.index, start.attempt)
         refusal, recorded = self._check_start(conn, start, ref)
         if refusal is None:
+            log.debug("Job %s starts task %d here.", start.key.job_id, start.index)
             self.tasks_started += 1
             self.records.started(ref, now, unix_ms())
             self.executor.submit(start)
@@ -329,6 +340,16 @@
             self.table = table
             self._choose_entries()
 
+    def _update_config(self, conn, message, _now):
+        revision, content = message.body.revision, message.body.content
+        if self.config.needs_content(revision, content):
+            conn.try_send(ConfigPull(self.config.revision))
+        elif self.config.offer(revision, content):
+            retention = self.config.current.retention
+            self.records.retention = self.copies.retention = retention
+            for each in self._conns.values():
+                each.try_send(self.heartbeat())
+
     def _choose_entries(self):
         if self.uplinks is None or not self.table.entries:
             return
--- a/packages/agent/src/hornbeamshore/agent/process.py
+++ b/packages/agent/src/hornbeamshore/agent/process.py
@@ -46,8 +46,8 @@
     import trio
 
     from hornbeamshore.agent import daemon
-    from hornbeamshore.agent.settings import AgentSettings, read_secret
-    from hornbeamshore.base.settings import convert
+    from hornbeamshore.agent.settings import AgentSettings
+    from hornbeamshore.base.settings import convert, read_secret
 
     cfg = convert(raw, AgentSettings)
     gc.collect()
--- a/packages/agent/src/hornbeamshore/agent/records.py
+++ b/packages/agent/src/hornbeamshore/agent/records.py
@@ -102,11 +102,11 @@
     Parameters
     ----------
     retention : float
-        Seconds that a record is kept after its last change.
+        Seconds that a record is kept after its last change; may be set anew.
     """
 
     def __init__(self, retention):
-        self._retention = retention
+        self.retention = retention
         self._live = {}
         self._blocks = deque()
         self._live_total = self._settled = 0
@@ -180,7 +180,7 @@
 
     def expire(self, now):
         """Drop the records whose retention has passed; running ones stay."""
-        limit = now - self._retention
+        limit = now - self.retention
         while self._blocks and self._blocks[0].ended_at <= limit:
             self._blocks.popleft()
         self._remove(
--- a/packages/agent/src/hornbeamshore/agent/settings.py
+++ b/packages/agent/src/hornbeamshore/agent/settings.py
@@ -12,11 +12,10 @@
     SettingsError,
     convert,
     load_yaml,
+    read_secret,
 )
 from hornbeamshore.wire.connection import WireSettings
 
-MIN_SECRET_BYTES = 16
-
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
 Address = Annotated[str, Meta(pattern=r"^[A-Za-z0-9.\[\]:_-]+:[0-9]{1,5}$")]
 Count = Annotated[int, Meta(ge=1, le=1024)]
@@ -51,7 +50,8 @@
     connect_timeout : Duration
         Time to open a connection to the target.
     retention : Duration
-        Time that a start record is kept after its end.
+        Time that a start record is kept after its end, until the configuration in
+        force tells another.
     drain_timeout : Duration
         Time that running tasks have to end on a planned stop. The deadline of a
         task is at most 60 s, so the default cuts off none.
@@ -116,22 +116,3 @@
     except SettingsError as exc:
         raise SettingsError(f"{path}: {exc}") from exc
     return raw
-
-
-def read_secret(path):
-    """Return the deployment's secret.
-
-    Raises
-    ------
-    SettingsError
-        If the file cannot be read or its secret is too short.
-    """
-    try:
-        secret = Path(path).read_bytes().strip()
-    except OSError as exc:
-        raise SettingsError(f"$.secret_file {path!r}: cannot be read: {exc}") from exc
-    if len(secret) < MIN_SECRET_BYTES:
-        raise SettingsError(
-            f"$.secret_file {path!r}: expected at least {MIN_SECRET_BYTES} bytes"
-        )
-    return secret
--- a/packages/base/src/hornbeamshore/base/codes.py
+++ b/packages/base/src/hornbeamshore/base/codes.py
@@ -58,6 +58,7 @@
     PEER_REJECTED = 507
     NOT_OWNER = 508
     OWNER_ALIVE = 509
+    ENTRY_UNREACHABLE = 510
     CONFIG_INVALID = 600
     CONFIG_CONFLICT = 601
     STORE_UNAVAILABLE = 602
@@ -172,6 +173,9 @@
     ResultCode.OWNER_ALIVE: CodeInfo(
         _NOT, 503, "The agent still hears the present owner."
     ),
+    ResultCode.ENTRY_UNREACHABLE: CodeInfo(
+        _NOT, 503, "No entry of the deployment could be reached."
+    ),
     ResultCode.CONFIG_INVALID: CodeInfo(
         _NOT, 422, "The configuration file has faults."
     ),
--- a/packages/base/src/hornbeamshore/base/hashing.py
+++ b/packages/base/src/hornbeamshore/base/hashing.py
@@ -24,3 +24,8 @@
 
 def _weight(key, name):
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
+
+
+def content_digest(content):
+    """Return 8 bytes that stand for the content of a configuration."""
+    return xxhash.xxh3_64_digest(content)
--- a/packages/base/src/hornbeamshore/base/settings.py
+++ b/packages/base/src/hornbeamshore/base/settings.py
@@ -14,9 +14,13 @@
     "convert",
     "load_settings",
     "load_yaml",
+    "read_secret",
 ]
 
 
+MIN_SECRET_BYTES = 16
+
+
 class SettingsError(ValueError):
     """Settings cannot be used; the message names the field, its value and the rule."""
 
@@ -71,6 +75,25 @@
         raise SettingsError(f"{path}: {exc}") from exc
 
 
+def read_secret(path):
+    """Return the deployment's secret.
+
+    Raises
+    ------
+    SettingsError
+        If the file cannot be read or its secret is too short.
+    """
+    try:
+        secret = Path(path).read_bytes().strip()
+    except OSError as exc:
+        raise SettingsError(f"$.secret_file {path!r}: cannot be read: {exc}") from exc
+    if len(secret) < MIN_SECRET_BYTES:
+        raise SettingsError(
+            f"$.secret_file {path!r}: expected at least {MIN_SECRET_BYTES} bytes"
+        )
+    return secret
+
+
 def _document(text, name):
     # The agent's daemon gets its settings decoded, and has no memory to spare for YAML.
     from hornbeamshore.base.yamltext import NotYaml, parse_yaml
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -2,12 +2,12 @@
 
 import contextlib
 import signal
-from pathlib import Path
 
 import trio
 
 from hornbeamshore.base.clock import new_incarnation
 from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import read_secret
 from hornbeamshore.config.replica import ConfigReplica
 from hornbeamshore.entry.front import Front
 from hornbeamshore.entry.handler import EntryHandler
@@ -55,7 +55,7 @@
 
     def __init__(self, cfg):
         self.cfg = cfg
-        self.secret = Path(cfg.secret_file).read_bytes().strip()
+        self.secret = read_secret(cfg.secret_file)
         self.http_address = self.peer_address = ""
         self.entry = None
         self._stopping = trio.Event()
--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -281,6 +281,7 @@
         if not self.is_active:
             reply(JobAnswer.refused(req.key, refuse(ResultCode.NOT_OWNER)))
             return
+        log.debug("Job %s arrived with %d tasks.", req.key.job_id, len(req.tasks))
         job = self.book.get(req.key)
         if job is not None:
             self._join(job, req, reply)
@@ -595,6 +596,7 @@
             expires_at_ms=now_ms + min(left_ms, START_VALID_MS),
             timeout_ms=left_ms,
         )
+        log.debug("Job %s starts task %d at %s.", job.key.job_id, task.index, agent_id)
         self.metrics.started(self.partition.service, job.request.kind)
         waited_s = trio.current_time() - job.queued_at
         self.metrics.queued(self.partition.service, job.request.kind, waited_s)
--- a/packages/entry/src/hornbeamshore/entry/front.py
+++ b/packages/entry/src/hornbeamshore/entry/front.py
@@ -72,8 +72,10 @@
         while trio.current_time() < due:
             seen = self._entry.owner_of(partition)
             if seen is not None:
+                log.debug("Job %s goes to owner %s.", key.job_id, seen.entry_id)
                 answer = await self._ask(seen.entry_id, partition, make_body(), due)
                 if answer is not None:
+                    log.debug("Job %s has code %d.", key.job_id, answer.code)
                     return answer
             await self._wait_for_other_owner(partition, seen, due)
         refusal = refuse(ResultCode.OWNER_UNREACHABLE, retry_after_s=RETRY_AFTER_S)
--- a/packages/entry/src/hornbeamshore/entry/handler.py
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -83,6 +83,7 @@
             self._entry.notify_owners()
         elif conn.peer.kind == ProcessKind.AGENT:
             self._entry.agents.closed(conn)
+            self._entry.slices.closed(conn)
 
     def heartbeat(self):
         """Return the revisions that this entry has in force."""
@@ -104,7 +105,9 @@
     # Agents
 
     def _announced(self, conn, message):
-        self._entry.agents.announced(link_of(conn, message.body))
+        link = link_of(conn, message.body)
+        self._entry.agents.announced(link)
+        self._entry.slices.offer(link)
 
     def _task_done(self, conn, message):
         owner = self._owner(message.body.partition)
@@ -130,7 +133,9 @@
         if conn.peer.kind == ProcessKind.ENTRY and beat.leaving:
             entry.peers.mark_leaving(conn.peer.process_id)
             entry.notify_owners()
-        if beat.config_revision > entry.replica.revision:
+        if conn.peer.kind == ProcessKind.AGENT:
+            entry.slices.reported(conn, beat.config_revision)
+        elif beat.config_revision > entry.replica.revision:
             conn.try_send(ConfigPull(entry.replica.revision))
         if beat.table_version < entry.table.version:
             conn.try_send(TableUpdate(entry.table))
@@ -143,7 +148,11 @@
 
     def _config_pull(self, conn, message):
         replica = self._entry.replica
-        if replica.revision > message.body.known_revision:
+        if conn.peer.kind == ProcessKind.AGENT:
+            link = self._entry.agents.get(conn.peer.process_id)
+            if link is not None and link.conn is conn:
+                self._entry.slices.send_content(link)
+        elif replica.revision > message.body.known_revision:
             conn.try_send(ConfigUpdate(replica.revision, replica.content))
 
     def _config_update(self, conn, message):
@@ -193,7 +202,7 @@
             return None
 
 
-_AGENT_MESSAGES = (Announce, TaskDone, Leave, Heartbeat, TableUpdate)
+_AGENT_MESSAGES = (Announce, TaskDone, Leave, Heartbeat, TableUpdate, ConfigPull)
 _OPERATOR_MESSAGES = (StatusQuery, Heartbeat)
 _ENTRY_MESSAGES = (
     Heartbeat,
--- a/packages/entry/src/hornbeamshore/entry/reporting.py
+++ b/packages/entry/src/hornbeamshore/entry/reporting.py
@@ -22,7 +22,10 @@
         "peers": sorted(conn.peer.process_id for conn in entry.peers.all()),
         "submissions_in_flight": entry.in_flight,
         "dispatch": entry.metrics.dispatch_totals(),
-        "agents": [_agent_status(link) for link in entry.agents.all()],
+        "unowned": [
+            str(item) for item in entry.partitions() if not entry.owner_of(item)
+        ],
+        "agents": [_agent_status(entry, link) for link in entry.agents.all()],
         "partitions": [
             _owner_status(owner, now)
             for owner in entry.owners.values()
@@ -85,7 +88,7 @@
     return totals
 
 
-def _agent_status(link):
+def _agent_status(entry, link):
     return {
         "agent_id": link.agent_id,
         "incarnation": link.conn.peer.incarnation,
@@ -94,6 +97,8 @@
         "data_centre": link.data_centre,
         "rack": link.rack,
         "slots": link.slots,
+        "labels": link.labels,
+        "revision": entry.slices.in_force(link.conn),
         "leaving": link.leaving,
         "messages": link.conn.messages_sent + link.conn.messages_received,
         "bytes": link.conn.bytes_sent + link.conn.bytes_received,
--- a/packages/entry/src/hornbeamshore/entry/settings.py
+++ b/packages/entry/src/hornbeamshore/entry/settings.py
@@ -1,12 +1,20 @@
 """Settings of an entry process."""
 
 from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
 
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.policy.settings import PolicySettings
 from hornbeamshore.store.etcd import EtcdSettings
 from hornbeamshore.wire.connection import WireSettings
 
+# The same rules as in the settings of agents.
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+Address = Annotated[str, Meta(pattern=r"^[A-Za-z0-9.\[\]:_-]+:[0-9]{1,5}$")]
+LogLevel = Annotated[str, Meta(pattern="^(debug|info|warning|error)$")]
+
 
 @dataclass(frozen=True, slots=True)
 class OwnershipSettings:
@@ -54,18 +62,18 @@
         Longest time of a graceful shutdown.
     """
 
-    deployment: str
-    entry_id: str
-    data_centre: str
-    http_listen: str
-    peer_listen: str
+    deployment: Name
+    entry_id: Name
+    data_centre: Name
+    http_listen: Address
+    peer_listen: Address
     secret_file: str
     store: EtcdSettings
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[Address, ...] = ()
     peer_address: str = ""
     rack: str = ""
     region: str = ""
-    log_level: str = "info"
+    log_level: LogLevel = "info"
     presence_ttl: Duration = Duration(10.0)
     drain_timeout: Duration = Duration(30.0)
     wire: WireSettings = WireSettings()
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -11,6 +11,7 @@
 from hornbeamshore.entry.agents import AgentLinks
 from hornbeamshore.entry.events import Changed
 from hornbeamshore.entry.ownership import PartitionOwner
+from hornbeamshore.entry.slices import AgentSlices
 from hornbeamshore.wire.messages import (
     Heartbeat,
     JobCancel,
@@ -56,6 +57,7 @@
         self.metrics = metrics
         self.windows = windows
         self.agents = AgentLinks()
+        self.slices = AgentSlices(replica)
         self.peers = None
         self.membership = None
         self.table = OwnerTable()
@@ -75,6 +77,8 @@
             # A heartbeat tells the revision; peers that are behind pull it.
             for conn in self.peers.all():
                 conn.try_send(self.heartbeat())
+        for link in self.agents.all():
+            self.slices.offer(link)
 
     def heartbeat(self):
         """Return the sign of life of this process with the revisions in force."""
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -423,7 +423,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigUpdate:
-    """Configuration at a revision, in the form in which the store holds it."""
+    """Configuration at a revision.
+
+    Entries get it in the form in which the store holds it, agents the slice of
+    their service, or its `content_digest` where they should hold it already.
+    """
 
     revision: int
     content: bytes
