Add the commands of operators

Cause: operators could only start entries; files were applied by test code. Arguments are read whole before a command runs, since fire would run it before it refuses what is left over. The demonstration can keep serving.

--- a/packages/bench/src/hornbeamshore/bench/demo.py
+++ b/packages/bench/src/hornbeamshore/bench/demo.py
@@ -1,10 +1,17 @@
-"""Demonstration: a deployment on loopback answers a job and a single request."""
+"""Demonstration: a deployment on loopback answers a job and a single request.
 
+``python -m hornbeamshore.bench.demo --serve`` keeps the deployment running until
+Ctrl-C and prints where it can be reached.
+"""
+
+import contextlib
 import json
+import signal
 import sys
 import time
 from pathlib import Path
 
+import fire
 import trio
 
 from hornbeamshore.bench.caller import Caller, apply_config, make_job, wait_ready
@@ -36,6 +43,25 @@
         return job_ok and request_ok
 
 
+async def _serve():
+    """Keep the deployment running until SIGINT or SIGTERM, and return True."""
+    async with contextlib.AsyncExitStack() as stack:
+        signals = stack.enter_context(
+            trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM)
+        )
+        fleet = await stack.enter_async_context(
+            running_fleet("tayside", ENTRIES, TARGETS)
+        )
+        await apply_config(fleet.store.line, EXAMPLE)
+        await wait_ready(fleet.http_of("entry-1"), TOKEN, SERVICE, "stock-check")
+        print("The deployment runs until Ctrl-C. In another terminal:")
+        print(f"export ENTRY=http://{fleet.http_of('entry-1')}")
+        print(f"export TOKEN={TOKEN}")
+        print(f"export OPERATOR={fleet.operator_settings(TOKEN)}", flush=True)
+        await anext(signals)
+    return True
+
+
 async def _submit_job(caller):
     bodies = [{"run_ms": 60 + 10 * number, "echo": number} for number in range(TASKS)]
     job = make_job("demo-job", SERVICE, "cut-quote", bodies)
@@ -61,10 +87,10 @@
     return reply.code == 0 and reply.run_state == "ran"
 
 
-def main():
-    """Exit with 0 if both answers were whole."""
-    sys.exit(0 if trio.run(run) else 1)
+def main(serve=False):
+    """Exit with 0 if both answers were whole; `serve` runs until Ctrl-C instead."""
+    sys.exit(0 if trio.run(_serve if serve else run) else 1)
 
 
 if __name__ == "__main__":
-    main()
+    fire.Fire(main)
--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -95,10 +95,13 @@
         For settings and logs.
     wire : dict
         Settings of connections, such as ``{"suspect_after": "1.5s"}``.
+    log_level : str
+        Of entries and agents.
     """
 
-    def __init__(self, deployment, directory, wire=None):
+    def __init__(self, deployment, directory, wire=None, log_level="info"):
         self.deployment = deployment
+        self.log_level = log_level
         self.directory = directory
         self.wire = wire or {}
         self.store = None
@@ -122,6 +125,24 @@
         """Return the ``host:port`` at which an entry serves its peers."""
         return json.loads(self.entries[entry_id].line)["peer"]
 
+    def error_log(self, name):
+        """Return what a process wrote to its standard error."""
+        return (self.directory / f"{name}.err").read_text()
+
+    def operator_settings(self, token):
+        """Write the settings of an operator and return their path."""
+        token_file = self.directory / "token"
+        token_file.write_text(token)
+        cfg = {
+            "deployment": self.deployment,
+            "entries": [self.peer_of(name) for name in self.entries],
+            "secret_file": self.secret_file,
+            "store": {"endpoints": [self.store.line]},
+            "http": [self.http_of(name) for name in self.entries],
+            "token_file": str(token_file),
+        }
+        return self._write_settings("operator", cfg)
+
     def target_log(self, agent_id):
         """Return the events that a target wrote, oldest first."""
         path = self.directory / f"{agent_id}.log"
@@ -148,7 +169,7 @@
             "store": {"endpoints": [self.store.line]},
             "seeds": [self.peer_of(name) for name in self.entries],
             "wire": self.wire,
-            "log_level": "info",
+            "log_level": self.log_level,
         }
         path = self._write_settings(plan.entry_id, cfg)
         proc = await self._spawn(
@@ -182,6 +203,7 @@
             "entries": [self.peer_of(name) for name in self.entries],
             "secret_file": self.secret_file,
             "wire": self.wire,
+            "log_level": self.log_level,
         }
         path = self._write_settings(plan.agent_id, cfg)
         arguments = [_binary("hornbeamshore-agent"), "run", "--settings", path]
@@ -239,7 +261,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(deployment, entries, targets, wire=None):
+async def running_fleet(deployment, entries, targets, wire=None, log_level="info"):
     """Start a deployment, yield its `Fleet`, and end all its processes.
 
     Parameters
@@ -250,7 +272,7 @@
         Targets to start, each with an agent.
     """
     with tempfile.TemporaryDirectory(prefix="hornbeamshore-") as name:
-        fleet = Fleet(deployment, Path(name), wire)
+        fleet = Fleet(deployment, Path(name), wire, log_level)
         try:
             await fleet.start(entries, targets)
             yield fleet
--- /dev/null
+++ b/packages/cli/src/hornbeamshore/cli/helptext.py
@@ -0,0 +1,82 @@
+"""Help of the commands, from their signatures and docstrings.
+
+The help that fire writes shows its own conventions, such as flags for positional
+arguments, in place of how a command is called.
+"""
+
+import inspect
+
+POSITIONAL = ("file",)
+
+EXIT_CODES = """\
+Exit codes:
+  0  all is well
+  1  what was asked is not so; see the help of the command
+  2  wrong settings, arguments or input
+  3  entries or store cannot be reached
+"""
+
+
+def command_of(root, words):
+    """Return the command or group that leading words name, and these words."""
+    found, names = root, []
+    for word in words:
+        member = getattr(found, word, None) if not word.startswith("_") else None
+        if member is None or inspect.isroutine(found):
+            break
+        found = member
+        names.append(word)
+    return found, names
+
+
+def help_of(program, component, names):
+    """Return the help of a command or of a group of commands."""
+    called = " ".join((program, *names))
+    if not inspect.isroutine(component):
+        return _group_help(called, component)
+    lines = [f"Usage: {called} {_usage(component)}".rstrip(), ""]
+    text = inspect.getdoc(component) or ""
+    body, _, parameters = text.partition("Parameters\n----------\n")
+    lines.append(body.rstrip())
+    if parameters:
+        lines += ["", "Arguments:", *_argument_lines(component, parameters)]
+    return "\n".join((*lines, "", EXIT_CODES))
+
+
+def _group_help(called, group):
+    lines = [f"Usage: {called} COMMAND ...", "", inspect.getdoc(group), "", "Commands:"]
+    for name, member in sorted(vars(type(group)).items() | vars(group).items()):
+        if not name.startswith("_"):
+            summary = (inspect.getdoc(member) or "").partition("\n")[0]
+            lines.append(f"  {name:8} {summary}")
+    lines += ["", f"'{called} COMMAND --help' tells more.", "", EXIT_CODES]
+    return "\n".join(lines)
+
+
+def _usage(command):
+    words = []
+    for name, parameter in inspect.signature(command).parameters.items():
+        is_optional = parameter.default is not parameter.empty
+        word = _spelled(name, parameter)
+        words.append(f"[{word}]" if is_optional else word)
+    return " ".join(words)
+
+
+def _spelled(name, parameter):
+    if name in POSITIONAL:
+        return name.upper()
+    flag = f"--{name.replace('_', '-')}"
+    if parameter.default is False:
+        return flag
+    is_named = parameter.default in (parameter.empty, "")
+    return f"{flag} {name.upper() if is_named else parameter.default}"
+
+
+def _argument_lines(command, text):
+    signature = inspect.signature(command).parameters
+    for line in text.splitlines():
+        name = line.partition(" : ")[0]
+        if name in signature:
+            yield f"  {_spelled(name, signature[name])}"
+        else:
+            yield f"  {line}".rstrip()
--- /dev/null
+++ b/packages/cli/src/hornbeamshore/cli/operator.py
@@ -0,0 +1,232 @@
+"""Settings of an operator, and reports from the entries over the inner protocol."""
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import trio
+from msgspec import Meta
+
+from hornbeamshore.base.clock import new_incarnation, random_id
+from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.base.settings import SettingsError, load_settings, read_secret
+from hornbeamshore.base.units import Duration
+from hornbeamshore.cli.command import CommandFailed, ExitCode, wrong_input
+from hornbeamshore.entry.settings import Address, Name
+from hornbeamshore.store.etcd import EtcdSettings
+from hornbeamshore.wire.connection import (
+    CallTimeout,
+    ConnectionLost,
+    MessageHandler,
+    WireSettings,
+    open_connection,
+)
+from hornbeamshore.wire.handshake import HandshakeError, Identity
+from hornbeamshore.wire.messages import ProcessKind, StatusQuery
+
+STATUS, BURN = "status", "burn"
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Settings of an operator.
+
+    Attributes
+    ----------
+    deployment : str
+        Name of the deployment.
+    entries : tuple of str
+        Peer addresses of entries to start from; these name the others.
+    secret_file : str
+        File with the secret of the deployment.
+    store : EtcdSettings
+        Endpoints and timeouts of the platform's store.
+    http : tuple of str
+        ``host:port`` of entries or their balancer, for ``submit``.
+    token_file : str
+        File with the token of a team, for ``submit``.
+    timeout : Duration
+        Longest time to wait for the report of one entry.
+    """
+
+    deployment: Name
+    entries: Annotated[tuple[Address, ...], Meta(min_length=1)]
+    secret_file: str
+    store: EtcdSettings
+    http: tuple[Address, ...] = ()
+    token_file: str = ""
+    timeout: Duration = Duration(3.0)
+    wire: WireSettings = WireSettings()
+
+
+@dataclass(frozen=True, slots=True)
+class EntryReport:
+    """Reports of one entry by topic, and the address that gave them."""
+
+    address: str
+    topics: dict[str, dict]
+
+    @property
+    def status(self):
+        """Return the status report."""
+        return self.topics[STATUS]
+
+
+@dataclass(frozen=True, slots=True)
+class Unreached:
+    """Entry of the owner table that gave no report."""
+
+    entry_id: str
+    address: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """Reports of a deployment's entries, ordered by their ids."""
+
+    reports: tuple[EntryReport, ...]
+    unreached: tuple[Unreached, ...]
+
+
+class _Listener(MessageHandler):
+    """Handler for news that entries send and operators need not act on."""
+
+    def handle(self, conn, message):
+        """Ignore a message."""
+
+
+def load_operator(path):
+    """Return the settings of an operator in a file.
+
+    Raises
+    ------
+    CommandFailed
+        If the file has faults.
+    """
+    try:
+        return load_settings(path, OperatorSettings)
+    except SettingsError as exc:
+        raise wrong_input(str(exc), ResultCode.SETTINGS_INVALID) from exc
+
+
+def read_token(cfg):
+    """Return the token for ``submit``; raise `CommandFailed` if there is none."""
+    code = ResultCode.SETTINGS_INVALID
+    if not cfg.token_file:
+        raise wrong_input("$.token_file: required to submit", code)
+    try:
+        return Path(cfg.token_file).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError) as exc:
+        detail = f"$.token_file {cfg.token_file!r}: cannot be read: {exc}"
+        raise wrong_input(detail, code) from exc
+
+
+async def gather(cfg, *topics):
+    """Return what all entries report on ``status`` and further topics.
+
+    Raises
+    ------
+    CommandFailed
+        If no entry gave a report.
+    """
+    try:
+        secret = read_secret(cfg.secret_file)
+    except SettingsError as exc:
+        raise wrong_input(str(exc), ResultCode.SETTINGS_INVALID) from exc
+    round_trip = _RoundTrip(cfg, secret, (STATUS, *topics))
+    waiting = set(cfg.entries)
+    while waiting:
+        async with trio.open_nursery() as nursery:
+            for address in waiting:
+                nursery.start_soon(round_trip.ask, address)
+        table = round_trip.newest_table()
+        waiting = {item["address"] for item in table} - round_trip.asked
+    if not round_trip.reports:
+        raise round_trip.failure()
+    return round_trip.gathered()
+
+
+class _RoundTrip:
+    """Questions to entries and what came of them."""
+
+    def __init__(self, cfg, secret, topics):
+        self._cfg = cfg
+        self._secret = secret
+        self._topics = topics
+        self._identity = Identity(
+            cfg.deployment,
+            ProcessKind.OPERATOR,
+            f"operator-{random_id(4)}",
+            new_incarnation(),
+            "",
+        )
+        self.asked = set()
+        self.reports = {}
+        self._reasons = {}
+        self._rejected = False
+
+    async def ask(self, address):
+        """Ask one entry for all topics, and note its reports or why there are none."""
+        self.asked.add(address)
+        cfg = self._cfg
+        reason = f"{address}: no report in {cfg.timeout.to_text()}"
+        with trio.move_on_after(cfg.timeout):
+            try:
+                async with open_connection(
+                    address, self._identity, self._secret, cfg.wire
+                ) as conn:
+                    reason = await self._ask_topics(conn, address)
+            except HandshakeError as exc:
+                self._rejected, reason = True, str(exc)
+            except ConnectionLost as exc:
+                reason = str(exc)
+        if reason:
+            self._reasons[address] = reason
+
+    async def _ask_topics(self, conn, address):
+        """Return why the entry gave no reports, or None if it gave them."""
+        reason, topics = None, {}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(conn.run, _Listener())
+            try:
+                for topic in self._topics:
+                    reply = await conn.call(StatusQuery(topic), self._cfg.timeout)
+                    topics[topic] = json.loads(reply.content)
+                self.reports[topics[STATUS]["entry_id"]] = EntryReport(address, topics)
+            except (ConnectionLost, CallTimeout, AttributeError, KeyError) as exc:
+                reason = f"{address}: {exc}"
+            nursery.cancel_scope.cancel()
+        return reason
+
+    def newest_table(self):
+        """Return the entries of the newest owner table that was reported."""
+        newest = max(
+            (report.status for report in self.reports.values()),
+            key=lambda status: status["table_version"],
+            default={"entries": ()},
+        )
+        return newest["entries"]
+
+    def gathered(self):
+        """Return the reports, and the entries of the table that gave none."""
+        unreached = [
+            Unreached(
+                item["entry_id"],
+                item["address"],
+                self._reasons.get(item["address"], "another entry answered"),
+            )
+            for item in self.newest_table()
+            if item["entry_id"] not in self.reports
+        ]
+        reports = tuple(self.reports[name] for name in sorted(self.reports))
+        return Gathered(reports, tuple(unreached))
+
+    def failure(self):
+        """Return the failure of a command that got no report at all."""
+        detail = "; ".join(sorted(self._reasons.values()))
+        if self._rejected:
+            return wrong_input(detail, ResultCode.PEER_REJECTED)
+        refusal = refuse(ResultCode.ENTRY_UNREACHABLE, detail)
+        return CommandFailed(refusal, ExitCode.UNREACHABLE)
--- /dev/null
+++ b/packages/cli/src/hornbeamshore/cli/submit.py
@@ -0,0 +1,190 @@
+"""Submission of a job over the HTTP interface, again after a lost answer."""
+
+import json
+import random
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import httpcore
+import trio
+
+from hornbeamshore.base.clock import random_id, unix_ms
+from hornbeamshore.base.codes import ResultCode, refuse
+from hornbeamshore.cli.command import (
+    Command,
+    CommandFailed,
+    ExitCode,
+    Outcome,
+    parse_duration,
+    parse_integer,
+    wrong_input,
+)
+from hornbeamshore.cli.operator import load_operator, read_token
+
+# The longest deadline; for a job that names none, its kind's is not known here.
+LONGEST_DEADLINE_S = 60.0
+# Time beyond the deadline for the answer to arrive.
+ANSWER_GRACE_S = 2.0
+PAUSE_S = 0.2
+# Answers after which the same submission is sent again, see the page of codes.
+SUBMIT_AGAIN = (
+    ResultCode.DRAINING,
+    ResultCode.KEY_UNACCOUNTED,
+    ResultCode.OWNER_UNREACHABLE,
+)
+LOST = (
+    httpcore.NetworkError,
+    httpcore.RemoteProtocolError,
+    trio.TooSlowError,
+    ValueError,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class JobArguments:
+    """Arguments of ``submit``; empty where they were not given."""
+
+    file: str = ""
+    id: str = ""
+    service: str = ""
+    kind: str = ""
+    body: str = ""
+    deadline: str = ""
+    submitted_at: str = ""
+
+
+class SubmitJob(Command):
+    """Submission of a job.
+
+    Parameters
+    ----------
+    arguments : JobArguments
+        What to submit.
+    settings : str
+        Settings of the operator.
+    tries : str
+        Bound of the number of times that the job is sent.
+    """
+
+    def __init__(self, arguments, settings, tries):
+        self._cfg = load_operator(settings)
+        if not self._cfg.http:
+            detail = "$.http: required to submit"
+            raise wrong_input(detail, ResultCode.SETTINGS_INVALID)
+        self._token = read_token(self._cfg)
+        self._job = make_job(arguments)
+        self._tries = parse_integer("tries", tries)
+        self._rng = random.Random(self._job["id"])
+
+    async def run(self):
+        """Return the answer to the job; its code decides the exit code."""
+        timeout_s = LONGEST_DEADLINE_S
+        if isinstance(self._job.get("deadline_ms"), int):
+            timeout_s = self._job["deadline_ms"] / 1000
+        content = json.dumps(self._job).encode()
+        answer, lost, started = None, [], time.monotonic()
+        for number in range(self._tries):
+            address = self._cfg.http[number % len(self._cfg.http)]
+            try:
+                with trio.fail_after(timeout_s + ANSWER_GRACE_S):
+                    answer, pause_s = await self._send(address, content)
+            except LOST as exc:
+                lost.append(f"{address}: {exc or type(exc).__name__}")
+                pause_s = PAUSE_S
+            if answer is not None and answer["code"] not in SUBMIT_AGAIN:
+                break
+            await trio.sleep(pause_s * self._rng.uniform(1, 1.5))
+        if answer is None:
+            raise self._unanswered(lost)
+        elapsed_ms = round((time.monotonic() - started) * 1000)
+        return self._outcome(answer, number + 1, elapsed_ms)
+
+    async def _send(self, address, content):
+        """Return the answer of an entry, and the pause that it asks for."""
+        headers = [
+            ("Authorization", f"Bearer {self._token}"),
+            ("Content-Type", "application/json"),
+        ]
+        async with httpcore.AsyncConnectionPool() as pool:
+            url = f"http://{address}/v1/jobs"
+            response = await pool.request("POST", url, headers=headers, content=content)
+        answer = json.loads(response.content)
+        if not isinstance(answer, dict) or "code" not in answer:
+            raise ValueError(f"status {response.status} without a result code")
+        fields = {name.lower(): value for name, value in response.headers}
+        pause_ms = float(fields.get(b"hornbeamshore-retry-after-ms", 0))
+        return answer, max(PAUSE_S, pause_ms / 1000)
+
+    def _unanswered(self, lost):
+        detail = f"job {self._job['id']}: {'; '.join(lost)}; resubmit with --id and"
+        detail += f" --submitted-at {self._job['submitted_at']} to learn the outcome"
+        refusal = refuse(ResultCode.OUTCOME_UNKNOWN, detail)
+        return CommandFailed(refusal, ExitCode.UNREACHABLE)
+
+    def _outcome(self, answer, tries, elapsed_ms):
+        job = self._job
+        report = answer | {
+            "id": job["id"],
+            "submitted_at": job["submitted_at"],
+            "tries": tries,
+            "elapsed_ms": elapsed_ms,
+        }
+        lines = [
+            f"job {job['id']}: {answer['code']} {answer.get('name', '')}:"
+            f" {answer.get('detail', '')}",
+            f"run state {answer.get('run_state')}, {elapsed_ms} ms, sent {tries} times,"
+            f" submitted at {job['submitted_at']}",
+        ]
+        for result in answer.get("results", ()):
+            body = result.get("body", result.get("body_base64"))
+            lines.append(
+                f"task {result['index']}: status {result['status']}: {json.dumps(body)}"
+            )
+        ok = answer["code"] == ResultCode.OK
+        return Outcome(ExitCode.OK if ok else ExitCode.NOT_SO, report, tuple(lines))
+
+
+def make_job(arguments):
+    """Return the JSON value of a job, with identifier and time of submission.
+
+    Raises
+    ------
+    CommandFailed
+        If file or arguments make no job.
+    """
+    job = _load(arguments.file) if arguments.file else {}
+    for name in ("id", "service", "kind"):
+        if getattr(arguments, name):
+            job[name] = getattr(arguments, name)
+    if arguments.body:
+        job["tasks"] = [{"body": _json("--body", arguments.body)}]
+    if arguments.deadline:
+        deadline_s = parse_duration("deadline", arguments.deadline)
+        job["deadline_ms"] = round(deadline_s * 1000)
+    if arguments.submitted_at:
+        job["submitted_at"] = parse_integer("submitted-at", arguments.submitted_at)
+    for name in ("service", "kind", "tasks"):
+        if name not in job:
+            raise wrong_input(f"no {name}: give a file with it, or arguments")
+    job.setdefault("id", f"cli-{random_id()}")
+    job.setdefault("submitted_at", unix_ms())
+    return job
+
+
+def _load(path):
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise wrong_input(f"{path}: cannot be read: {exc}") from exc
+    job = _json(path, text)
+    if not isinstance(job, dict):
+        raise wrong_input(f"{path}: expected a JSON object")
+    return job
+
+
+def _json(place, text):
+    try:
+        return json.loads(text)
+    except ValueError as exc:
+        raise wrong_input(f"{place}: not JSON: {exc}") from exc
--- a/packages/config/src/hornbeamshore/config/apply.py
+++ b/packages/config/src/hornbeamshore/config/apply.py
@@ -10,6 +10,7 @@
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.units import Duration
 from hornbeamshore.config import content
+from hornbeamshore.config.model import Deployment
 from hornbeamshore.store.base import (
     MAX_VALUE_BYTES,
     StoreError,
@@ -38,6 +39,14 @@
     read_back_pause: Duration = Duration(0.5)
 
 
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """What the store holds; revision 0 and no deployment before the first."""
+
+    revision: int
+    deployment: Deployment | None
+
+
 @dataclass(frozen=True, slots=True)
 class Applied:
     """Deployment that was applied.
@@ -60,6 +69,15 @@
     return deployment_key(deployment, CONFIG_KEY)
 
 
+async def read_applied(store, name):
+    """Return a Result: Success of `Stored`, or Failure of a `Refusal`."""
+    try:
+        current = await store.get(config_key(name))
+    except StoreError as exc:
+        return _unavailable(exc, RunState.NOT_RUN)
+    return _decode(current)
+
+
 async def apply_deployment(
     store, deployment, *, expected_revision=None, cfg=ApplySettings()
 ):
@@ -112,14 +130,23 @@
     revision = current.mod_revision if current else 0
     if expected_revision not in (None, revision):
         return _conflict(revision)
-    if current is None:
-        return Success(None)
+    stored = _decode(current)
+    if current is None or not isinstance(stored, Success):
+        return stored.map(lambda _: None)
+    before = stored.unwrap().deployment
+    return _check_partitions(before, deployment).map(lambda _: before)
+
+
+def _decode(item):
+    """Return Success of `Stored`, or Failure where the value cannot be read."""
+    if item is None:
+        return Success(Stored(0, None))
     try:
-        before = content.decode(current.value).deployment
+        deployment = content.decode(item.value).deployment
     except content.ContentError as exc:
-        detail = f"revision {revision} in the store cannot be read: {exc}"
+        detail = f"revision {item.mod_revision} in the store cannot be read: {exc}"
         return Failure(refuse(ResultCode.CONFIG_INVALID, detail))
-    return _check_partitions(before, deployment).map(lambda _: before)
+    return Success(Stored(item.mod_revision, deployment))
 
 
 def _check_partitions(before, after) -> Result:
