Test the commands of operators and the configuration of agents

Cause: the commands had been tried by hand only. An applied change is looked for at least once, however short the wait.

--- a/packages/cli/src/hornbeamshore/cli/config_commands.py
+++ b/packages/cli/src/hornbeamshore/cli/config_commands.py
@@ -154,19 +154,20 @@
 
     async def _wait_in_force(self, revision, services):
         """Return the processes as last seen, and why none was if so."""
-        found, reason = (), "no time to ask"
+        # At least one look is taken to its end, however short the wait.
+        found, reason = await self._look()
         with trio.move_on_after(self._wait_s):
-            while True:
-                try:
-                    found = inforce.revisions(await gather(self._cfg))
-                    reason = ""
-                except CommandFailed as exc:
-                    found, reason = (), str(exc)
-                if found and not inforce.missing(found, revision, services):
-                    break
+            while not found or inforce.missing(found, revision, services):
                 await trio.sleep(POLL_S)
+                found, reason = await self._look()
         return found, reason
 
+    async def _look(self):
+        try:
+            return inforce.revisions(await gather(self._cfg)), ""
+        except CommandFailed as exc:
+            return (), str(exc)
+
     def _outcome(self, revision, changes, found, late, reason):
         lines = [*changes] or ["no changes"]
         lines.append(f"applied as revision {revision}")
--- /dev/null
+++ b/tests/agent/test_configuration.py
@@ -0,0 +1,93 @@
+"""Configuration of agents: slices that entries send, and what agents take of them."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from hornbeamshore.agent.configuration import AgentConfig
+from hornbeamshore.base.hashing import content_digest
+from hornbeamshore.config import content
+from hornbeamshore.config.check import check_deployment
+from hornbeamshore.config.replica import ConfigReplica
+from hornbeamshore.entry.slices import AgentSlices
+
+BAD = b"no slice of a configuration"
+
+
+def deployment(retention="5min", quota=1):
+    team = f"{{token_sha256: {'a' * 64}, quota_slots: {quota}}}"
+    text = f"deployment: x\nretention: {retention}\nteams: {{t: {team}}}\n"
+    text += "services: {desk: {kinds: {quote: {}}}, other: {kinds: {hold: {}}}}\n"
+    return check_deployment(text).unwrap().deployment
+
+
+def slice_of(retention):
+    return content.encode_slice(deployment(retention), "desk")
+
+
+TWO, FIVE = slice_of("2min"), slice_of("5min")
+
+# Revisions that are offered in turn; then revision and retention in force.
+OFFERS = {
+    "first": ([(3, TWO)], 3, 120),
+    "higher": ([(3, TWO), (4, FIVE)], 4, 300),
+    "lower": ([(4, FIVE), (3, TWO)], 4, 300),
+    "same revision": ([(4, FIVE), (4, TWO)], 4, 300),
+    "digest of what is held": ([(3, TWO), (9, content_digest(TWO))], 9, 120),
+    "digest of other content": ([(3, TWO), (9, content_digest(FIVE))], 3, 120),
+    "digest before any content": ([(9, content_digest(TWO))], 0, None),
+    "unreadable": ([(3, TWO), (4, BAD)], 3, 120),
+    "cut off": ([(3, TWO), (4, FIVE[:-5])], 3, 120),
+}
+
+
+@pytest.mark.parametrize(
+    ("offers", "revision", "retention"), OFFERS.values(), ids=OFFERS
+)
+def test_agent_takes_higher_revisions_only(offers, revision, retention):
+    """Guards against a configuration that reverts, or one that is half taken."""
+    config = AgentConfig()
+    for offer in offers:
+        config.offer(*offer)
+    assert config.revision == revision
+    assert (config.current and config.current.retention) == retention
+
+
+class Conn:
+    """Connection that keeps what was sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def try_send(self, body):
+        self.sent.append((body.revision, len(body.content) == 8))
+
+
+# Deployments by revision, or a revision that the agent reports; then what was sent
+# as revision and whether it was a digest.
+TOLD = {
+    "content, then nothing new": ([(1, {}), 1], [(1, False)]),
+    "change of a team": ([(1, {}), 1, (2, {"quota": 2})], [(1, False), (2, True)]),
+    "change of the slice": (
+        [(1, {}), 1, (2, {"retention": "2min"})],
+        [(1, False), (2, False)],
+    ),
+    "told by another entry": ([1, (1, {})], []),
+    "agent ahead": ([5, (1, {})], []),
+}
+
+
+@pytest.mark.parametrize(("steps", "sent"), TOLD.values(), ids=TOLD)
+def test_entry_sends_what_an_agent_lacks(steps, sent):
+    """Guards against agents that stay behind, and content that is sent for nothing."""
+    replica = ConfigReplica("x")
+    slices = AgentSlices(replica)
+    link = SimpleNamespace(conn=Conn(), service="desk")
+    for step in steps:
+        if isinstance(step, int):
+            slices.reported(link.conn, step)
+        else:
+            revision, options = step
+            replica.offer(revision, content.encode(deployment(**options), "an id"))
+            slices.offer(link)
+    assert link.conn.sent == sent
