--- a/packages/entry/src/hornbeamshore/entry/front.py
+++ b/packages/entry/src/hornbeamshore/entry/front.py
@@ -73,6 +73,7 @@
         while trio.current_time() < due:
             seen = self._entry.owner_of(partition)
             if seen is not None:
+                log.debug("Job %s goes to owner %s.", key.job_id, seen.entry_id)
                 try:
                     answer = await self._ask(seen.entry_id, partition, make_body(), due)
                 except (ConnectionLost, CallTimeout) as exc:
@@ -80,6 +81,7 @@
                     answer = None
                     unanswered |= not isinstance(exc, NotSent)
                 if answer is not None:
+                    log.debug("Job %s has code %d.", key.job_id, answer.code)
                     return _qualified(answer, unanswered)
             await self._wait_for_other_owner(partition, seen, due)
         refusal = refuse(ResultCode.OWNER_UNREACHABLE, retry_after_s=RETRY_AFTER_S)
