Measure both deployments on processes against a plain baseline

Cause: the objectives were measured in simulated time only. Change: make measure runs the binaries on loopback under a seeded load, judges answers against the logs of the targets, and writes build/measure.json.

--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/baseline.py
@@ -0,0 +1,172 @@
+"""Plain baseline: random target, one first-come queue, no limits.
+
+It takes the same submissions as an entry and sends them to the same targets, one
+task for each slot at a time. It keeps no records, and joins and refuses nothing.
+"""
+
+import json
+import random
+import time
+from collections import deque
+
+import fire
+import httpcore
+import trio
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.entry.http_server import open_http_listeners, serve_http
+from hornbeamshore.entry.http_settings import HttpSettings
+
+COUNTERS_PATH = "/counters"
+
+
+class _Slot:
+    """Connection of one slot of a target."""
+
+    def __init__(self, address):
+        self.address = address
+        host, _, port = address.rpartition(":")
+        self._origin = httpcore.Origin(b"http", host.encode(), int(port))
+        self._conn = None
+
+    async def run(self, path, body, headers):
+        """Return status and decoded content; raise a httpcore error on failure."""
+        if self._conn is None or not self._conn.is_available():
+            self._conn = httpcore.AsyncHTTPConnection(self._origin)
+        fields = [
+            ("Host", self.address),
+            ("Content-Length", str(len(body))),
+            *headers,
+        ]
+        response = await self._conn.request(
+            "POST", f"http://{self.address}{path}", headers=fields, content=body
+        )
+        return response.status, json.loads(response.content)
+
+
+class Baseline:
+    """ASGI application of the baseline.
+
+    Parameters
+    ----------
+    targets : sequence of str
+        ``host:port`` of each.
+    slots : int
+        Tasks that run on a target at a time.
+    """
+
+    def __init__(self, targets, slots, seed, nursery):
+        self._free = {
+            target: [_Slot(target) for _ in range(slots)] for target in targets
+        }
+        self._rng = random.Random(seed)
+        self._nursery = nursery
+        self._queue = deque()
+        self.counters = {"starts": 0, "late": 0, "failed": 0}
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request."""
+        body = b""
+        while True:
+            event = await receive()
+            body += event.get("body", b"")
+            if not event.get("more_body"):
+                break
+        if scope["path"] == COUNTERS_PATH:
+            return await _send(send, 200, ResultCode.OK, self.counters)
+        headers = {name.decode(): text.decode() for name, text in scope["headers"]}
+        if scope["path"] == "/v1/jobs":
+            return await self._serve_job(json.loads(body), send)
+        job_id = headers["idempotency-key"]
+        deadline_ms = int(headers["hornbeamshore-deadline-ms"])
+        kind = scope["path"].rpartition("/")[2]
+        results = await self._run_all([(f"/{kind}", job_id, 0, body)], deadline_ms)
+        status, content = results[0]
+        return await _send(send, status, _code(results), content)
+
+    async def _serve_job(self, job, send):
+        path = f"/{job['kind']}"
+        tasks = [
+            (path, job["id"], index, json.dumps(task["body"]).encode())
+            for index, task in enumerate(job["tasks"])
+        ]
+        results = await self._run_all(tasks, job["deadline_ms"])
+        code = _code(results)
+        content = {"code": int(code)}
+        if code is ResultCode.OK:
+            content["results"] = [
+                {"index": index, "status": status, "body": body}
+                for index, (status, body) in enumerate(results)
+            ]
+        await _send(send, 200 if code is ResultCode.OK else 502, code, content)
+
+    async def _run_all(self, tasks, deadline_ms):
+        due = time.monotonic() + deadline_ms / 1000
+        results = [None] * len(tasks)
+        ended = trio.Event()
+        for task in tasks:
+            self._queue.append((task, due, results, ended))
+        self._dispatch()
+        await ended.wait()
+        return results
+
+    def _dispatch(self):
+        while self._queue and (free := [t for t, idle in self._free.items() if idle]):
+            slot = self._free[self._rng.choice(free)].pop()
+            self._nursery.start_soon(self._run_one, slot, *self._queue.popleft())
+
+    async def _run_one(self, slot, task, due, results, ended):
+        path, job_id, index, body = task
+        headers = [
+            ("Hornbeamshore-Job", job_id),
+            ("Hornbeamshore-Task", str(index)),
+            ("Hornbeamshore-Attempt", "1"),
+        ]
+        self.counters["starts"] += 1
+        try:
+            results[index] = await slot.run(path, body, headers)
+        except (httpcore.NetworkError, httpcore.ProtocolError) as exc:
+            self.counters["failed"] += 1
+            results[index] = 502, {"error": str(exc)}
+        if time.monotonic() > due:
+            self.counters["late"] += 1
+        self._free[slot.address].append(slot)
+        if None not in results:
+            ended.set()
+        self._dispatch()
+
+
+def _code(results):
+    is_ok = all(status < 500 for status, _ in results)
+    return ResultCode.OK if is_ok else ResultCode.OUTCOME_UNKNOWN
+
+
+async def _send(send, status, code, content):
+    body = json.dumps(content).encode()
+    run_state = b"ran" if code is ResultCode.OK else b"unknown"
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+        (b"hornbeamshore-code", b"%d" % code),
+        (b"hornbeamshore-run-state", run_state),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def main(targets, slots=8, seed=1, port=0):
+    """Serve on a port and print the address on one line."""
+    trio.run(_main, str(targets).split(","), slots, seed, port)
+
+
+async def _main(targets, slots, seed, port):
+    listeners = await open_http_listeners("127.0.0.1", port)
+    async with trio.open_nursery() as nursery:
+        app = Baseline(targets, slots, seed, nursery)
+        port = listeners[0].socket.getsockname()[1]
+        print(f"127.0.0.1:{port}", flush=True)
+        await serve_http(app, listeners, HttpSettings(), trio.Event())
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -130,7 +130,7 @@
 
     async def start_store(self):
         """Start the stand-in of the platform's store."""
-        self.store = await self._spawn(
+        self.store = await self.spawn(
             "store", ["-m", "hornbeamshore.bench.standin_store"]
         )
         return self.store
@@ -151,7 +151,7 @@
             "log_level": "info",
         }
         path = self._write_settings(plan.entry_id, cfg)
-        proc = await self._spawn(
+        proc = await self.spawn(
             plan.entry_id,
             [_binary("hornbeamshore"), "entry", "--settings", path],
         )
@@ -162,7 +162,7 @@
         """Start a target and return its process."""
         log = str(self.directory / f"{plan.agent_id}.log")
         arguments = ["--speed", str(plan.speed), "--log", log]
-        self.targets[plan.agent_id] = await self._spawn(
+        self.targets[plan.agent_id] = await self.spawn(
             f"target-{plan.agent_id}",
             ["-m", "hornbeamshore.bench.standin_target", *arguments],
         )
@@ -185,7 +185,7 @@
         }
         path = self._write_settings(plan.agent_id, cfg)
         arguments = [_binary("hornbeamshore-agent"), "run", "--settings", path]
-        proc = await self._spawn(plan.agent_id, arguments, wait_for_line=False)
+        proc = await self.spawn(plan.agent_id, arguments, wait_for_line=False)
         self.agents[plan.agent_id] = proc
         return proc
 
@@ -215,7 +215,8 @@
         path.write_text(yaml.safe_dump(cfg))
         return str(path)
 
-    async def _spawn(self, name, arguments, *, wait_for_line=True):
+    async def spawn(self, name, arguments, *, wait_for_line=True):
+        """Start a Python process, with its errors in a file, and return its `Proc`."""
         errors = open(self.directory / f"{name}.err", "ab")  # noqa: ASYNC230, SIM115
         popen = subprocess.Popen(  # noqa: ASYNC220
             [sys.executable, *arguments],
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/ideal.py
@@ -0,0 +1,89 @@
+"""Response times of an all-knowing schedule, from the load alone."""
+
+import heapq
+import itertools
+
+from hornbeamshore.base.types import JobKey
+from hornbeamshore.bench.dispatchers import IdealDispatcher
+from hornbeamshore.bench.profiles import MS_PER_S
+from hornbeamshore.policy.types import Outcome, QueuedTask, TargetInfo
+
+# Caller to entry, entry to agent and agent to target, there and back on loopback.
+NETWORK_FLOOR_S = 0.0003
+
+_ENDED, _ARRIVED = 0, 1
+
+
+def ideal_responses(jobs, targets, urgency, floor_s=NETWORK_FLOOR_S):
+    """Return the seconds to the end of the last task of each job, by its id.
+
+    Parameters
+    ----------
+    jobs : sequence of LoadJob
+        Arrivals in the order of time.
+    targets : sequence of TargetPlan
+        Speeds and slots.
+    urgency : dict of str to Urgency
+        Class of each kind.
+    """
+    return _Schedule(jobs, targets, urgency, floor_s).play()
+
+
+def fastest_alone(job, targets):
+    """Return the seconds that the job's longest task takes on the fastest target."""
+    return max(job.runs_ms) / MS_PER_S / max(plan.speed for plan in targets)
+
+
+class _Schedule:
+    def __init__(self, jobs, targets, urgency, floor_s):
+        self._jobs = {job.id: job for job in jobs}
+        self._speeds = {plan.agent_id: plan.speed for plan in targets}
+        self._floor_s = floor_s
+        self._dispatcher = IdealDispatcher(self._run_time, urgency)
+        for plan in targets:
+            info = TargetInfo(plan.agent_id, plan.data_centre, plan.rack, plan.slots)
+            self._dispatcher.add_target(info)
+        self._sequence = itertools.count()
+        self._events = []
+        self._left = {job.id: len(job.runs_ms) for job in jobs}
+        self._responses = {}
+        for job in jobs:
+            self._push(job.at_s, _ARRIVED, job)
+
+    def play(self):
+        while self._events:
+            now, kind, _, what = heapq.heappop(self._events)
+            if kind == _ARRIVED:
+                self._dispatcher.enqueue(_tasks(what), now)
+            else:
+                self._end(what, now)
+            for assignment in self._dispatcher.assign(now):
+                run_s = self._run_time(assignment.task, assignment.agent_id)
+                self._push(now + run_s, _ENDED, assignment)
+        return self._responses
+
+    def _push(self, moment, kind, what):
+        heapq.heappush(self._events, (moment, kind, next(self._sequence), what))
+
+    def _run_time(self, task, agent_id):
+        run_ms = self._jobs[task.key.job_id].runs_ms[task.index]
+        return run_ms / MS_PER_S / self._speeds[agent_id]
+
+    def _end(self, assignment, now):
+        task = assignment.task
+        ended = assignment.agent_id, task, Outcome.OK, 0.0, now
+        self._dispatcher.ended(*ended)
+        job_id = task.key.job_id
+        self._left[job_id] -= 1
+        if not self._left[job_id]:
+            response_s = now - self._jobs[job_id].at_s + self._floor_s
+            self._responses[job_id] = response_s
+
+
+def _tasks(job):
+    key = JobKey(job.team, job.service, job.id)
+    deadline = job.at_s + job.deadline_ms / MS_PER_S
+    return [
+        QueuedTask(key, index, 1, job.team, job.kind, deadline)
+        for index in range(len(job.runs_ms))
+    ]
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/judge.py
@@ -0,0 +1,151 @@
+"""Judgement of answers and target logs."""
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.bench.profiles import MS_PER_S
+
+NO_CODE = -1
+NOT_RUN = "not run"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got for a submission.
+
+    Attributes
+    ----------
+    response_s : float
+        Seconds from the planned arrival to the final answer.
+    late_s : float
+        Seconds by which the caller itself sent it late.
+    code : int
+        Result code of the final answer; -1 if there was none.
+    run_state : str
+        Of the final answer.
+    whole : bool
+        Whether each task's own result was there, in order.
+    partial : bool
+        Whether results were there, but not each task's own.
+    tries : int
+        Times that it was sent.
+    """
+
+    id: str
+    response_s: float
+    late_s: float
+    code: int
+    run_state: str
+    whole: bool
+    partial: bool
+    tries: int = 1
+
+    @property
+    def succeeded(self):
+        """Return whether all tasks ran and the whole answer came."""
+        return self.code == ResultCode.OK and self.whole
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Counts that must be 0."""
+
+    double_starts: int = 0
+    partial_answers: int = 0
+    false_not_run: int = 0
+    unanswered: int = 0
+
+    def __add__(self, other):
+        return Verdict(
+            self.double_starts + other.double_starts,
+            self.partial_answers + other.partial_answers,
+            self.false_not_run + other.false_not_run,
+            self.unanswered + other.unanswered,
+        )
+
+
+def judge(jobs, answers, events, service):
+    """Return the `Verdict` on one pass.
+
+    Parameters
+    ----------
+    jobs : sequence of LoadJob
+        What was submitted.
+    answers : sequence of Answer
+        What callers got.
+    events : iterable of dict
+        Lines of the logs of all targets; those of other passes are ignored.
+    service : Service
+        Kinds and rules of retries.
+    """
+    by_id = {job.id: job for job in jobs}
+    starts = defaultdict(list)
+    for event in events:
+        if event["event"] == "start" and event["job"] in by_id:
+            starts[event["job"], event["index"]].append(event["attempt"])
+    started = {job_id for job_id, _ in starts}
+    answered = {answer.id for answer in answers if answer.code != NO_CODE}
+    return Verdict(
+        _double_starts(by_id, starts, service),
+        sum(_is_partial(answer) for answer in answers),
+        sum(a.run_state == NOT_RUN and a.id in started for a in answers),
+        sum(job.id not in answered for job in jobs),
+    )
+
+
+def in_time(jobs, answers, service):
+    """Return how many jobs were answered whole within their kind's objective."""
+    by_id = {answer.id: answer for answer in answers}
+    return sum(
+        job.id in by_id
+        and by_id[job.id].succeeded
+        and by_id[job.id].response_s <= service.kinds[job.kind].objective.good_within
+        for job in jobs
+    )
+
+
+def response_ratios(jobs, answers, best):
+    """Return the response time of each job over its best one.
+
+    A job without a whole answer counts as infinitely late.
+    """
+    by_id = {answer.id: answer for answer in answers}
+    return [
+        by_id[job.id].response_s / best[job.id]
+        if job.id in by_id and by_id[job.id].succeeded
+        else float("inf")
+        for job in jobs
+    ]
+
+
+def offered_work(jobs, capacity, start_s, end_s):
+    """Return the work that arrived in a time over what the fleet could do in it."""
+    work_ms = sum(sum(job.runs_ms) for job in jobs if start_s <= job.at_s < end_s)
+    return work_ms / MS_PER_S / (capacity * (end_s - start_s))
+
+
+def codes_of(answers):
+    """Return the number of answers by result code."""
+    return dict(sorted(Counter(answer.code for answer in answers).items()))
+
+
+def _is_partial(answer):
+    is_ok = answer.code == ResultCode.OK
+    return answer.partial or (is_ok and not answer.whole)
+
+
+def _double_starts(by_id, starts, service):
+    """Count starts beyond the first that no declared retry explains.
+
+    The budget bounds the retries of all submissions together.
+    """
+    doubles = retries = 0
+    for (job_id, _), attempts in starts.items():
+        job = by_id[job_id]
+        may_retry = job.single and service.kinds[job.kind].repeatable
+        distinct = len(set(attempts)) if may_retry else 1
+        allowed = min(distinct, service.retry.max_attempts)
+        doubles += len(attempts) - allowed
+        retries += allowed - 1
+    return doubles + max(0, retries - int(service.retry.budget * len(by_id)))
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/load.py
@@ -0,0 +1,117 @@
+"""Seeded arrivals for the measurement on processes."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from hornbeamshore.bench.profiles import MS_PER_S
+
+# Spread of the logarithm of the run times of one kind.
+RUN_TIME_SIGMA = 0.35
+RUN_TIME_RANGE_S = (0.05, 1.0)
+LONG_RANGE_S = (2.0, 5.0)
+MAX_JOB_TASKS = 40
+LOAD = 0.8
+FLOOD_LOAD = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadJob:
+    """Submission of the load.
+
+    Attributes
+    ----------
+    at_s : float
+        Time of arrival, from the start of the pass.
+    runs_ms : tuple of int
+        True run time of each task on a target of nominal speed.
+    single : bool
+        Whether it is a single request and not a job.
+    flood : bool
+        Whether it belongs to the flood.
+    """
+
+    id: str
+    at_s: float
+    team: str
+    service: str
+    kind: str
+    runs_ms: tuple[int, ...]
+    single: bool
+    deadline_ms: int
+    flood: bool = False
+
+
+def capacity_of(targets):
+    """Return the nominal seconds of work that the targets do each second."""
+    return sum(plan.slots * plan.speed for plan in targets)
+
+
+def steady_jobs(profile, targets, prefix, seconds, seed, load=LOAD):
+    """Return the arrivals of all demands in the order of time."""
+    jobs = []
+    for place, demand in enumerate(profile.demands):
+        rng = random.Random(f"{seed} {profile.name} {place}")
+        work = load * capacity_of(targets) * demand.share
+        name = f"{prefix}-{place}"
+        jobs += _arrivals(profile, demand, rng, work, name, 0.0, seconds)
+    return sorted(jobs, key=_arrival)
+
+
+def flood_jobs(profile, targets, prefix, place, start_s, end_s, seed):
+    """Return a flood of one demand in jobs of the largest size."""
+    rng = random.Random(f"{seed} {profile.name} flood {place}")
+    work = FLOOD_LOAD * capacity_of(targets)
+    demand, name = profile.demands[place], f"{prefix}-flood"
+    return tuple(
+        _arrivals(profile, demand, rng, work, name, start_s, end_s, flood=True)
+    )
+
+
+def _arrival(job):
+    return job.at_s
+
+
+def _arrivals(profile, demand, rng, work, prefix, start_s, end_s, flood=False):
+    """Yield Poisson arrivals whose tasks take `work` nominal seconds each second."""
+    mean_tasks = MAX_JOB_TASKS if flood else max(1.0, demand.mean_tasks)
+    rate = work / (_mean_run_s(demand) * mean_tasks + _mean_long_s(demand, flood))
+    number, moment = 0, start_s + rng.expovariate(rate)
+    while moment < end_s:
+        count = MAX_JOB_TASKS if flood else _job_size(rng, demand.mean_tasks)
+        runs = [_run_ms(rng, demand) for _ in range(count)]
+        if not flood and rng.random() < demand.long_share:
+            runs[0] = round(rng.uniform(*LONG_RANGE_S) * MS_PER_S)
+        yield LoadJob(
+            f"{prefix}-{number}",
+            moment,
+            demand.team,
+            profile.service,
+            demand.kind,
+            tuple(runs),
+            not flood and demand.mean_tasks == 0,
+            round(demand.deadline_s * MS_PER_S),
+            flood,
+        )
+        number += 1
+        moment += rng.expovariate(rate)
+
+
+def _job_size(rng, mean):
+    if mean == 0:
+        return 1
+    return min(MAX_JOB_TASKS, 1 + int(rng.expovariate(1 / (mean - 0.5))))
+
+
+def _run_ms(rng, demand):
+    run_s = demand.run_s * math.exp(rng.gauss(0, RUN_TIME_SIGMA))
+    low, high = RUN_TIME_RANGE_S
+    return round(min(high, max(low, run_s)) * MS_PER_S)
+
+
+def _mean_run_s(demand):
+    return demand.run_s * math.exp(RUN_TIME_SIGMA**2 / 2)
+
+
+def _mean_long_s(demand, flood):
+    return 0.0 if flood else demand.long_share * sum(LONG_RANGE_S) / 2
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/measure.py
@@ -0,0 +1,275 @@
+"""Measurement on processes: ``python -m hornbeamshore.bench.measure``.
+
+Runs both deployments with hornbeamshore and with the plain baseline under the same
+seeded load, writes ``build/measure.json`` and prints a table with the targets.
+"""
+
+import json
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import fire
+import trio
+
+from hornbeamshore.bench import tables
+from hornbeamshore.bench.ideal import fastest_alone, ideal_responses
+from hornbeamshore.bench.judge import (
+    Verdict,
+    codes_of,
+    in_time,
+    judge,
+    offered_work,
+    response_ratios,
+)
+from hornbeamshore.bench.load import capacity_of, flood_jobs, steady_jobs
+from hornbeamshore.bench.passes import PassResult, run_pass
+from hornbeamshore.bench.profiles import PROFILES, service_of, target_plans
+from hornbeamshore.bench.replay import quantile
+from hornbeamshore.bench.systems import SYSTEMS, Counters, running_system
+from hornbeamshore.config.model import Urgency
+
+OUTPUT = Path("build/measure.json")
+DETAILS = Path("build/measure-details.json")
+IDLE_S = 4.0
+SETTLE_S = 1.0
+STEADY_S = 30.0
+# Run times are learned, and pools fill, before this second.
+COUNTED_FROM_S = 5.0
+FLOOD_PASS_S = 14.0
+FLOOD_FROM_S = 4.0
+FAULT_S = 18.0
+# One target of 11 is lost and one paused, so this loads the others to about 0.7.
+FAULT_LOAD = 0.55
+
+
+@dataclass(frozen=True, slots=True)
+class Floods:
+    """Passes with the floods of the least and the most urgent kind."""
+
+    least_urgent: PassResult
+    most_urgent: PassResult
+
+
+@dataclass(frozen=True, slots=True)
+class Passes:
+    """All passes of one system.
+
+    Attributes
+    ----------
+    idle : Counters
+        Traffic of `IDLE_S` seconds without work.
+    events : tuple of dict
+        Log lines of all targets.
+    """
+
+    idle: Counters
+    steady: PassResult
+    floods: Floods
+    faults: PassResult
+    events: tuple
+
+    def all(self):
+        """Return the passes with their names."""
+        return {
+            "steady": self.steady,
+            "flood of the least urgent": self.floods.least_urgent,
+            "flood of the most urgent": self.floods.most_urgent,
+            "faults": self.faults,
+        }
+
+
+async def run_passes(kind, profile, seed):
+    """Run all passes of one system on one deployment; return the `Passes`."""
+    async with running_system(kind, profile, seed) as system:
+        await system.prepare_pass()
+        before = await system.counters()
+        await trio.sleep(IDLE_S)
+        idle = await system.counters() - before
+
+        async def run(name, jobs, seconds, **options):
+            result = await run_pass(system, name, jobs, seconds, **options)
+            await trio.sleep(SETTLE_S)
+            print(f"{profile.name} {kind.name}: pass {name} ended", flush=True)
+            return result
+
+        load = profile, system.targets
+        steady = await run(
+            "steady", steady_jobs(*load, "steady", STEADY_S, seed), STEADY_S
+        )
+        floods = []
+        for place in (profile.least_urgent, profile.most_urgent):
+            name = f"flood-{place}"
+            jobs = steady_jobs(*load, name, FLOOD_PASS_S, seed)
+            span = FLOOD_FROM_S, FLOOD_PASS_S
+            jobs += flood_jobs(*load, name, place, *span, seed)
+            jobs.sort(key=lambda job: job.at_s)
+            floods.append(await run(name, jobs, FLOOD_PASS_S, patient=False))
+        jobs = steady_jobs(*load, "faults", FAULT_S, seed, FAULT_LOAD)
+        faults = await run("faults", jobs, FAULT_S, faults=True)
+        return Passes(
+            idle, steady, Floods(*floods), faults, tuple(system.target_events())
+        )
+
+
+def figures(profile, targets, passes):
+    """Return the figures of one system, as ``build/measure.json`` holds them."""
+    service = service_of(profile)
+    verdicts = verdicts_of(passes, service)
+    wasted, tasks = wasted_of(passes)
+    ratios, _, _ = ratios_of(profile, targets, passes, service)
+    return {
+        "response_over_ideal": _quantiles(ratios),
+        "wasted_messages_per_task": wasted / max(1, tasks),
+        "flood_least_urgent": {
+            "other_work_kept": other_work_kept(
+                profile, passes.steady, passes.floods.least_urgent, "least", service
+            )
+        },
+        "flood_most_urgent": {
+            "other_work_kept": other_work_kept(
+                profile, passes.steady, passes.floods.most_urgent, "most", service
+            )
+        },
+        **asdict(sum(verdicts.values(), Verdict())),
+    }
+
+
+def verdicts_of(passes, service):
+    """Return the `Verdict` on each pass by its name."""
+    return {
+        name: judge(result.jobs, result.answers, passes.events, service)
+        for name, result in passes.all().items()
+    }
+
+
+def wasted_of(passes):
+    """Return the messages without effect and the tasks started, of all passes."""
+    total = sum((result.counters for result in passes.all().values()), Counters())
+    return total.wasted, total.starts
+
+
+def ratios_of(profile, targets, passes, service):
+    """Return response times of urgent jobs over the ideal, its parts, and the fastest.
+
+    The second value is the ratio of the quantiles, the third the response over the
+    run time on the fastest target alone.
+    """
+    jobs, answers = passes.steady.jobs, passes.steady.answers
+    urgency = {name: kind.urgency for name, kind in service.kinds.items()}
+    best = ideal_responses(jobs, targets, urgency)
+    counted = [
+        job
+        for job in jobs
+        if urgency[job.kind] is Urgency.URGENT and job.at_s >= COUNTED_FROM_S
+    ]
+    alone = {job.id: fastest_alone(job, targets) for job in counted}
+    units = dict.fromkeys(best, 1.0)
+    responses = response_ratios(counted, answers, units)
+    of_quantiles = {
+        label: value / _quantiles([best[job.id] for job in counted])[label]
+        for label, value in _quantiles(responses).items()
+    }
+    return (
+        response_ratios(counted, answers, best),
+        of_quantiles,
+        _quantiles(response_ratios(counted, answers, alone)),
+    )
+
+
+def other_work_kept(profile, steady, flooded, which, service):
+    """Return the share of other work's answers in time that a flood left.
+
+    Other work is all but the flooding team's own work of that kind; the jobs are
+    those that arrived while the flood lasted, the same in both runs.
+    """
+    place = profile.least_urgent if which == "least" else profile.most_urgent
+    demand = profile.demands[place]
+
+    def others(result):
+        return [
+            job
+            for job in result.jobs
+            if FLOOD_FROM_S <= job.at_s < FLOOD_PASS_S
+            and (job.team, job.kind) != (demand.team, demand.kind)
+        ]
+
+    before = in_time(others(steady), steady.answers, service)
+    return in_time(others(flooded), flooded.answers, service) / max(1, before)
+
+
+def details_of(profile, targets, passes):
+    """Return what helps to read the figures."""
+    service = service_of(profile)
+    _, of_quantiles, alone = ratios_of(profile, targets, passes, service)
+    starts = passes.steady.counters.starts
+    seconds = passes.steady.seconds
+    capacity = capacity_of(targets)
+    return {
+        "ratio_of_quantiles": of_quantiles,
+        "response_over_fastest_alone": alone,
+        "agent_bytes_per_s": {
+            "idle": passes.idle.agent_bytes / IDLE_S / len(targets),
+            "load": passes.steady.counters.agent_bytes / seconds / len(targets),
+        },
+        "agent_messages_per_task": passes.steady.counters.agent_messages
+        / max(1, starts),
+        "passes": {
+            name: {
+                **asdict(judge(result.jobs, result.answers, passes.events, service)),
+                "offered_over_capacity": offered_work(
+                    result.jobs, capacity, FLOOD_FROM_S, FLOOD_PASS_S
+                ),
+                "caller_late_p99_s": quantile(
+                    [answer.late_s for answer in result.answers], 0.99
+                ),
+                "caller_cores": result.caller_cores,
+                "machine_busy": result.machine_busy,
+                "seconds": result.seconds,
+                "counters": asdict(result.counters),
+                "codes": codes_of(result.answers),
+                "cpu_s": result.cpu_s,
+            }
+            for name, result in passes.all().items()
+        },
+    }
+
+
+def _quantiles(values):
+    return {"p50": quantile(values, 0.5), "p99": quantile(values, 0.99)}
+
+
+async def _measure(names, kinds, seed, output, details):
+    async def run_deployment(profile):
+        for kind in kinds:
+            passes = await run_passes(kind, profile, seed)
+            targets = target_plans(profile, seed)
+            found = figures(profile, targets, passes)
+            output.setdefault(profile.name, {})[kind.name] = found
+            more = details_of(profile, targets, passes)
+            details.setdefault(profile.name, {})[kind.name] = more
+
+    async with trio.open_nursery() as nursery:
+        for name in names:
+            nursery.start_soon(run_deployment, PROFILES[name])
+
+
+def main(seed=1, deployment="", system=""):
+    """Measure and print; a name limits the run to one deployment or system.
+
+    Parameters
+    ----------
+    seed : int
+        Of arrivals, run times, speeds and declared run times.
+    """
+    names = [deployment] if deployment else list(PROFILES)
+    kinds = [kind for kind in SYSTEMS if system in ("", kind.name)]
+    output, details = {}, {}
+    trio.run(_measure, names, kinds, seed, output, details)
+    OUTPUT.parent.mkdir(exist_ok=True)
+    OUTPUT.write_text(json.dumps(output, indent=1))
+    DETAILS.write_text(json.dumps(details, indent=1))
+    print(tables.render(output, details, seed))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/passes.py
@@ -0,0 +1,123 @@
+"""One pass of the measurement: load, faults, answers and readings."""
+
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import trio
+
+from hornbeamshore.bench.loadgen import Plan, Report
+from hornbeamshore.bench.probes import machine_times
+from hornbeamshore.bench.systems import Counters
+
+# Caller processes; one alone would be the bottleneck of a flood.
+CALLERS = 2
+FLOOD_CALLERS = 3
+# Time for the caller processes to start before the first arrival.
+START_S = 1.5
+# Beyond the longest deadline and the time for which callers ask again.
+LIMIT_S = 90.0
+
+
+@dataclass(frozen=True, slots=True)
+class PassResult:
+    """Outcome of one pass.
+
+    Attributes
+    ----------
+    cpu_s : dict of str to float
+        Processor seconds by group of processes.
+    caller_cores : float
+        Share of a core that the busiest caller process took.
+    machine_busy : float
+        Share of all cores that were busy, with those of other programs.
+    """
+
+    jobs: tuple
+    answers: tuple
+    counters: Counters
+    seconds: float
+    cpu_s: dict[str, float]
+    caller_cores: float
+    machine_busy: float
+
+
+async def run_pass(system, name, jobs, seconds, *, faults=False, patient=True):
+    """Submit the jobs of one pass and return its `PassResult`.
+
+    Parameters
+    ----------
+    seconds : float
+        Time in which the jobs arrive.
+    faults : bool
+        Whether the faults of the system happen meanwhile.
+    patient : bool
+        Whether callers submit again until they get an answer.
+    """
+    await system.prepare_pass()
+    before, cpu, machine = await system.counters(), system.cpu(), machine_times()
+    start_at = time.monotonic() + START_S
+    async with trio.open_nursery() as nursery:
+        if faults:
+            for at_s, act in await system.faults():
+                nursery.start_soon(_act_at, start_at + at_s, act)
+        plans = [
+            Plan(
+                system.addresses(),
+                system.profile.tokens,
+                start_at,
+                tuple(part),
+                patient,
+            )
+            for part in _shares(jobs)
+        ]
+        reports = [None] * len(plans)
+        with trio.fail_after(seconds + LIMIT_S):
+            async with trio.open_nursery() as callers:
+                for number, plan in enumerate(plans):
+                    callers.start_soon(
+                        _call, system, f"{name}-{number}", plan, reports, number
+                    )
+    elapsed = time.monotonic() - start_at
+    after, busy, total = system.cpu(), *machine_times()
+    cpu_s = {key: value - cpu.get(key, 0.0) for key, value in after.items()}
+    cpu_s["callers"] = sum(report.cpu_s for report in reports)
+    return PassResult(
+        tuple(jobs),
+        tuple(answer for report in reports for answer in report.answers),
+        await system.counters() - before,
+        elapsed,
+        cpu_s,
+        max(report.cpu_s for report in reports) / seconds,
+        (busy - machine[0]) / (total - machine[1]),
+    )
+
+
+def _shares(jobs):
+    """Return the jobs of each caller process, in the order of time."""
+    steady = [job for job in jobs if not job.flood]
+    flood = [job for job in jobs if job.flood]
+    parts = [steady[i::CALLERS] for i in range(CALLERS)]
+    parts += [flood[i::FLOOD_CALLERS] for i in range(FLOOD_CALLERS)]
+    return [part for part in parts if part]
+
+
+async def _act_at(moment, act):
+    await trio.sleep(moment - time.monotonic())
+    await act()
+
+
+async def _call(system, name, plan, reports, number):
+    """Run one caller process and keep its report."""
+    directory = Path(system.fleet.directory)
+    plan_path, report_path = directory / f"{name}.plan", directory / f"{name}.report"
+    plan_path.write_bytes(msgspec.json.encode(plan))
+    proc = await system.fleet.spawn(
+        name,
+        ["-m", "hornbeamshore.bench.loadgen", str(plan_path), str(report_path)],
+        wait_for_line=False,
+    )
+    if await proc.wait(LIMIT_S * 2):
+        raise RuntimeError(f"caller process {name} failed")
+    reports[number] = msgspec.json.decode(report_path.read_bytes(), type=Report)
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/probes.py
@@ -0,0 +1,62 @@
+"""Readings of running processes: reports of entries and processor time."""
+
+import json
+import os
+from pathlib import Path
+
+import trio
+
+from hornbeamshore.base.clock import new_incarnation
+from hornbeamshore.wire.connection import (
+    MessageHandler,
+    WireSettings,
+    open_connection,
+)
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import ProcessKind, StatusQuery
+
+STATUS_TIMEOUT_S = 5.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class _Silent(MessageHandler):
+    def handle(self, conn, message):
+        """Ignore what an entry tells without being asked."""
+
+
+async def query_status(deployment, address, secret):
+    """Return the report of an entry, by its peer address.
+
+    Raises
+    ------
+    ConnectionLost, CallTimeout
+        If the entry gives none.
+    """
+    identity = Identity(
+        deployment, ProcessKind.OPERATOR, "measure", new_incarnation(), ""
+    )
+    async with (
+        open_connection(address, identity, secret, WireSettings()) as conn,
+        trio.open_nursery() as nursery,
+    ):
+        nursery.start_soon(conn.run, _Silent())
+        reply = await conn.call(StatusQuery("status"), STATUS_TIMEOUT_S)
+        nursery.cancel_scope.cancel()
+    return json.loads(reply.content)
+
+
+def cpu_of(pid):
+    """Return the processor seconds that a process has taken; 0 once it is gone."""
+    try:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    except OSError:
+        return 0.0
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+def machine_times():
+    """Return busy and total processor seconds of the machine, others included."""
+    fields = Path("/proc/stat").read_text().splitlines()[0].split()[1:9]
+    values = [int(field) / _TICKS_PER_S for field in fields]
+    idle = values[3] + values[4]
+    return sum(values) - idle, sum(values)
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/systems.py
@@ -0,0 +1,321 @@
+"""The two systems under measurement: hornbeamshore and the plain baseline."""
+
+import abc
+import contextlib
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+
+from hornbeamshore.bench.caller import Caller, apply_config, wait_ready
+from hornbeamshore.bench.fleet import SECRET, Fleet
+from hornbeamshore.bench.probes import cpu_of, query_status
+from hornbeamshore.bench.profiles import (
+    SLOTS,
+    entry_plans,
+    misdeclared_file,
+    target_plans,
+)
+from hornbeamshore.wire.connection import CallTimeout, ConnectionLost
+
+PAUSE_S = 8.0
+READY_TIMEOUT_S = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Counters:
+    """Totals of a system since its start.
+
+    Attributes
+    ----------
+    starts, refusals, retries, late_answers : int
+        Messages to targets, and those without effect by reason.
+    agent_messages, agent_bytes : int
+        Traffic between entries and agents, both ways.
+    """
+
+    starts: int = 0
+    refusals: int = 0
+    retries: int = 0
+    late_answers: int = 0
+    agent_messages: int = 0
+    agent_bytes: int = 0
+
+    def __add__(self, other):
+        return self._combine(other, 1)
+
+    def __sub__(self, other):
+        return self._combine(other, -1)
+
+    @property
+    def wasted(self):
+        """Return the number of messages without effect."""
+        return self.refusals + self.retries + self.late_answers
+
+    def _combine(self, other, sign):
+        return Counters(
+            *(
+                getattr(self, name) + sign * getattr(other, name)
+                for name in self.__slots__
+            )
+        )
+
+
+class System(abc.ABC):
+    """Dispatcher with its targets, as processes on loopback.
+
+    Parameters
+    ----------
+    profile : Profile
+        Deployment.
+    seed : int
+        Of the speeds and the declared run times.
+    directory : pathlib.Path
+        For settings and logs.
+    """
+
+    name = ""
+
+    def __init__(self, profile, seed, directory):
+        self.profile = profile
+        self.targets = target_plans(profile, seed)
+        self.fleet = Fleet(profile.name, directory)
+        self._seed = seed
+
+    @abc.abstractmethod
+    async def start(self):
+        """Start all processes and return once work is answered."""
+
+    @abc.abstractmethod
+    def addresses(self):
+        """Return the addresses that callers submit to."""
+
+    @abc.abstractmethod
+    async def counters(self):
+        """Return the `Counters`."""
+
+    @abc.abstractmethod
+    async def faults(self):
+        """Return the faults as pairs of the second of a pass and what to do."""
+
+    async def prepare_pass(self):
+        """Make the system ready for a pass."""
+        return
+
+    def groups(self):
+        """Return the processes by group, for their processor time."""
+        return {"targets": self.fleet.targets.values()}
+
+    def cpu(self):
+        """Return the processor seconds of each group so far."""
+        return {
+            name: sum(cpu_of(proc.popen.pid) for proc in group)
+            for name, group in self.groups().items()
+        }
+
+    def target_events(self):
+        """Return the log lines of all targets."""
+        return [
+            event
+            for plan in self.targets
+            for event in self.fleet.target_log(plan.agent_id)
+        ]
+
+    async def _start_targets(self):
+        async with trio.open_nursery() as nursery:
+            for plan in self.targets:
+                nursery.start_soon(self.fleet.start_target, plan)
+
+
+class Hornbeamshore(System):
+    """The project's own binaries."""
+
+    name = "hornbeamshore"
+
+    def __init__(self, profile, seed, directory):
+        super().__init__(profile, seed, directory)
+        self._gone = Counters()
+
+    async def start(self):
+        """Start all processes and return once work is answered."""
+        fleet, profile = self.fleet, self.profile
+        path = fleet.directory / "deployment.yaml"
+        path.write_text(misdeclared_file(profile, self._seed))
+        await fleet.start(entry_plans(profile), self.targets)
+        await apply_config(fleet.store.line, path)
+        demand = profile.demands[0]
+        token = profile.tokens[demand.team]
+        for address in self.addresses():
+            await wait_ready(address, token, profile.service, demand.kind)
+        with trio.fail_after(READY_TIMEOUT_S):
+            # Only the report tells when the last agent is in use.
+            while await self._slots() < len(self.targets) * SLOTS:  # noqa: ASYNC110
+                await trio.sleep(0.2)
+
+    def addresses(self):
+        """Return the addresses of the entries that run."""
+        return tuple(self.fleet.http_of(name) for name in self.fleet.entries)
+
+    async def counters(self):
+        """Return the `Counters` of the entries that run and of those killed."""
+        total = self._gone
+        for report in await self._reports():
+            total += _counters_of(report)
+        return total
+
+    async def faults(self):
+        """Return the faults: store, agents and owner, so that all overlap."""
+        killed, paused = (self.targets[i].agent_id for i in (0, 4))
+        agents = self.fleet.agents
+        return (
+            (2.0, self._act(self.fleet.store.kill)),
+            (4.0, self._act(agents[killed].kill)),
+            (6.0, self._act(agents[paused].pause)),
+            (9.0, self._kill_owner),
+            (6.0 + PAUSE_S, self._act(agents[paused].resume)),
+        )
+
+    def groups(self):
+        """Return the processes by group, for their processor time."""
+        return {
+            **super().groups(),
+            **{name: (proc,) for name, proc in self.fleet.entries.items()},
+            "agents": self.fleet.agents.values(),
+        }
+
+    async def _reports(self):
+        reports = []
+        for name, proc in self.fleet.entries.items():
+            if proc.popen.poll() is None:
+                address = self.fleet.peer_of(name)
+                with contextlib.suppress(ConnectionLost, CallTimeout):
+                    reports.append(
+                        await query_status(self.profile.name, address, SECRET.encode())
+                    )
+        return reports
+
+    async def _slots(self):
+        return sum(
+            partition["scheduler"]["slots"]
+            for report in await self._reports()
+            for partition in report["partitions"]
+        )
+
+    async def _kill_owner(self):
+        for report in await self._reports():
+            if report["partitions"]:
+                self._gone += _counters_of(report)
+                self.fleet.entries[report["entry_id"]].kill()
+
+    def _act(self, call):
+        async def act():
+            call()
+
+        return act
+
+
+class BaselineSystem(System):
+    """The plain baseline, in one process, on targets of its own."""
+
+    name = "baseline"
+
+    def __init__(self, profile, seed, directory):
+        super().__init__(profile, seed, directory)
+        self._proc = None
+        self._gone = Counters()
+
+    async def start(self):
+        """Start the targets."""
+        await self._start_targets()
+
+    async def prepare_pass(self):
+        """Start the dispatcher anew, since its queue has no bound."""
+        if self._proc is not None:
+            self._gone = await self.counters()
+            self._proc.kill()
+        await self._spawn(0)
+
+    def addresses(self):
+        """Return the address of the dispatcher."""
+        return (self._proc.line,)
+
+    async def counters(self):
+        """Return the `Counters` of all dispatchers so far."""
+        async with Caller(self._proc.line, "none") as caller:
+            counts = (await caller.request("GET", "/counters")).content
+        counted = Counters(
+            starts=counts["starts"],
+            refusals=counts["failed"],
+            late_answers=counts["late"],
+        )
+        return self._gone + counted
+
+    async def faults(self):
+        """Return faults like those of the other system, as far as there are any."""
+        killed, paused = (self.fleet.targets[self.targets[i].agent_id] for i in (0, 4))
+
+        async def pause():
+            paused.pause()
+
+        async def resume():
+            paused.resume()
+
+        async def kill():
+            killed.kill()
+
+        return (
+            (4.0, kill),
+            (6.0, pause),
+            (9.0, self._restart),
+            (6.0 + PAUSE_S, resume),
+        )
+
+    def groups(self):
+        """Return the processes by group, for their processor time."""
+        return {**super().groups(), "dispatcher": (self._proc,)}
+
+    async def _restart(self):
+        self._gone = await self.counters()
+        port = self._proc.line.rpartition(":")[2]
+        self._proc.kill()
+        await self._spawn(port)
+
+    async def _spawn(self, port):
+        addresses = ",".join(
+            proc.line
+            for proc in self.fleet.targets.values()
+            if proc.popen.poll() is None
+        )
+        arguments = ["--targets", addresses, "--slots", str(SLOTS)]
+        arguments += ["--seed", str(self._seed), "--port", str(port)]
+        self._proc = await self.fleet.spawn(
+            "baseline", ["-m", "hornbeamshore.bench.baseline", *arguments]
+        )
+
+
+SYSTEMS = (Hornbeamshore, BaselineSystem)
+
+
+@contextlib.asynccontextmanager
+async def running_system(kind, profile, seed):
+    """Start a system, yield it, and end all its processes."""
+    with tempfile.TemporaryDirectory(prefix="hornbeamshore-") as name:
+        system = kind(profile, seed, Path(name))
+        try:
+            await system.start()
+            yield system
+        finally:
+            system.fleet.end_all()
+
+
+def _counters_of(report):
+    dispatch = report["dispatch"]
+    return Counters(
+        dispatch["starts"],
+        dispatch["wasted"].get("refusal", 0),
+        dispatch["retries"],
+        dispatch["wasted"].get("late answer", 0),
+        sum(agent["messages"] for agent in report["agents"]),
+        sum(agent["bytes"] for agent in report["agents"]),
+    )
