Add the failure table with rows for deaths and pauses of processes

Cause: no test ran whole deployments through failures under load. Libraries no longer trace into logs at level debug: they hid all else.

--- a/packages/base/src/hornbeamshore/base/logs.py
+++ b/packages/base/src/hornbeamshore/base/logs.py
@@ -1,5 +1,6 @@
 """Log lines with a fixed prefix for each part of a process."""
 
+import logging as standard_logging
 import time
 
 from absl import flags, logging
@@ -68,6 +69,8 @@
     logging.use_absl_handler()
     logging.set_verbosity(level)
     logging.set_stderrthreshold(level)
+    # Each HTTP call has some 15 trace lines, which would hide this project's own.
+    standard_logging.getLogger("httpcore").setLevel(standard_logging.INFO)
 
 
 # Log lines name the place that logs, not this module.
--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -14,10 +14,23 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import httpcore
 import trio
 import yaml
 
+from hornbeamshore.bench.relay import Relay
+from hornbeamshore.wire.connection import (
+    CallTimeout,
+    ConnectionLost,
+    MessageHandler,
+    WireSettings,
+    open_connection,
+)
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import ProcessKind, StatusQuery
+
 STOP_TIMEOUT_S = 20.0
+STATUS_TIMEOUT_S = 2.0
 SECRET = "secret of a deployment on loopback"
 
 
@@ -95,12 +108,22 @@
         For settings and logs.
     wire : dict
         Settings of connections, such as ``{"suspect_after": "1.5s"}``.
+    relay_nursery : trio.Nursery or None
+        Where a `Relay` in front of each entry's peer address runs; None for none.
+        A relay still accepts connections when its entry is dead.
+    log_level : str
+        Of entries and agents.
     """
 
-    def __init__(self, deployment, directory, wire=None):
+    def __init__(
+        self, deployment, directory, wire=None, relay_nursery=None, log_level="info"
+    ):
         self.deployment = deployment
         self.directory = directory
         self.wire = wire or {}
+        self.relays = {}
+        self._relay_nursery = relay_nursery
+        self._log_level = log_level
         self.store = None
         self.entries = {}
         self.targets = {}
@@ -148,8 +171,12 @@
             "store": {"endpoints": [self.store.line]},
             "seeds": [self.peer_of(name) for name in self.entries],
             "wire": self.wire,
-            "log_level": "info",
+            "log_level": self._log_level,
         }
+        if self._relay_nursery is not None:
+            relay = await self._relay_nursery.start(Relay().serve)
+            cfg |= {"peer_listen": relay.upstream, "peer_address": relay.address}
+            self.relays[plan.entry_id] = relay
         path = self._write_settings(plan.entry_id, cfg)
         proc = await self._spawn(
             plan.entry_id,
@@ -182,6 +209,7 @@
             "entries": [self.peer_of(name) for name in self.entries],
             "secret_file": self.secret_file,
             "wire": self.wire,
+            "log_level": self._log_level,
         }
         path = self._write_settings(plan.agent_id, cfg)
         arguments = [_binary("hornbeamshore-agent"), "run", "--settings", path]
@@ -192,15 +220,69 @@
     async def start(self, entries, targets):
         """Start a store, then entries, then targets with their agents."""
         await self.start_store()
-        for plan in entries:
-            await self.start_entry(plan)
+        await self.start_entry(entries[0])
         async with trio.open_nursery() as nursery:
+            for plan in entries[1:]:
+                nursery.start_soon(self.start_entry, plan)
             for plan in targets:
-                nursery.start_soon(self._start_pair, plan)
-
-    async def _start_pair(self, plan):
-        await self.start_target(plan)
-        await self.start_agent(plan)
+                nursery.start_soon(self.start_target, plan)
+        for plan in targets:
+            await self.start_agent(plan)
+
+    async def set_store_faults(self, **faults):
+        """Switch faults of the store on or off; see `standin_store.Faults`."""
+        await self.call_store("/standin/faults", faults)
+
+    async def set_target_faults(self, agent_id, **faults):
+        """Switch faults of a target on or off; see `standin_target.Faults`."""
+        await _post(f"http://{self.targets[agent_id].line}/faults", faults)
+
+    async def call_store(self, path, body):
+        """Call the store or its control endpoint and return the decoded answer."""
+        return await _post(self.store.line + path, body)
+
+    async def status(self, entry_id):
+        """Return the report of an entry for operators, None if it gives none."""
+        identity = Identity(self.deployment, ProcessKind.OPERATOR, "bench", 0, "")
+        address = self.peer_of(entry_id)
+        try:
+            async with (
+                open_connection(
+                    address, identity, SECRET.encode(), WireSettings()
+                ) as conn,
+                trio.open_nursery() as nursery,
+            ):
+                nursery.start_soon(conn.run, _NoMessages())
+                reply = await conn.call(StatusQuery("status"), STATUS_TIMEOUT_S)
+                nursery.cancel_scope.cancel()
+                return json.loads(reply.content)
+        except (ConnectionLost, CallTimeout):
+            return None
+
+    async def owner_of(self, partition):
+        """Return the id of the entry that says it owns a partition, or None."""
+        for entry_id in list(self.entries):
+            report = await self.status(entry_id)
+            owned = report["partitions"] if report is not None else ()
+            if any(item["partition"] == partition for item in owned):
+                return entry_id
+        return None
+
+    def process(self, name):
+        """Return the process of an entry or an agent."""
+        return self.entries.get(name) or self.agents[name]
+
+    def kill(self, name):
+        """End an entry or an agent at once; callers no longer get its address."""
+        self._forget(name).kill()
+
+    async def stop(self, name):
+        """Stop an entry or an agent as planned and return its exit code."""
+        return await self._forget(name).terminate()
+
+    def _forget(self, name):
+        group = self.entries if name in self.entries else self.agents
+        return group.pop(name)
 
     def end_all(self):
         """End all processes at once."""
@@ -234,12 +316,30 @@
         return Proc(name, popen, line.decode().strip())
 
 
+class _NoMessages(MessageHandler):
+    def handle(self, conn, message):
+        pass
+
+
+async def _post(url, body):
+    async with httpcore.AsyncConnectionPool() as pool:
+        response = await pool.request(
+            "POST",
+            url,
+            headers=[("Content-Type", "application/json")],
+            content=json.dumps(body).encode(),
+        )
+    return json.loads(response.content)
+
+
 def _binary(name):
     return str(Path(sys.executable).parent / name)
 
 
 @contextlib.asynccontextmanager
-async def running_fleet(deployment, entries, targets, wire=None):
+async def running_fleet(
+    deployment, entries, targets, wire=None, *, relayed=False, log_level="info"
+):
     """Start a deployment, yield its `Fleet`, and end all its processes.
 
     Parameters
@@ -248,11 +348,16 @@
         Entries to start.
     targets : sequence of TargetPlan
         Targets to start, each with an agent.
+    relayed : bool
+        Whether a `Relay` stands in front of the peer address of each entry.
     """
     with tempfile.TemporaryDirectory(prefix="hornbeamshore-") as name:
-        fleet = Fleet(deployment, Path(name), wire)
-        try:
-            await fleet.start(entries, targets)
-            yield fleet
-        finally:
-            fleet.end_all()
+        async with trio.open_nursery() as nursery:
+            relay_nursery = nursery if relayed else None
+            fleet = Fleet(deployment, Path(name), wire, relay_nursery, log_level)
+            try:
+                await fleet.start(entries, targets)
+                yield fleet
+            finally:
+                fleet.end_all()
+            nursery.cancel_scope.cancel()
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/relay.py
@@ -0,0 +1,119 @@
+"""TCP relay that stands for the network path to an entry.
+
+Its connections can go silent for good without being closed, as when a middlebox
+has lost track of them, while new ones work.
+"""
+
+import trio
+
+from hornbeamshore.wire import codec
+from hornbeamshore.wire.messages import Hello
+
+READ_BYTES = 64 * 1024
+# In front of each frame.
+LENGTH_BYTES = 4
+
+
+class Relay:
+    """Relay in front of one address.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` at which it listens, once `serve` has started.
+    upstream : str
+        ``host:port`` to which it passes bytes on.
+    """
+
+    def __init__(self):
+        self.address = self.upstream = ""
+        self._flows = []
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Serve on a port of loopback until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        # The same port of another loopback address is free for the process behind.
+        self.upstream = f"127.0.0.2:{port}"
+        async with trio.open_nursery() as nursery:
+            task_status.started(self)
+            await trio.serve_listeners(
+                self._serve_one, listeners, handler_nursery=nursery
+            )
+
+    def silence(self, peer_ids, *, inward=True, outward=True):
+        """Pass on nothing more on the connections that these processes opened.
+
+        Parameters
+        ----------
+        peer_ids : collection of str
+            Process ids that the opening sides named in their first message.
+        inward, outward : bool
+            Whether bytes towards, or from, the address behind are lost.
+
+        Returns
+        -------
+        int
+            Number of connections that went silent.
+        """
+        flows = [flow for flow in self._flows if flow.peer_id in peer_ids]
+        for flow in flows:
+            flow.inward_lost |= inward
+            flow.outward_lost |= outward
+        return len(flows)
+
+    async def _serve_one(self, client):
+        host, _, port = self.upstream.rpartition(":")
+        flow = _Flow()
+        self._flows.append(flow)
+        try:
+            async with (
+                client,
+                await trio.open_tcp_stream(host, int(port)) as server,
+                trio.open_nursery() as nursery,
+            ):
+                nursery.start_soon(flow.pass_inward, client, server)
+                nursery.start_soon(flow.pass_outward, server, client)
+        except OSError:
+            pass
+        finally:
+            self._flows.remove(flow)
+
+
+class _Flow:
+    """One connection through the relay."""
+
+    def __init__(self):
+        self.peer_id = ""
+        self.inward_lost = self.outward_lost = False
+
+    async def pass_inward(self, client, server):
+        await self._pass(client, server, lambda: self.inward_lost)
+
+    async def pass_outward(self, server, client):
+        await self._pass(server, client, lambda: self.outward_lost)
+
+    async def _pass(self, source, sink, is_lost):
+        try:
+            while True:
+                data = await source.receive_some(READ_BYTES)
+                if not self.peer_id:
+                    self.peer_id = _peer_id(data)
+                if is_lost():
+                    # Neither bytes nor the end of the stream get through.
+                    await trio.sleep_forever()
+                await sink.send_all(data) if data else await sink.send_eof()
+                if not data:
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            await trio.aclose_forcefully(sink)
+
+
+def _peer_id(data):
+    """Return the process id in the first frame of an opening side."""
+    try:
+        message = codec.decode_batch(data[LENGTH_BYTES:])[0]
+    except (codec.CodecError, IndexError):
+        return "?"
+    return message.body.process_id if isinstance(message.body, Hello) else "?"
--- /dev/null
+++ b/tests/failures/test_processes.py
@@ -0,0 +1,100 @@
+"""Failures of processes: death and pauses of entries, agents and targets."""
+
+import pytest
+import trio
+
+from hornbeamshore.bench.scenario import Row
+
+
+async def kill_owner(scenario):
+    owner = await scenario.owner()
+    scenario.fleet.kill(owner)
+    await scenario.owner()
+    await scenario.restart_entry(owner)
+
+
+async def kill_front(scenario):
+    front = await scenario.front()
+    scenario.fleet.kill(front)
+    await trio.sleep(1)
+    await scenario.restart_entry(front)
+
+
+async def kill_agent(scenario):
+    agent_id = await scenario.busy_agent()
+    scenario.fleet.kill(agent_id)
+    await trio.sleep(1)
+    await scenario.restart_agent(agent_id)
+    await scenario.wait_used(agent_id)
+
+
+async def kill_target(scenario):
+    agent_id = await scenario.busy_agent()
+    scenario.fleet.targets[agent_id].kill()
+    await trio.sleep(2)
+
+
+async def kill_owner_and_agent(scenario):
+    owner, agent_id = await scenario.owner(), await scenario.busy_agent()
+    scenario.fleet.kill(owner)
+    scenario.fleet.kill(agent_id)
+    await scenario.owner()
+    await scenario.restart_agent(agent_id)
+    await scenario.wait_used(agent_id)
+
+
+async def kill_owner_and_agent_for_good(scenario):
+    owner, agent_id = await scenario.owner(), await scenario.busy_agent()
+    scenario.fleet.kill(owner)
+    scenario.fleet.kill(agent_id)
+    # Longer than until the new owner calls the agent lost, 6 s.
+    await trio.sleep(9)
+
+
+async def pause_owner(scenario):
+    await scenario.pause(await scenario.owner(), 4)
+
+
+async def pause_agent_3s(scenario):
+    agent_id = await scenario.busy_agent()
+    await scenario.pause(agent_id, 3)
+    await scenario.wait_used(agent_id)
+
+
+async def pause_agent_8s(scenario):
+    agent_id = await scenario.busy_agent()
+    await scenario.pause(agent_id, 8)
+    await scenario.wait_used(agent_id)
+
+
+ROWS = (
+    Row("owner-killed", "a new owner that starts running tasks again", kill_owner, 11),
+    Row("front-killed", "a resubmission that is run as a new job", kill_front, 12),
+    Row("agent-killed", "tasks of a dead agent that are started again", kill_agent, 13),
+    Row("target-killed", "tasks that vanish with their target", kill_target, 14),
+    Row(
+        "owner-and-agent-killed",
+        "an owner that takes an unknown key of a lost agent as new",
+        kill_owner_and_agent,
+        15,
+    ),
+    Row(
+        "owner-and-agent-killed-for-good",
+        "an owner that calls a lost agent's unknown records copied",
+        kill_owner_and_agent_for_good,
+        19,
+    ),
+    Row(
+        "owner-paused",
+        "an owner that wakes and goes on beside its successor",
+        pause_owner,
+        16,
+    ),
+    Row("agent-paused-3s", "late starts that lay unread", pause_agent_3s, 17),
+    Row("agent-paused-8s", "an agent that is not taken back", pause_agent_8s, 18),
+)
+
+
+@pytest.mark.parametrize("row", ROWS, ids=lambda row: row.name)
+def test_failure_of_a_process(row, verdicts):
+    assert not verdicts[row.name], row.guards + "\n" + verdicts[row.name]
