Call records of a lost agent copied only where they are known

Cause: a new owner that never met an agent of its roster called it lost, copied the records that it had of it, none, and marked it accounted for. Change: an agent is accounted for only if its records came with a grant of this term or the owner was complete. Records of a granted agent stay known when its connection ends, so the owner stays complete until the agent is lost.

--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -77,6 +77,9 @@
         self._highest_epoch = NO_EPOCH
         self._leases = self._new_leases()
         self._grants = {}
+        # Agent ids and incarnations whose start records came with a grant of this
+        # term. They stay known when the agent's connection ends.
+        self._known_records = set()
         self._holding = set()
         self._handover = None
         self._handover_jobs = []
@@ -167,6 +170,7 @@
         self._highest_epoch = self.epoch
         self._leases = self._new_leases()
         self._grants = {}
+        self._known_records = set()
         self._holding = set()
         self._early_outcomes = []
         self._committed = None
@@ -287,8 +291,11 @@
             return True
         if not self.roster.entries:
             return False
-        known = rosters.without_expired(self.roster, now_ms, retention_ms)
-        return not rosters.unaccounted(known, self._leases.incarnations)
+        roster = rosters.without_expired(self.roster, now_ms, retention_ms)
+        return all(
+            (entry.agent_id, entry.incarnation) in self._known_records
+            for entry in rosters.unaccounted(roster, {})
+        )
 
     # Serving
 
@@ -395,6 +402,7 @@
     def _granted(self, link, reply, sent_at):
         self._leases.confirm(link.agent_id, link.incarnation, sent_at)
         self._grants[link.agent_id] = reply
+        self._known_records.add((link.agent_id, link.incarnation))
         if self.dispatcher.is_active:
             self.dispatcher.merge_records(link.agent_id, reply.records)
             self._update_tenure()
@@ -482,8 +490,20 @@
         log.warning("Agent %s is lost.", agent_id)
         self.dispatcher.agent_lost(agent_id)
         records = self.dispatcher.records_of(agent_id)
+        # An owner that took over after the agent's end lacks records to copy.
+        known = self._knows_records_of(agent_id)
         copied = await self.copy_records(agent_id, records)
-        return rosters.with_lost(self.roster, agent_id, unix_ms(), accounted_for=copied)
+        return rosters.with_lost(
+            self.roster, agent_id, unix_ms(), accounted_for=known and copied
+        )
+
+    def _knows_records_of(self, agent_id):
+        tenure = self.dispatcher.tenure
+        return (tenure is not None and tenure.complete) or any(
+            (entry.agent_id, entry.incarnation) in self._known_records
+            for entry in self.roster.entries
+            if entry.live and entry.agent_id == agent_id
+        )
 
     async def copy_records(self, agent_id, records):
         """Give an agent's start records to others; return whether enough have them."""
