--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 from dataclasses import dataclass
+from http import HTTPStatus
 from pathlib import Path
 
 import httpcore
@@ -322,13 +323,13 @@
 
 
 async def _post(url, body):
+    content = json.dumps(body).encode()
+    headers = [("Content-Type", "application/json")]
+    headers.append(("Content-Length", str(len(content))))
     async with httpcore.AsyncConnectionPool() as pool:
-        response = await pool.request(
-            "POST",
-            url,
-            headers=[("Content-Type", "application/json")],
-            content=json.dumps(body).encode(),
-        )
+        response = await pool.request("POST", url, headers=headers, content=content)
+    if response.status != HTTPStatus.OK:
+        raise RuntimeError(f"{url}: status {response.status}: {response.content!r}")
     return json.loads(response.content)
 
 
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -26,11 +26,13 @@
 
     async def run_one(row, fleets):
         async with fleets:
+            started = trio.current_time()
             try:
                 with trio.fail_after(ROW_TIMEOUT_S):
                     codes = await run_row(row, KEEP_LOGS)
                 found[row.name] = ""
-                print(f"{row.name}: {dict(sorted(codes.items()))}")
+                elapsed_s = trio.current_time() - started
+                print(f"{row.name}: {elapsed_s:.0f} s, {dict(codes)}")
             except Exception as exc:
                 found[row.name] = "".join(traceback.format_exception(exc))
 
--- /dev/null
+++ b/tests/failures/test_connections.py
@@ -0,0 +1,98 @@
+"""Connections that go silent for good while new ones work."""
+
+from functools import partial
+
+import pytest
+import trio
+
+from hornbeamshore.bench.scenario import Row
+
+# Longer than the silence after which a peer opens a new connection, 1.5 s.
+SILENT_S = 4
+
+
+async def agent_silent(scenario, **directions):
+    agent_id, owner = await scenario.busy_agent(), await scenario.owner()
+    assert scenario.fleet.relays[owner].silence({agent_id}, **directions)
+    await trio.sleep(SILENT_S)
+    await scenario.wait_used(agent_id)
+
+
+async def entries_silent(scenario, **directions):
+    """Make each of two entries lose what it sent over the other's connection."""
+    owner = await scenario.owner()
+    front = await scenario.front()
+    assert scenario.fleet.relays[owner].silence({front}, **directions)
+    opposite = {"inward": "outward", "outward": "inward"}
+    back = {opposite[name]: lost for name, lost in directions.items()}
+    assert scenario.fleet.relays[front].silence({owner}, **back)
+    await trio.sleep(SILENT_S)
+
+
+async def owner_silent(scenario):
+    owner = await scenario.owner()
+    others = {*scenario.fleet.entries, *scenario.fleet.agents} - {owner}
+    for entry_id, relay in scenario.fleet.relays.items():
+        assert relay.silence(others if entry_id == owner else {owner})
+    await trio.sleep(SILENT_S)
+
+
+INWARD = {"inward": True, "outward": False}
+OUTWARD = {"inward": False, "outward": True}
+
+ROWS = (
+    Row(
+        "silent-agent-to-entry",
+        "outcomes that were sent into a dead connection",
+        partial(agent_silent, **INWARD),
+        31,
+        relayed=True,
+    ),
+    Row(
+        "silent-entry-to-agent",
+        "starts that were sent into a dead connection",
+        partial(agent_silent, **OUTWARD),
+        32,
+        relayed=True,
+    ),
+    Row(
+        "silent-agent-both-ways",
+        "an agent whose tasks stay open for good",
+        agent_silent,
+        33,
+        relayed=True,
+    ),
+    Row(
+        "silent-front-to-owner",
+        "submissions that were sent into a dead connection",
+        partial(entries_silent, **INWARD),
+        34,
+        relayed=True,
+    ),
+    Row(
+        "silent-owner-to-front",
+        "answers that were sent into a dead connection",
+        partial(entries_silent, **OUTWARD),
+        35,
+        relayed=True,
+    ),
+    Row(
+        "silent-entries-both-ways",
+        "a front that waits for good",
+        entries_silent,
+        36,
+        relayed=True,
+    ),
+    Row(
+        "silent-owner",
+        "two owners at once after all connections of one went silent",
+        owner_silent,
+        37,
+        relayed=True,
+    ),
+)
+
+
+@pytest.mark.parametrize("row", ROWS, ids=lambda row: row.name)
+def test_silent_connection(row, verdicts):
+    assert not verdicts[row.name], row.guards + "\n" + verdicts[row.name]
--- /dev/null
+++ b/tests/failures/test_store.py
@@ -0,0 +1,145 @@
+"""Failures of the platform's store, and of operators that race each other."""
+
+import contextlib
+
+import pytest
+import trio
+from returns.result import Success
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.bench.caller import apply_config
+from hornbeamshore.bench.fleet import EntryPlan
+from hornbeamshore.bench.scenario import CONFIG, DEPLOYMENT, Row, poll
+from hornbeamshore.config.apply import apply_deployment
+from hornbeamshore.config.check import check_deployment
+from hornbeamshore.store.base import deployment_key
+from hornbeamshore.store.etcd import EtcdSettings, EtcdStore
+
+NEW_ENTRY = EntryPlan("entry-d", "dc-a")
+
+
+async def store_slow(scenario):
+    await scenario.fleet.set_store_faults(delay_s=1.0)
+    await scenario.fleet.start_entry(NEW_ENTRY)
+    await scenario.wait_answered(NEW_ENTRY.entry_id)
+    await scenario.fleet.set_store_faults(delay_s=0.0)
+
+
+async def store_down(scenario):
+    await scenario.fleet.set_store_faults(down=True)
+    await trio.sleep(4)
+
+
+async def store_down_at_start(scenario):
+    agent_id = await scenario.busy_agent()
+    await scenario.fleet.set_store_faults(down=True)
+    scenario.fleet.kill(agent_id)
+    await scenario.fleet.start_entry(NEW_ENTRY)
+    await scenario.restart_agent(agent_id)
+    await scenario.wait_answered(NEW_ENTRY.entry_id)
+    await scenario.wait_used(agent_id)
+    revisions = await _revisions(scenario)
+    await scenario.fleet.set_store_faults(down=False)
+    assert len(set(revisions.values())) == 1, revisions
+
+
+async def join_answer_lost(scenario):
+    await scenario.fleet.set_store_faults(lose_answers=3)
+    await scenario.fleet.start_entry(NEW_ENTRY)
+    await scenario.wait_answered(NEW_ENTRY.entry_id)
+    await poll(lambda: _has_joined(scenario, NEW_ENTRY.entry_id))
+
+
+async def apply_answer_lost(scenario):
+    await scenario.fleet.set_store_faults(lose_answers=1)
+    revision = await apply_config(scenario.fleet.store.line, CONFIG)
+    await poll(lambda: _in_force(scenario, revision))
+
+
+async def lease_expires(scenario):
+    """Pause the owner and let the lease of its presence expire meanwhile."""
+    owner = await scenario.owner()
+    store = scenario.fleet.store.line
+    proc = scenario.fleet.process(owner)
+    proc.pause()
+    async with EtcdStore(EtcdSettings((store,))) as client:
+        key = deployment_key(DEPLOYMENT, f"entries/{owner}")
+        item = await client.get(key)
+    await scenario.fleet.call_store("/standin/expire", {"ID": str(item.lease_id)})
+    await trio.sleep(3)
+    proc.resume()
+    await poll(lambda: _has_joined(scenario, owner))
+
+
+async def operators_race(scenario):
+    store = scenario.fleet.store.line
+    deployment = check_deployment(CONFIG.read_text()).unwrap().deployment
+    before = max((await _revisions(scenario)).values())
+    seen = {entry_id: [before] for entry_id in scenario.fleet.entries}
+    results = []
+
+    async def apply():
+        async with EtcdStore(EtcdSettings((store,))) as client:
+            result = await apply_deployment(
+                client, deployment, expected_revision=before
+            )
+            results.append(result)
+
+    async def observe():
+        while True:
+            for entry_id, revision in (await _revisions(scenario)).items():
+                seen[entry_id].append(revision)
+            await trio.sleep(0.05)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(observe)
+        async with trio.open_nursery() as operators:
+            operators.start_soon(apply)
+            operators.start_soon(apply)
+        (winner,) = [item.unwrap() for item in results if isinstance(item, Success)]
+        (loser,) = [item.failure() for item in results if not isinstance(item, Success)]
+        await poll(lambda: _in_force(scenario, winner.revision))
+        nursery.cancel_scope.cancel()
+    assert loser.code == ResultCode.CONFIG_CONFLICT
+    assert str(winner.revision) in loser.detail
+    assert all(revisions == sorted(revisions) for revisions in seen.values()), seen
+
+
+async def _revisions(scenario):
+    found = {}
+    for entry_id in scenario.fleet.entries:
+        report = await scenario.fleet.status(entry_id)
+        with contextlib.suppress(TypeError):
+            found[entry_id] = report["revision"]
+    return found
+
+
+async def _in_force(scenario, revision):
+    return set((await _revisions(scenario)).values()) == {revision}
+
+
+async def _has_joined(scenario, entry_id):
+    report = await scenario.fleet.status(entry_id)
+    listed = [item["entry_id"] for item in report["entries"]] if report else []
+    return listed.count(entry_id) == 1
+
+
+ROWS = (
+    Row("store-slow", "work or joins that wait for the store", store_slow, 51),
+    Row("store-down", "work that stops with the store", store_down, 52),
+    Row(
+        "store-down-at-start",
+        "an entry and an agent that cannot start without the store",
+        store_down_at_start,
+        53,
+    ),
+    Row("join-answer-lost", "an entry that joins twice", join_answer_lost, 54),
+    Row("apply-answer-lost", "a change applied twice", apply_answer_lost, 55),
+    Row("lease-expired", "an owner that was removed and owns on", lease_expires, 56),
+    Row("operators-race", "a change that is overwritten", operators_race, 57),
+)
+
+
+@pytest.mark.parametrize("row", ROWS, ids=lambda row: row.name)
+def test_failure_of_the_store(row, verdicts):
+    assert not verdicts[row.name], row.guards + "\n" + verdicts[row.name]
--- /dev/null
+++ b/tests/failures/test_work.py
@@ -0,0 +1,82 @@
+"""Failures of the work itself: stragglers, wrong declarations, cancellations."""
+
+import collections
+
+import pytest
+import trio
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.bench.scenario import Row
+
+# A target that fails everything keeps its probes, one in many tasks.
+MAX_SHARE_OF_FAILING = 0.05
+
+
+async def slow_target(scenario):
+    agent_id = await scenario.busy_agent()
+    await scenario.fleet.set_target_faults(agent_id, slow=20)
+    await trio.sleep(4)
+    await scenario.fleet.set_target_faults(agent_id, slow=1)
+
+
+async def wrong_run_times(scenario):
+    await trio.sleep(3)
+
+
+async def never_runnable(scenario):
+    trace = scenario.make(tasks=3)
+    trace.job["kind"] = "plot"
+    reply = await scenario.load.submit(trace, await scenario.front())
+    assert reply.code == ResultCode.NEVER_RUNNABLE
+    assert reply.run_state == "not run"
+
+
+async def cancel_jobs(scenario):
+    jobs = [scenario.make(tasks=6, run_ms=300) for _ in range(30)]
+    async with trio.open_nursery() as nursery:
+        for trace in jobs:
+            nursery.start_soon(scenario.answer, trace)
+        # About 100 of 180 tasks have then run, run or wait.
+        await trio.sleep(0.7)
+        for trace in jobs:
+            entry_id = scenario.rng.choice(sorted(scenario.fleet.entries))
+            nursery.start_soon(scenario.load.cancel, trace, entry_id)
+    codes = collections.Counter(trace.last.code for trace in jobs)
+    assert codes[ResultCode.CANCELLED], codes
+    assert set(codes) <= {ResultCode.OK, ResultCode.CANCELLED}, codes
+
+
+async def fail_everything(scenario):
+    agent_id = await scenario.busy_agent()
+    await scenario.fleet.set_target_faults(agent_id, fail=True)
+    await trio.sleep(4)
+    before = _starts_by_agent(scenario)
+    await trio.sleep(4)
+    starts = _starts_by_agent(scenario) - before
+    await scenario.fleet.set_target_faults(agent_id, fail=False)
+    assert starts[agent_id] <= MAX_SHARE_OF_FAILING * starts.total(), starts
+
+
+def _starts_by_agent(scenario):
+    starts = scenario.load.starts().values()
+    return collections.Counter(start.agent_id for job in starts for start in job)
+
+
+ROWS = (
+    Row("straggler", "tasks started elsewhere while they still run", slow_target, 21),
+    Row(
+        "run-times-off",
+        "refusals by estimates that were never corrected",
+        wrong_run_times,
+        22,
+        kinds={"overstated": True, "understated": True, "hold": False},
+    ),
+    Row("never-runnable", "a job that waits for its deadline", never_runnable, 23),
+    Row("cancellations", "cancelled jobs that go on or lose slots", cancel_jobs, 24),
+    Row("failing-target", "a fast failure that attracts work", fail_everything, 25),
+)
+
+
+@pytest.mark.parametrize("row", ROWS, ids=lambda row: row.name)
+def test_failure_of_work(row, verdicts):
+    assert not verdicts[row.name], row.guards + "\n" + verdicts[row.name]
