--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -89,6 +89,7 @@
         self._since_ms = 0
         self._committed = None
         self._early_outcomes = []
+        # By agent id and incarnation: a replaced agent may come back under its id.
         self._left = {}
         self._stop = False
         self._rng = random.Random(f"{entry.identity.process_id}/{partition}")
@@ -460,8 +461,8 @@
     async def _next_roster(self):
         """Return the roster with the next change that is due, or None."""
         now_ms = unix_ms()
-        for agent_id, copied in self._left.items():
-            if agent_id in rosters.live_ids(self.roster):
+        for (agent_id, incarnation), copied in self._left.items():
+            if rosters.lists(self.roster, agent_id, incarnation):
                 return rosters.with_lost(
                     self.roster, agent_id, now_ms, accounted_for=copied
                 )
@@ -574,7 +575,7 @@
         self.dispatcher.agent_lost(link.agent_id)
         kept = self.dispatcher.records_of(link.agent_id)
         copied = await self.copy_records(link.agent_id, kept)
-        self._left[link.agent_id] = copied
+        self._left[link.agent_id, link.incarnation] = copied
         self.changed.notify()
         return True
 
