--- a/packages/cli/src/hornbeamshore/cli/status.py
+++ b/packages/cli/src/hornbeamshore/cli/status.py
@@ -35,7 +35,7 @@
             *_entry_lines(gathered),
             "",
             *_partition_lines(statuses),
-            *(f"partition {name} has no owner" for name in unowned),
+            *(f"partition {name} has no owner among these entries" for name in unowned),
             "",
             *_agent_lines(agents, statuses),
         ]
@@ -60,10 +60,10 @@
 
 
 def _unowned(statuses):
-    # An entry that has not heard of an owner yet does not make the partition unowned.
+    # The owner's own word counts: others may still name an owner that has ended.
     owned = {item["partition"] for status in statuses for item in status["partitions"]}
-    named = {name for status in statuses for name in status["unowned"]}
-    return sorted(named - owned)
+    expected = {name for status in statuses for name in status["expected_partitions"]}
+    return sorted(expected - owned)
 
 
 def _entry_lines(gathered):
@@ -108,7 +108,7 @@
                     sum(not entry["live"] for entry in item["roster"]),
                 )
             )
-    head = "PARTITION OWNER RECORDS BUSY QUEUED OLDEST JOBS LOST-AGENTS"
+    head = "PARTITION OWNER RECORDS BUSY QUEUED OLDEST JOBS GONE-AGENTS"
     return table_lines(head.split(), sorted(rows))
 
 
--- a/packages/entry/src/hornbeamshore/entry/reporting.py
+++ b/packages/entry/src/hornbeamshore/entry/reporting.py
@@ -22,9 +22,7 @@
         "peers": sorted(conn.peer.process_id for conn in entry.peers.all()),
         "submissions_in_flight": entry.in_flight,
         "dispatch": entry.metrics.dispatch_totals(),
-        "unowned": [
-            str(item) for item in entry.partitions() if not entry.owner_of(item)
-        ],
+        "expected_partitions": [str(item) for item in entry.partitions()],
         "agents": [_agent_status(entry, link) for link in entry.agents.all()],
         "partitions": [
             _owner_status(owner, now)
