Test the ideal schedule, the judgement and the load; offer exactly 0.8 of capacity

After a takeover each agent's use looked at all tasks of all jobs of the retention. Change: arrivals are spread to the exact work; the wait is at least 0; ended jobs without running tasks are passed over at once.

--- a/packages/bench/src/hornbeamshore/bench/load.py
+++ b/packages/bench/src/hornbeamshore/bench/load.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hornbeamshore.bench.profiles import MS_PER_S
 
@@ -12,6 +12,8 @@
 LONG_RANGE_S = (2.0, 5.0)
 MAX_JOB_TASKS = 40
 LOAD = 0.8
+# Time over which the arrivals are drawn; single passes take their beginning.
+SPAN_S = 30.0
 FLOOD_LOAD = 10.0
 
 
@@ -48,14 +50,19 @@
 
 
 def steady_jobs(profile, targets, prefix, seconds, seed, load=LOAD):
-    """Return the arrivals of all demands in the order of time."""
+    """Return the arrivals of all demands in the order of time.
+
+    The arrivals of each demand are spread so that the work of `SPAN_S` seconds is
+    exactly its share; a shorter time has a part of the same arrivals.
+    """
     jobs = []
     for place, demand in enumerate(profile.demands):
         rng = random.Random(f"{seed} {profile.name} {place}")
         work = load * capacity_of(targets) * demand.share
         name = f"{prefix}-{place}"
-        jobs += _arrivals(profile, demand, rng, work, name, 0.0, seconds)
-    return sorted(jobs, key=_arrival)
+        arrivals = _arrivals(profile, demand, rng, work, name, 0.0, SPAN_S)
+        jobs += _at_work(tuple(arrivals), work)
+    return sorted((job for job in jobs if job.at_s < seconds), key=_arrival)
 
 
 def flood_jobs(profile, targets, prefix, place, start_s, end_s, seed):
@@ -72,6 +79,13 @@
     return job.at_s
 
 
+def _at_work(jobs, work):
+    """Return the jobs at times that make their work exact over `SPAN_S` seconds."""
+    offered = sum(sum(job.runs_ms) for job in jobs) / MS_PER_S
+    factor = offered / (work * SPAN_S)
+    return [replace(job, at_s=job.at_s * factor) for job in jobs]
+
+
 def _arrivals(profile, demand, rng, work, prefix, start_s, end_s, flood=False):
     """Yield Poisson arrivals whose tasks take `work` nominal seconds each second."""
     mean_tasks = MAX_JOB_TASKS if flood else max(1.0, demand.mean_tasks)
--- a/packages/entry/src/hornbeamshore/entry/front.py
+++ b/packages/entry/src/hornbeamshore/entry/front.py
@@ -104,7 +104,7 @@
 
     async def _wait_for_other_owner(self, partition, seen, due):
         """Return when another owner may be known, or after a short pause."""
-        left = due - trio.current_time()
+        left = max(0.0, due - trio.current_time())
         await self._entry.owners_changed.wait_until(
             lambda: self._entry.owner_of(partition) not in (None, seen),
             min(left, 0.1),
--- a/packages/entry/src/hornbeamshore/entry/jobs.py
+++ b/packages/entry/src/hornbeamshore/entry/jobs.py
@@ -95,6 +95,7 @@
         self.waiters = []
         self.unacknowledged = []
         self.requeues = 0
+        self._settled = False
 
     @property
     def is_open(self):
@@ -115,11 +116,17 @@
 
     def running(self):
         """Return the indexes and entries of the tasks that run."""
-        return [
+        if self._settled:
+            return []
+        found = [
             (index, entry)
             for index, entry in self.tasks.items()
             if entry.phase is TaskPhase.RUNNING
         ]
+        # No task of an ended job starts again. A takeover asks all jobs of the
+        # retention once for each agent, which took longer than a lease lasts.
+        self._settled = not found and not self.is_open
+        return found
 
     def run_state(self):
         """Return what is known of whether any task ran.
--- /dev/null
+++ b/tests/bench/test_measure.py
@@ -0,0 +1,199 @@
+"""Pure parts of the measurement: ideal schedule, judgement and load."""
+
+import pytest
+
+from hornbeamshore.bench.fleet import TargetPlan
+from hornbeamshore.bench.ideal import ideal_responses
+from hornbeamshore.bench.judge import (
+    Answer,
+    Verdict,
+    in_time,
+    judge,
+    offered_work,
+    response_ratios,
+)
+from hornbeamshore.bench.load import (
+    FLOOD_LOAD,
+    LOAD,
+    LoadJob,
+    capacity_of,
+    flood_jobs,
+    steady_jobs,
+)
+from hornbeamshore.bench.profiles import PROFILES, target_plans
+from hornbeamshore.bench.tables import is_met
+from hornbeamshore.config.model import Kind, Objective, Service, Urgency
+
+SERVICE = Service(
+    {
+        "hold": Kind(Urgency.URGENT, objective=Objective(0.5, 0.9)),
+        "quote": Kind(Urgency.NORMAL, True, objective=Objective(0.5, 0.9)),
+    }
+)
+URGENCY = {name: kind.urgency for name, kind in SERVICE.kinds.items()}
+
+
+def job(name, at_s, *runs_ms, kind="quote", single=False):
+    return LoadJob(name, at_s, "team", "desk", kind, runs_ms, single, 5000)
+
+
+def target(speed, slots):
+    return TargetPlan(f"speed-{speed}", "north", "rack", "desk", speed, slots)
+
+
+@pytest.mark.parametrize(
+    ("targets", "jobs", "expected"),
+    [
+        # The fastest target is taken first, then the next.
+        ([(2.0, 1), (1.0, 1)], [job("a", 0, 100, 100)], {"a": 0.1}),
+        # Waiting for the fast one (0.1 + 0.1) beats the slow one (0.4) at once.
+        ([(2.0, 1), (0.5, 1)], [job("a", 0, 200, 200)], {"a": 0.2}),
+        # One slot: the urgent job that waits goes before an earlier one that waits.
+        (
+            [(1.0, 1)],
+            [job("a", 0, 100), job("b", 0.01, 100), job("c", 0.02, 100, kind="hold")],
+            {"a": 0.1, "b": 0.29, "c": 0.18},
+        ),
+        # Two slots of one target: the third task waits for the shorter one.
+        ([(1.0, 2)], [job("a", 0, 100, 300, 100)], {"a": 0.3}),
+        # The response is counted from the arrival and ends with the last task.
+        ([(1.0, 1)], [job("a", 1.0, 100, 50)], {"a": 0.15}),
+    ],
+)
+def test_ideal_schedule(targets, jobs, expected):
+    """Guards against an ideal that is not the stated all-knowing schedule."""
+    plans = [target(*values) for values in targets]
+    found = ideal_responses(jobs, plans, URGENCY, floor_s=0.0)
+    assert found == pytest.approx(expected)
+
+
+def test_ideal_includes_the_network_floor():
+    """Guards against an ideal that no message over a network can reach."""
+    found = ideal_responses([job("a", 0, 100)], [target(1.0, 1)], URGENCY, 0.01)
+    assert found == pytest.approx({"a": 0.11})
+
+
+def answer(name, code=0, state="ran", whole=True, partial=False, response_s=0.2):
+    return Answer(name, response_s, 0.0, code, state, whole, partial)
+
+
+def starts(*pairs):
+    return [
+        {"event": "start", "job": name, "index": index, "attempt": attempt}
+        for name, index, attempt in pairs
+    ]
+
+
+REPEATABLE = [job(f"r{i}", 0, 50, single=True) for i in range(10)]
+ANSWERED = [answer(f"r{i}") for i in range(10)]
+
+
+@pytest.mark.parametrize(
+    ("jobs", "answers", "events", "expected"),
+    [
+        ([job("a", 0, 50)], [answer("a")], starts(("a", 0, 1)), {}),
+        # A task of a job is never started twice, whatever its attempts.
+        (
+            [job("a", 0, 50)],
+            [answer("a")],
+            starts(("a", 0, 1), ("a", 0, 2)),
+            {"double_starts": 1},
+        ),
+        # The same index of another job, and other passes, are no double starts.
+        ([job("a", 0, 50)], [answer("a")], starts(("a", 0, 1), ("x", 0, 1)), {}),
+        # A retry within the budget of one in ten is allowed, a second is not.
+        (REPEATABLE, ANSWERED, starts(("r0", 0, 1), ("r0", 0, 2)), {}),
+        (
+            REPEATABLE,
+            ANSWERED,
+            starts(("r0", 0, 1), ("r0", 0, 2), ("r1", 0, 1), ("r1", 0, 2)),
+            {"double_starts": 1},
+        ),
+        # The same attempt twice is no retry.
+        (
+            REPEATABLE,
+            ANSWERED,
+            starts(("r0", 0, 1), ("r0", 0, 1)),
+            {"double_starts": 1},
+        ),
+        # A single request of a kind that is not repeatable runs at most once.
+        (
+            [job("a", 0, 50, kind="hold", single=True), *REPEATABLE],
+            [answer("a"), *ANSWERED],
+            starts(("a", 0, 1), ("a", 0, 2)),
+            {"double_starts": 1},
+        ),
+        ([job("a", 0, 50)], [answer("a", whole=False)], [], {"partial_answers": 1}),
+        (
+            [job("a", 0, 50)],
+            [answer("a", 300, whole=False, partial=True)],
+            [],
+            {"partial_answers": 1},
+        ),
+        (
+            [job("a", 0, 50)],
+            [answer("a", 200, "not run", whole=False)],
+            starts(("a", 0, 1)),
+            {"false_not_run": 1},
+        ),
+        ([job("a", 0, 50)], [answer("a", 200, "not run", whole=False)], [], {}),
+        ([job("a", 0, 50)], [answer("a", 401, "unknown", whole=False)], [], {}),
+        ([job("a", 0, 50)], [answer("a", -1, "", whole=False)], [], {"unanswered": 1}),
+        ([job("a", 0, 50)], [], [], {"unanswered": 1}),
+    ],
+)
+def test_judgement(jobs, answers, events, expected):
+    """Guards against counts that stay 0 whatever happens."""
+    assert judge(jobs, answers, events, SERVICE) == Verdict(**expected)
+
+
+@pytest.mark.parametrize(
+    ("got", "expected"),
+    [
+        (answer("a"), 1),
+        (answer("a", response_s=0.6), 0),
+        (answer("a", 200, whole=False), 0),
+        (answer("a", whole=False), 0),
+        (answer("b"), 0),
+    ],
+)
+def test_answers_in_time(got, expected):
+    """Guards against late, refused or partial answers that count as good."""
+    assert in_time([job("a", 0, 50)], [got], SERVICE) == expected
+
+
+def test_missing_answers_are_infinitely_late():
+    """Guards against quantiles that leave out refused work."""
+    jobs = [job("a", 0, 50), job("b", 0, 50), job("c", 0, 50)]
+    answers = [answer("a", response_s=0.3), answer("b", 200, whole=False)]
+    best = dict.fromkeys("abc", 0.1)
+    found = response_ratios(jobs, answers, best)
+    assert found == pytest.approx([3.0, float("inf"), float("inf")])
+
+
+@pytest.mark.parametrize("profile", PROFILES.values(), ids=list(PROFILES))
+def test_load(profile):
+    """Guards against a load that differs between runs or from the stated one."""
+    targets = target_plans(profile, 1)
+    capacity = capacity_of(targets)
+    jobs = steady_jobs(profile, targets, "steady", 30.0, 1)
+    assert jobs == steady_jobs(profile, targets, "steady", 30.0, 1)
+    assert offered_work(jobs, capacity, 0.0, 30.0) == pytest.approx(LOAD, rel=0.05)
+    flood = flood_jobs(profile, targets, "f", profile.most_urgent, 4.0, 14.0, 1)
+    assert offered_work(flood, capacity, 4.0, 14.0) >= 0.9 * FLOOD_LOAD
+    speeds = [plan.speed for plan in targets]
+    assert max(speeds) / min(speeds) == pytest.approx(4.0, rel=0.01)
+
+
+@pytest.mark.parametrize(
+    ("value", "bound", "more", "expected"),
+    [
+        (1.1, 1.1, False, True),
+        (1.2, 1.1, False, False),
+        (0.94, 0.95, True, False),
+        (float("inf"), 2.0, False, False),
+    ],
+)
+def test_targets_of_the_table(value, bound, more, expected):
+    """Guards against a missed target that is shown as met."""
+    assert is_met(value, bound, more) is expected
