Measure the slopes of a deployment's cost by its size

The traffic counters left out one of the two connections between a pair of entries; they now count both.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -117,15 +117,19 @@
     async def run(self):
         """Serve until the process has left, and return its exit code."""
         async with trio.open_nursery() as nursery:
-            self.uplinks = Uplinks(self, nursery)
-            self.uplinks.choose(self.cfg.entries)
-            nursery.start_soon(self.executor.run)
-            nursery.start_soon(self._tick)
+            self.start(nursery)
             with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
                 exit_code = await self._until_left(signals)
             nursery.cancel_scope.cancel()
         return exit_code
 
+    def start(self, nursery):
+        """Start the tasks of the agent, which run until they are cancelled."""
+        self.uplinks = Uplinks(self, nursery)
+        self.uplinks.choose(self.cfg.entries)
+        nursery.start_soon(self.executor.run)
+        nursery.start_soon(self._tick)
+
     # Connections.
 
     def opened(self, conn):
--- /dev/null
+++ b/packages/bench/src/hornbeamshore/bench/crowd.py
@@ -0,0 +1,56 @@
+"""Many agents in one process, over the real protocol, with targets that do nothing.
+
+``python -m hornbeamshore.bench.crowd --settings FILE --count N`` takes the settings
+of one agent and runs `N` with numbered ids, for counts at which real processes would
+be too many.
+"""
+
+import dataclasses
+import sys
+
+import fire
+import trio
+
+from hornbeamshore.agent import settings as agent_settings
+from hornbeamshore.agent.daemon import Agent
+from hornbeamshore.agent.target import SlotConnection, Target, TargetResponse
+from hornbeamshore.base.logs import configure_logs
+from hornbeamshore.base.settings import convert
+
+
+class _IdleSlot(SlotConnection):
+    async def exchange(self, spec, headers):
+        self.request_sent = True
+        await trio.lowlevel.checkpoint()
+        return TargetResponse(200, (), b"{}")
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+class IdleTarget(Target):
+    """Target that answers each task at once."""
+
+    def open_slot(self):
+        """Return a slot that answers at once."""
+        return _IdleSlot()
+
+
+async def run(cfg, count):
+    """Run agents until the process is ended."""
+    secret = agent_settings.read_secret(cfg.secret_file)
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            own = dataclasses.replace(cfg, agent_id=f"{cfg.agent_id}-{number}")
+            Agent(own, secret, IdleTarget()).start(nursery)
+
+
+def main(settings, count):
+    """Run a number of agents with the settings of one."""
+    cfg = convert(agent_settings.load(settings), agent_settings.AgentSettings)
+    configure_logs("warning")
+    trio.run(run, cfg, count)
+
+
+if __name__ == "__main__":
+    sys.exit(fire.Fire(main))
--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -18,6 +18,8 @@
 import yaml
 
 STOP_TIMEOUT_S = 20.0
+# For agents that are given no task; port 9 is never bound here.
+UNUSED_ADDRESS = "127.0.0.1:9"
 SECRET = "secret of a deployment on loopback"
 
 
@@ -114,6 +116,11 @@
         """Return the path of the deployment's secret."""
         return str(self._secret)
 
+    @property
+    def secret(self):
+        """Return the deployment's secret."""
+        return self._secret.read_bytes()
+
     def http_of(self, entry_id):
         """Return the ``host:port`` at which an entry serves callers."""
         return json.loads(self.entries[entry_id].line)["http"]
@@ -170,6 +177,29 @@
 
     async def start_agent(self, plan):
         """Start an agent beside a running target and return its process."""
+        path = self.write_agent_settings(plan, self.targets[plan.agent_id].line)
+        arguments = [_binary("hornbeamshore-agent"), "run", "--settings", path]
+        proc = await self._spawn(plan.agent_id, arguments, wait_for_line=False)
+        self.agents[plan.agent_id] = proc
+        return proc
+
+    async def start_crowd(self, plan, count):
+        """Start one process of many agents without targets and return it."""
+        path = self.write_agent_settings(plan, UNUSED_ADDRESS)
+        module = "hornbeamshore.bench.crowd"
+        arguments = ["-m", module, "--settings", path, "--count", str(count)]
+        return await self._spawn(plan.agent_id, arguments, wait_for_line=False)
+
+    def write_agent_settings(self, plan, target, entries=None):
+        """Write the settings of an agent and return their path.
+
+        Parameters
+        ----------
+        target : str
+            ``host:port`` of its target.
+        entries : sequence of str, optional
+            Peer addresses; by default those of all entries that were started.
+        """
         cfg = {
             "deployment": self.deployment,
             "agent_id": plan.agent_id,
@@ -177,17 +207,20 @@
             "rack": plan.rack,
             "service": plan.service,
             "labels": list(plan.labels),
-            "target": self.targets[plan.agent_id].line,
+            "target": target,
             "slots": plan.slots,
-            "entries": [self.peer_of(name) for name in self.entries],
+            "entries": entries or [self.peer_of(name) for name in self.entries],
             "secret_file": self.secret_file,
             "wire": self.wire,
         }
-        path = self._write_settings(plan.agent_id, cfg)
+        return self._write_settings(plan.agent_id, cfg)
+
+    async def start_lone_agent(self, plan, entry_address=None):
+        """Start an agent without a target, of an entry that may be a stand-in."""
+        entries = [entry_address] if entry_address else None
+        path = self.write_agent_settings(plan, UNUSED_ADDRESS, entries)
         arguments = [_binary("hornbeamshore-agent"), "run", "--settings", path]
-        proc = await self._spawn(plan.agent_id, arguments, wait_for_line=False)
-        self.agents[plan.agent_id] = proc
-        return proc
+        return await self._spawn(plan.agent_id, arguments, wait_for_line=False)
 
     async def start(self, entries, targets):
         """Start a store, then entries, then targets with their agents."""
--- a/packages/entry/src/hornbeamshore/entry/peers.py
+++ b/packages/entry/src/hornbeamshore/entry/peers.py
@@ -4,6 +4,7 @@
 table or from its settings, and calls it over that; it serves what others open.
 """
 
+import itertools
 import random
 
 import trio
@@ -81,6 +82,10 @@
         """Return one open connection to each connected entry."""
         return tuple(connections[-1] for connections in self._connections.values())
 
+    def connections(self):
+        """Return all open connections to entries; two peers may have two."""
+        return tuple(itertools.chain.from_iterable(self._connections.values()))
+
     async def keep_dialing(self, nursery, addresses, seeds_changed):
         """Run a task for each address of another entry, as addresses come and go.
 
--- a/packages/entry/src/hornbeamshore/entry/reporting.py
+++ b/packages/entry/src/hornbeamshore/entry/reporting.py
@@ -72,7 +72,8 @@
 
 def _report_traffic(entry, known):
     """Count what the open connections carried since the last call."""
-    conns = {link.conn for link in entry.agents.all()} | set(entry.peers.all())
+    conns = {link.conn for link in entry.agents.all()}
+    conns |= set(entry.peers.connections())
     totals = {}
     for conn in conns:
         now = (conn.messages_sent, conn.bytes_sent)
