Found all waiting partitions by one write of the owner table

Each partition of a new deployment wrote the owner table for itself, and the writes of one entry conflicted with each other: 6,047 calls of the store for 80 partitions, growing with the square. Partitions that wait are now founded by one write.

A test counts at most two writes for 50 partitions.

--- a/packages/entry/src/hornbeamshore/entry/membership.py
+++ b/packages/entry/src/hornbeamshore/entry/membership.py
@@ -48,6 +48,9 @@
         self._leaving = False
         self._lease_id = 0
         self.store_errors = 0
+        self._founding = trio.Lock()
+        self._to_found = set()
+        self._founded = {}
 
     async def run(self):
         """Join, renew the presence and remove dead entries, until cancelled."""
@@ -84,18 +87,32 @@
             Whether it is the partition's first owner ever; None if the store
             could not be reached.
         """
-        first = []
+        name = str(partition)
+        self._to_found.add(name)
+        async with self._founding:
+            if name in self._to_found:
+                await self._found_waiting()
+        return self._founded.pop(name, None)
+
+    async def _found_waiting(self):
+        """Found all partitions that wait for it by one write.
+
+        Entries that start own many partitions at once; a write for each of them
+        made them conflict with each other, with calls in the square of their number.
+        """
+        names, self._to_found = self._to_found, set()
+        first = {}
 
         def found(table):
-            first[:] = [str(partition) not in table.owned]
-            return tables.with_owned(table, partition)
+            first.update({name: name not in table.owned for name in names})
+            return tables.with_owned(table, *names)
 
         try:
             await self.change_table(found)
         except StoreError as exc:
-            log.warning("Could not found %s: %s", partition, exc)
-            return None
-        return first[0]
+            log.warning("Could not found %d partitions: %s", len(names), exc)
+            return
+        self._founded.update(first)
 
     async def change_table(self, change):
         """Write a changed table by compare-and-swap and return it.
--- a/packages/entry/src/hornbeamshore/entry/table.py
+++ b/packages/entry/src/hornbeamshore/entry/table.py
@@ -54,9 +54,9 @@
     return table if kept == table.entries else _next(table, entries=kept)
 
 
-def with_owned(table, partition):
-    """Return the table that says that a partition has had an owner."""
-    return _next(table, owned=tuple(sorted({*table.owned, str(partition)})))
+def with_owned(table, *partitions):
+    """Return the table that says that partitions have had an owner."""
+    return _next(table, owned=tuple(sorted({*table.owned, *map(str, partitions)})))
 
 
 def _next(table, **changes):
--- /dev/null
+++ b/tests/ownership/test_founding.py
@@ -0,0 +1,63 @@
+"""Founding of partitions in the owner table."""
+
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from hornbeamshore.entry import table as tables
+from hornbeamshore.entry.membership import EntryMembership
+from hornbeamshore.store.base import KeyValue, StoreUnavailable, WriteOutcome
+from hornbeamshore.wire.messages import OwnerTable, TableEntry
+
+
+class FakeStore:
+    """Store of one key that counts its writes and can be down."""
+
+    def __init__(self, table, down):
+        self.item = KeyValue("owners", tables.encode_table(table), 1)
+        self.down, self.writes = down, 0
+
+    async def get(self, _key):
+        await trio.lowlevel.checkpoint()
+        if self.down:
+            raise StoreUnavailable("down")
+        return self.item
+
+    async def compare_and_swap(self, key, value, revision):
+        await trio.lowlevel.checkpoint()
+        if revision != self.item.mod_revision:
+            return WriteOutcome(False, revision, self.item)
+        self.writes += 1
+        self.item = KeyValue(key, value, revision + 1)
+        return WriteOutcome(True, revision + 1, None)
+
+
+# Partitions owned before, whether the store is down, and what each of 50 is told.
+CASES = {
+    "all are new": ((), False, True),
+    "all had an owner": (tuple(f"desk/{i}" for i in range(50)), False, False),
+    "no store": ((), True, None),
+}
+
+
+@pytest.mark.parametrize(("owned", "down", "first"), CASES.values(), ids=CASES)
+async def test_many_partitions_are_founded_by_few_writes(owned, down, first):
+    """Guards against calls of the store in the square of the partitions."""
+    store = FakeStore(OwnerTable(1, (), owned), down)
+    me = TableEntry("entry-1", 1, "127.0.0.1:1", "x", "x")
+    taken = []
+    cfg = SimpleNamespace(deployment="x")
+    membership = EntryMembership(store, cfg, me, taken.append)
+    answers = {}
+
+    async def found(name):
+        answers[name] = await membership.found_partition(name)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(50):
+            nursery.start_soon(found, f"desk/{number}")
+    assert set(answers.values()) == {first}
+    assert len(answers) == 50
+    assert store.writes <= 2
+    assert not taken or len(taken[-1].owned) == 50
