Keep one connection between two entries

Both entries of a pair opened a connection, and each carried heartbeats both ways: 8 messages a second for each peer of an idle entry. An entry now dials an address only while it has no connection to it, and the one with the higher address waits for the other first.

--- a/packages/entry/src/hornbeamshore/entry/peers.py
+++ b/packages/entry/src/hornbeamshore/entry/peers.py
@@ -1,7 +1,7 @@
 """Connections to the other entries.
 
-Each entry opens one connection to each other entry that it knows from the owner
-table or from its settings, and calls it over that; it serves what others open.
+Two entries that know each other from the owner table or from their settings keep
+one connection, whichever of them opened it, and both call over it.
 """
 
 import itertools
@@ -83,7 +83,7 @@
         return tuple(connections[-1] for connections in self._connections.values())
 
     def connections(self):
-        """Return all open connections to entries; two peers may have two."""
+        """Return all open connections to entries; two for a while after a redial."""
         return tuple(itertools.chain.from_iterable(self._connections.values()))
 
     async def keep_dialing(self, nursery, addresses, seeds_changed):
@@ -107,7 +107,11 @@
 
     async def _keep_connected(self, address):
         with self._dialed[address]:
+            if address < self._identity.address:
+                # The other one opens the connection, unless it cannot.
+                await trio.sleep(self._cfg.redial_after)
             while True:
+                await self.changed.wait_until(lambda: not self._is_linked(address))
                 try:
                     await self._connect(address)
                 except (ConnectionLost, HandshakeError) as exc:
@@ -115,6 +119,9 @@
                 pause = self._cfg.redial_after * self._rng.uniform(0.5, 1.5)
                 await trio.sleep(pause)
 
+    def _is_linked(self, address):
+        return any(conn.peer.address == address for conn in self.connections())
+
     async def _connect(self, address):
         async with open_connection(
             address, self._identity, self._secret, self._cfg
