Tell agents their partition and take start records in parts

An agent did not know its partition before its first fence, and preferred entries of its own data centre: with more entries than the 8 that it connects to, an owner or candidate could lack connections to its agents. TableUpdate now names the agent's partition, the agent connects to its candidates, and connections to entries that stay in the table but were not chosen are closed.

A FenceReply held all start records at once. An agent now sends its settled records ahead, block by block, when the Fence says that the entry takes them (new optional field), and grants last, in one step with the reply.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -1,5 +1,6 @@
 """Agent daemon: announces its target, runs tasks on it, keeps what became of them."""
 
+import contextlib
 import dataclasses
 import random
 import signal
@@ -28,6 +29,7 @@
     CopyRecords,
     CopyRecordsReply,
     Fence,
+    FenceRecords,
     FenceReply,
     Heartbeat,
     Leave,
@@ -93,9 +95,10 @@
         self.records = StartRecords(cfg.retention)
         self.copies = StartRecords(cfg.retention)
         self.executor = Executor(cfg.slots, target, self._report)
-        self.uplinks = None
+        self.uplinks = self._nursery = None
         self.roster = Roster()
         self.table = OwnerTable()
+        self.partition = ""
         self.leaving = False
         self.tasks_started = self.starts_refused = 0
         self._conns = {}
@@ -125,6 +128,7 @@
 
     def start(self, nursery):
         """Start the tasks of the agent, which run until they are cancelled."""
+        self._nursery = nursery
         self.uplinks = Uplinks(self, nursery)
         self.uplinks.choose(self.cfg.entries)
         nursery.start_soon(self.executor.run)
@@ -264,6 +268,35 @@
     # Ownership.
 
     def _fence(self, conn, message, now):
+        fence = message.body
+        ready = self.fencing.check(fence, _owner(conn), now) == ResultCode.OK
+        if ready and fence.takes_ahead and self._unsent_blocks(set()):
+            self._nursery.start_soon(self._grant_after_records, conn, message)
+        else:
+            self._grant(conn, message, now, set())
+
+    async def _grant_after_records(self, conn, message):
+        """Send the settled records in parts, then grant with all others.
+
+        One reply with 10,000 records took 5 MB at once. The grant comes last and in
+        one step with the reply, so no outcome is reported to the new owner before
+        it has the record of the start.
+        """
+        sent = set()
+        with contextlib.suppress(ConnectionLost):
+            while blocks := self._unsent_blocks(sent):
+                sent.add(blocks[0])
+                fence = message.body
+                records = tuple(blocks[0])
+                conn.send(FenceRecords(fence.partition, fence.epoch, records))
+                await conn.flushed()
+            self._grant(conn, message, trio.current_time(), sent)
+
+    def _unsent_blocks(self, sent):
+        blocks = (*self.records.blocks, *self.copies.blocks)
+        return [block for block in blocks if block not in sent]
+
+    def _grant(self, conn, message, now, sent):
         fence = message.body
         code = self.fencing.grant(fence, _owner(conn), now)
         epoch = self.fencing.epoch
@@ -273,7 +306,7 @@
             log.info("Entry %s owns %s.", conn.peer.process_id, fence.partition)
             self._owner_changed.set()
             self._choose_entries()
-            records = self.records.all() + self.copies.all()
+            records = self.records.all(sent) + self.copies.all(sent)
             reply = FenceReply(fence.partition, int(code), epoch, records, self.roster)
         conn.send(reply, reply_to=message.id)
 
@@ -328,17 +361,23 @@
         conn.send(CopyRecordsReply(int(code)), reply_to=message.id)
 
     def _update_table(self, _conn, message, _now):
-        table = message.body.table
-        if table.version > self.table.version and table.entries:
+        table, partition = message.body.table, message.body.partition
+        is_newer = table.version > self.table.version and bool(table.entries)
+        is_moved = bool(partition) and partition != self.partition
+        if is_newer:
             self.table = table
+        if is_moved:
+            self.partition = partition
+        if is_newer or is_moved:
             self._choose_entries()
 
     def _choose_entries(self):
         if self.uplinks is None or not self.table.entries:
             return
         owner_id = self.fencing.owner[0] if self.fencing.owner else ""
-        chosen = choose_entries(self.table, self.cfg, self.fencing.partition, owner_id)
-        self.uplinks.choose(chosen)
+        chosen = choose_entries(self.table, self.cfg, self.partition, owner_id)
+        known = {entry.address for entry in self.table.entries}
+        self.uplinks.choose(chosen, known - set(chosen))
 
     # Time.
 
--- a/packages/agent/src/hornbeamshore/agent/fencing.py
+++ b/packages/agent/src/hornbeamshore/agent/fencing.py
@@ -110,7 +110,7 @@
         A repeated fence of the holder at its own epoch is granted again: the reply
         to the first may have been lost, or the agent was paused.
         """
-        code = self._check(fence, peer, now)
+        code = self.check(fence, peer, now)
         if code == ResultCode.OK:
             self.partition, self.epoch = fence.partition, fence.epoch
             self.holder = peer
@@ -120,7 +120,8 @@
             self._heard_at = now
         return code
 
-    def _check(self, fence, peer, now):
+    def check(self, fence, peer, now):
+        """Return the code that `grant` would return now."""
         if fence.partition.rpartition("/")[0] != self._service:
             return ResultCode.UNKNOWN_SERVICE
         renewed = peer == self.holder and not self._released
--- a/packages/agent/src/hornbeamshore/agent/records.py
+++ b/packages/agent/src/hornbeamshore/agent/records.py
@@ -120,9 +120,16 @@
         """Return whether the bound of the memory for records is reached."""
         return len(self) >= MAX_RECORDS
 
-    def all(self):
-        """Return each record that is kept."""
-        packed = [record for block in self._blocks for record in block]
+    @property
+    def blocks(self):
+        """Return the blocks of records that no longer change, oldest first."""
+        return tuple(self._blocks)
+
+    def all(self, without=frozenset()):
+        """Return each record that is kept, but for those of some blocks."""
+        packed = [
+            record for block in self._blocks if block not in without for record in block
+        ]
         live = [item.record for items in self._live.values() for item in items]
         return tuple(packed + live)
 
--- a/packages/agent/src/hornbeamshore/agent/uplink.py
+++ b/packages/agent/src/hornbeamshore/agent/uplink.py
@@ -27,8 +27,8 @@
     Attributes
     ----------
     retired : bool
-        Whether the entry is no longer chosen. Its open connection stays until the
-        entry ends it, since a leaving owner still awaits results.
+        Whether the entry is no longer chosen. The connection to one that left the
+        table stays until it ends it, since a leaving owner still awaits results.
     conn : Connection or None
         The open connection.
     """
@@ -55,10 +55,10 @@
             pause = min(cfg.redial_after * 2 ** min(failures, 8), cfg.suspect_after)
             await trio.sleep(pause * self._agent.random.uniform(0.5, 1.5))
 
-    def retire(self):
-        """Redial no more; give up a dial in progress."""
+    def retire(self, *, close):
+        """Redial no more; give up a dial in progress and, if asked, the connection."""
         self.retired = True
-        if self.conn is None:
+        if self.conn is None or close:
             self._scope.cancel()
 
     def reset(self):
@@ -101,11 +101,17 @@
         self._nursery = nursery
         self._links = {}
 
-    def choose(self, addresses):
-        """Connect to exactly these entries from now on."""
+    def choose(self, addresses, others=()):
+        """Connect to exactly these entries from now on.
+
+        Parameters
+        ----------
+        others : collection of str
+            Entries that stay but were not chosen; connections to them are closed.
+        """
         for address, link in list(self._links.items()):
             if address not in addresses:
-                link.retire()
+                link.retire(close=address in others)
                 del self._links[address]
         for address in addresses:
             if address not in self._links:
@@ -132,15 +138,16 @@
 def choose_entries(table, cfg, partition, owner_id):
     """Return the addresses of the entries that an agent connects to.
 
-    The present owner comes first, then the agent's own data centre, then the order
-    of the candidates of its partition.
+    The present owner comes first, then the candidates of the partition in their
+    order, since one that takes over needs most agents. An agent that was not told
+    its partition yet takes the entries of its own data centre first.
     """
     by_id = {entry.entry_id: entry for entry in table.entries}
     order = [by_id[name] for name in rendezvous_order(partition or cfg.service, by_id)]
     order.sort(
         key=lambda entry: (
             entry.entry_id != owner_id,
-            entry.data_centre != cfg.data_centre,
+            not partition and entry.data_centre != cfg.data_centre,
         )
     )
     return [entry.address for entry in order[: cfg.max_entry_connections]]
--- a/packages/bench/src/hornbeamshore/bench/slope_runs.py
+++ b/packages/bench/src/hornbeamshore/bench/slope_runs.py
@@ -38,6 +38,7 @@
 from hornbeamshore.wire.messages import (
     CopyRecords,
     Fence,
+    FenceRecords,
     ProcessKind,
     RecordState,
     StartRecord,
@@ -392,23 +393,28 @@
 
     def __init__(self):
         self._opened, self._conn = trio.Event(), None
+        self._ahead = 0
 
     def opened(self, conn):
         self._conn = conn
         self._opened.set()
 
     def handle(self, conn, message):
-        """Ignore the announcement and heartbeats of the agent."""
+        """Count the records that go ahead of a reply; ignore all else."""
+        if isinstance(message.body, FenceRecords):
+            self._ahead += len(message.body.records)
 
     async def connection(self):
         await self._opened.wait()
         return self._conn
 
     async def fence(self, conn, partition, epoch):
-        reply = await conn.call(Fence(partition, epoch), 10.0)
+        self._ahead = 0
+        body = Fence(partition, epoch, takes_ahead=True)
+        reply = await conn.call(body, 10.0)
         if reply.code:
             raise RuntimeError(f"the agent refused the fence with {reply.code}")
-        return len(reply.records)
+        return self._ahead + len(reply.records)
 
 
 class Changes(SlopeRun):
--- a/packages/entry/src/hornbeamshore/entry/handler.py
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -13,6 +13,7 @@
     ConfigPull,
     ConfigUpdate,
     CopyRecordsReply,
+    FenceRecords,
     Handover,
     HandoverReply,
     Heartbeat,
@@ -51,6 +52,7 @@
         self._actions = {
             Announce: self._announced,
             TaskDone: self._task_done,
+            FenceRecords: self._fence_records,
             Leave: self._agent_leaves,
             Heartbeat: self._heartbeat,
             TableUpdate: self._table_update,
@@ -72,7 +74,8 @@
             for notice in self._entry.own_notices():
                 conn.try_send(notice)
             self._entry.notify_owners()
-        if self._entry.table.version and conn.peer.kind != ProcessKind.OPERATOR:
+        # Agents are told once they have announced their service.
+        if self._entry.table.version and conn.peer.kind == ProcessKind.ENTRY:
             conn.try_send(TableUpdate(self._entry.table))
         conn.try_send(self.heartbeat())
 
@@ -104,13 +107,21 @@
     # Agents
 
     def _announced(self, conn, message):
-        self._entry.agents.announced(link_of(conn, message.body))
+        link = link_of(conn, message.body)
+        self._entry.agents.announced(link)
+        if self._entry.table.version:
+            self._entry.tell_table(link)
 
     def _task_done(self, conn, message):
         owner = self._owner(message.body.partition)
         if owner is not None:
             owner.task_done(conn.peer.process_id, message.body)
 
+    def _fence_records(self, conn, message):
+        owner = self._owner(message.body.partition)
+        if owner is not None:
+            owner.records_ahead(conn, message.body)
+
     def _agent_leaves(self, conn, message):
         self._nursery.start_soon(self._keep_leaving_records, conn, message)
 
@@ -132,7 +143,12 @@
             entry.notify_owners()
         if beat.config_revision > entry.replica.revision:
             conn.try_send(ConfigPull(entry.replica.revision))
-        if beat.table_version < entry.table.version:
+        if beat.table_version >= entry.table.version:
+            return
+        link = entry.agents.get(conn.peer.process_id)
+        if link is not None and link.conn is conn:
+            entry.tell_table(link)
+        elif conn.peer.kind == ProcessKind.ENTRY:
             conn.try_send(TableUpdate(entry.table))
 
     def _table_update(self, conn, message):
@@ -193,7 +209,7 @@
             return None
 
 
-_AGENT_MESSAGES = (Announce, TaskDone, Leave, Heartbeat, TableUpdate)
+_AGENT_MESSAGES = (Announce, TaskDone, FenceRecords, Leave, Heartbeat, TableUpdate)
 _OPERATOR_MESSAGES = (StatusQuery, Heartbeat)
 _ENTRY_MESSAGES = (
     Heartbeat,
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -35,6 +35,8 @@
 )
 
 CALL_TIMEOUT_S = 1.0
+# An agent with many start records sends them in parts before it grants a fence.
+FENCE_TIMEOUT_S = 3.0
 # Pause of a candidate after a takeover that got no quorum, with jitter.
 RETRY_ACQUIRE_S = 0.3
 # Longest wait of a new owner with a quorum for the grants of all other agents.
@@ -83,6 +85,7 @@
         self._committed = None
         self._early_outcomes = []
         self._left = {}
+        self._ahead = {}
         self._stop = False
         self._rng = random.Random(f"{entry.identity.process_id}/{partition}")
 
@@ -107,6 +110,11 @@
             self._highest_epoch = epoch
             self.changed.notify()
 
+    def records_ahead(self, conn, body):
+        """Keep start records that an agent sends ahead of its grant."""
+        if conn in self._ahead and body.epoch == self.epoch.pack():
+            self._ahead[conn].extend(body.records)
+
     def roster_told(self, roster):
         """Take the roster that the partition's owner told."""
         self.roster = rosters.newest((self.roster, roster))
@@ -376,9 +384,14 @@
         """Return whether an agent granted the epoch; keep what it told."""
         while self._highest_epoch == self.epoch:
             sent_at = trio.current_time()
-            body = Fence(self.name, self.epoch.pack())
-            reply = await link.conn.call(body, CALL_TIMEOUT_S)
+            self._ahead[link.conn] = []
+            body = Fence(self.name, self.epoch.pack(), takes_ahead=True)
+            try:
+                reply = await link.conn.call(body, FENCE_TIMEOUT_S)
+            finally:
+                ahead = tuple(self._ahead.pop(link.conn))
             if reply.code == ResultCode.OK:
+                reply = replace(reply, records=ahead + reply.records)
                 self._granted(link, reply, sent_at)
                 return True
             if reply.code == ResultCode.STALE_EPOCH:
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -8,7 +8,7 @@
 from hornbeamshore.base.types import Epoch, JobAnswer, Partition, partition_of
 from hornbeamshore.entry import reporting
 from hornbeamshore.entry import table as tables
-from hornbeamshore.entry.agents import AgentLinks
+from hornbeamshore.entry.agents import AgentLinks, partition_of_agent
 from hornbeamshore.entry.events import Changed
 from hornbeamshore.entry.ownership import PartitionOwner
 from hornbeamshore.wire.messages import (
@@ -66,11 +66,15 @@
         self.leaving = False
         self.owners = {}
         self._known_owners = {}
+        self._told_partitions = {}
         self.in_flight = 0
         replica.subscribe(self._config_taken)
 
     def _config_taken(self, _replica):
         self.config_changed.notify()
+        for link in self.agents.all():
+            if self._told_partitions.get(link.agent_id) != self._partition_name(link):
+                self.tell_table(link)
         if self.peers is not None:
             # A heartbeat tells the revision; peers that are behind pull it.
             for conn in self.peers.all():
@@ -119,7 +123,20 @@
         for conn in self.peers.all():
             conn.try_send(TableUpdate(table))
         for link in self.agents.all():
-            link.conn.try_send(TableUpdate(table))
+            self.tell_table(link)
+
+    def tell_table(self, link):
+        """Tell an agent the owner table and its own partition."""
+        name = self._partition_name(link)
+        self._told_partitions[link.agent_id] = name
+        link.conn.try_send(TableUpdate(self.table, name))
+
+    def _partition_name(self, link):
+        deployment = self.deployment()
+        service = deployment.services.get(link.service) if deployment else None
+        if service is None:
+            return ""
+        return str(partition_of_agent(link.agent_id, link.service, service.partitions))
 
     def notify_owners(self):
         """Let each partition's task look at the candidates again."""
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -57,10 +57,11 @@
   5: i64 lost_at_ms, 6: string rack
 }
 struct Roster { 1: i64 epoch, 2: i64 version, 3: list<RosterEntry> entries }
-struct Fence { 1: string partition, 2: i64 epoch }
+struct Fence { 1: string partition, 2: i64 epoch, 3: optional bool takes_ahead }
 struct FenceReply {
   1: string partition, 2: i32 code, 3: i64 epoch, 4: list<StartRecord> records, 5: Roster roster
 }
+struct FenceRecords { 1: string partition, 2: i64 epoch, 3: list<StartRecord> records }
 struct Renew { 1: string partition, 2: i64 epoch }
 struct RenewReply { 1: i32 code, 2: i64 epoch }
 struct Release { 1: string partition, 2: i64 epoch }
@@ -91,7 +92,7 @@
   1: string entry_id, 2: i64 incarnation, 3: string address, 4: string data_centre, 5: string rack
 }
 struct OwnerTable { 1: i64 version, 2: list<TableEntry> entries, 3: list<string> owned }
-struct TableUpdate { 1: OwnerTable table }
+struct TableUpdate { 1: OwnerTable table, 2: optional string partition }
 struct OwnerNotice { 1: string partition, 2: i64 epoch, 3: string entry_id }
 struct ConfigPull { 1: i64 known_revision }
 struct ConfigUpdate { 1: i64 revision, 2: binary content }
@@ -117,6 +118,7 @@
   50: optional TableUpdate table_update, 51: optional OwnerNotice owner_notice,
   52: optional ConfigPull config_pull, 53: optional ConfigUpdate config_update,
   54: optional StatusQuery status_query,  55: optional StatusReply status_reply,
-  56: optional Renew renew, 57: optional RenewReply renew_reply
+  56: optional Renew renew, 57: optional RenewReply renew_reply,
+  58: optional FenceRecords fence_records
 }
 struct Batch { 1: list<Message> messages }
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -116,6 +116,8 @@
         self._ids = itertools.count(1)
         self._outbox = []
         self._wake_writer = trio.Event()
+        self._is_writing = False
+        self._written = trio.Event()
         self._calls = {}
         self._scope = trio.CancelScope()
 
@@ -171,6 +173,19 @@
         finally:
             self._calls.pop(message_id, None)
 
+    async def flushed(self):
+        """Return once all that was sent is written to the stream.
+
+        Raises
+        ------
+        ConnectionLost
+            If the connection ends first.
+        """
+        while self.is_open and (self._outbox or self._is_writing):
+            await self._written.wait()
+        if not self.is_open:
+            raise ConnectionLost(f"{self!r} ended before all was written")
+
     def close(self):
         """End the connection; calls in progress raise `ConnectionLost`."""
         self.is_open = False
@@ -188,6 +203,7 @@
                     nursery.cancel_scope.cancel()
         finally:
             self.is_open = False
+            self._written.set()
             for channel in self._calls.values():
                 channel.close()
             handler.closed(self)
@@ -247,6 +263,7 @@
             limit = codec.MAX_MESSAGES_PER_BATCH
             batch, self._outbox = self._outbox[:limit], self._outbox[limit:]
             payload = codec.encode_batch(batch)
+            self._is_writing = True
             try:
                 # A peer that stops reading must not hold this task for good.
                 with trio.fail_after(self.cfg.dead_after):
@@ -258,8 +275,11 @@
                 log.warning("Peer %s reads too slowly.", self.peer.process_id)
                 self.close()
                 return
+            self._is_writing = False
             self.messages_sent += len(batch)
             self.bytes_sent += len(payload)
+        self._written.set()
+        self._written = trio.Event()
 
 
 @contextlib.asynccontextmanager
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -2489,18 +2489,21 @@
     Attributes:
      - partition
      - epoch
+     - takes_ahead
 
     """
 
     __slots__ = (
         'partition',
         'epoch',
+        'takes_ahead',
     )
 
 
-    def __init__(self, partition=None, epoch=None,):
+    def __init__(self, partition=None, epoch=None, takes_ahead=None,):
         self.partition = partition
         self.epoch = epoch
+        self.takes_ahead = takes_ahead
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2521,6 +2524,11 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.takes_ahead = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2539,6 +2547,10 @@
             oprot.writeFieldBegin('epoch', TType.I64, 2)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.takes_ahead is not None:
+            oprot.writeFieldBegin('takes_ahead', TType.BOOL, 3)
+            oprot.writeBool(self.takes_ahead)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2690,6 +2702,107 @@
         return not (self == other)
 
 
+class FenceRecords(object):
+    """
+    Attributes:
+     - partition
+     - epoch
+     - records
+
+    """
+
+    __slots__ = (
+        'partition',
+        'epoch',
+        'records',
+    )
+
+
+    def __init__(self, partition=None, epoch=None, records=None,):
+        self.partition = partition
+        self.epoch = epoch
+        self.records = records
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.partition = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = StartRecord()
+                        _elem68.read(iprot)
+                        self.records.append(_elem68)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('FenceRecords')
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.STRING, 1)
+            oprot.writeString(self.partition.encode('utf-8') if sys.version_info[0] == 2 else self.partition)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter69 in self.records:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Renew(object):
     """
     Attributes:
@@ -2973,11 +3086,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = TaskRef()
-                        _elem68.read(iprot)
-                        self.tasks.append(_elem68)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = TaskRef()
+                        _elem75.read(iprot)
+                        self.tasks.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3002,8 +3115,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter69 in self.tasks:
-                iter69.write(oprot)
+            for iter76 in self.tasks:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3069,22 +3182,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = StartRecord()
-                        _elem75.read(iprot)
-                        self.records.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = StartRecord()
+                        _elem82.read(iprot)
+                        self.records.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.refused = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = TaskRef()
-                        _elem81.read(iprot)
-                        self.refused.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = TaskRef()
+                        _elem88.read(iprot)
+                        self.refused.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3105,15 +3218,15 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter82 in self.records:
-                iter82.write(oprot)
+            for iter89 in self.records:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refused is not None:
             oprot.writeFieldBegin('refused', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.refused))
-            for iter83 in self.refused:
-                iter83.write(oprot)
+            for iter90 in self.refused:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3192,11 +3305,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = StartRecord()
-                        _elem89.read(iprot)
-                        self.records.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = StartRecord()
+                        _elem96.read(iprot)
+                        self.records.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3225,8 +3338,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter90 in self.records:
-                iter90.write(oprot)
+            for iter97 in self.records:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3430,11 +3543,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.records = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = StartRecord()
-                        _elem96.read(iprot)
-                        self.records.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = StartRecord()
+                        _elem103.read(iprot)
+                        self.records.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3451,8 +3564,8 @@
         if self.records is not None:
             oprot.writeFieldBegin('records', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.records))
-            for iter97 in self.records:
-                iter97.write(oprot)
+            for iter104 in self.records:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3910,11 +4023,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.tasks = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = StartRecord()
-                        _elem103.read(iprot)
-                        self.tasks.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = StartRecord()
+                        _elem110.read(iprot)
+                        self.tasks.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3947,8 +4060,8 @@
         if self.tasks is not None:
             oprot.writeFieldBegin('tasks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter104 in self.tasks:
-                iter104.write(oprot)
+            for iter111 in self.tasks:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4031,11 +4144,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.jobs = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = JobRecord()
-                        _elem110.read(iprot)
-                        self.jobs.append(_elem110)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = JobRecord()
+                        _elem117.read(iprot)
+                        self.jobs.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4081,8 +4194,8 @@
         if self.jobs is not None:
             oprot.writeFieldBegin('jobs', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.jobs))
-            for iter111 in self.jobs:
-                iter111.write(oprot)
+            for iter118 in self.jobs:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.roster is not None:
@@ -4360,21 +4473,21 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = TableEntry()
-                        _elem117.read(iprot)
-                        self.entries.append(_elem117)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = TableEntry()
+                        _elem124.read(iprot)
+                        self.entries.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.owned = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.owned.append(_elem123)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.owned.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -4395,15 +4508,15 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter124 in self.entries:
-                iter124.write(oprot)
+            for iter131 in self.entries:
+                iter131.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.owned is not None:
             oprot.writeFieldBegin('owned', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.owned))
-            for iter125 in self.owned:
-                oprot.writeString(iter125.encode('utf-8') if sys.version_info[0] == 2 else iter125)
+            for iter132 in self.owned:
+                oprot.writeString(iter132.encode('utf-8') if sys.version_info[0] == 2 else iter132)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4435,16 +4548,19 @@
     """
     Attributes:
      - table
+     - partition
 
     """
 
     __slots__ = (
         'table',
+        'partition',
     )
 
 
-    def __init__(self, table=None,):
+    def __init__(self, table=None, partition=None,):
         self.table = table
+        self.partition = partition
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -4461,6 +4577,11 @@
                     self.table.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.partition = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4475,6 +4596,10 @@
             oprot.writeFieldBegin('table', TType.STRUCT, 1)
             self.table.write(oprot)
             oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.STRING, 2)
+            oprot.writeString(self.partition.encode('utf-8') if sys.version_info[0] == 2 else self.partition)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4916,6 +5041,7 @@
      - status_reply
      - renew
      - renew_reply
+     - fence_records
 
     """
 
@@ -4957,10 +5083,11 @@
         'status_reply',
         'renew',
         'renew_reply',
+        'fence_records',
     )
 
 
-    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None,):
+    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None, fence_records=None,):
         self.id = id
         self.reply_to = reply_to
         self.hello = hello
@@ -4998,6 +5125,7 @@
         self.status_reply = status_reply
         self.renew = renew
         self.renew_reply = renew_reply
+        self.fence_records = fence_records
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5228,6 +5356,12 @@
                     self.renew_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 58:
+                if ftype == TType.STRUCT:
+                    self.fence_records = FenceRecords()
+                    self.fence_records.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5386,6 +5520,10 @@
             oprot.writeFieldBegin('renew_reply', TType.STRUCT, 57)
             self.renew_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.fence_records is not None:
+            oprot.writeFieldBegin('fence_records', TType.STRUCT, 58)
+            self.fence_records.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5438,11 +5576,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype129, _size126) = iprot.readListBegin()
-                    for _i130 in range(_size126):
-                        _elem131 = Message()
-                        _elem131.read(iprot)
-                        self.messages.append(_elem131)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = Message()
+                        _elem138.read(iprot)
+                        self.messages.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5459,8 +5597,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter132 in self.messages:
-                iter132.write(oprot)
+            for iter139 in self.messages:
+                iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -5676,6 +5814,7 @@
     None,  # 0
     (1, TType.STRING, 'partition', 'UTF8', None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.BOOL, 'takes_ahead', None, None, ),  # 3
 )
 all_structs.append(FenceReply)
 FenceReply.thrift_spec = (
@@ -5686,6 +5825,13 @@
     (4, TType.LIST, 'records', (TType.STRUCT, [StartRecord, None], False), None, ),  # 4
     (5, TType.STRUCT, 'roster', [Roster, None], None, ),  # 5
 )
+all_structs.append(FenceRecords)
+FenceRecords.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'partition', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.LIST, 'records', (TType.STRUCT, [StartRecord, None], False), None, ),  # 3
+)
 all_structs.append(Renew)
 Renew.thrift_spec = (
     None,  # 0
@@ -5815,6 +5961,7 @@
 TableUpdate.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'table', [OwnerTable, None], None, ),  # 1
+    (2, TType.STRING, 'partition', 'UTF8', None, ),  # 2
 )
 all_structs.append(OwnerNotice)
 OwnerNotice.thrift_spec = (
@@ -5904,6 +6051,7 @@
     (55, TType.STRUCT, 'status_reply', [StatusReply, None], None, ),  # 55
     (56, TType.STRUCT, 'renew', [Renew, None], None, ),  # 56
     (57, TType.STRUCT, 'renew_reply', [RenewReply, None], None, ),  # 57
+    (58, TType.STRUCT, 'fence_records', [FenceRecords, None], None, ),  # 58
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -207,15 +207,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Fence:
-    """Request of an entry to own the partition at an epoch."""
+    """Request of an entry to own the partition at an epoch.
+
+    `takes_ahead` says that the entry takes `FenceRecords` before the reply.
+    """
 
     partition: str
     epoch: int
+    takes_ahead: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FenceRecords:
+    """Settled start records that an agent sends ahead of its `FenceReply`."""
+
+    partition: str
+    epoch: int
+    records: tuple[StartRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class FenceReply:
-    """Answer to `Fence`: the epoch granted by the agent and all that it knows."""
+    """Answer to `Fence`: the epoch granted by the agent and all that it knows.
+
+    `records` leaves out what went ahead of it as `FenceRecords`.
+    """
 
     partition: str
     code: int
@@ -400,9 +416,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TableUpdate:
-    """Owner table, for a peer that has an older version."""
+    """Owner table, for a peer that has an older version.
+
+    `partition` names the partition of the agent that it is sent to, whose
+    candidates the agent stays connected to; empty for entries, or if not known.
+    """
 
     table: OwnerTable
+    partition: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -460,6 +481,7 @@
     FenceReply: "fence_reply",
     Renew: "renew",
     RenewReply: "renew_reply",
+    FenceRecords: "fence_records",
     Release: "release",
     Reconcile: "reconcile",
     ReconcileReply: "reconcile_reply",
--- /dev/null
+++ b/tests/agent/test_capacity.py
@@ -0,0 +1,86 @@
+"""What keeps an agent within its budget in a large deployment."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from hornbeamshore.agent.uplink import choose_entries
+from hornbeamshore.base.hashing import rendezvous_order
+from hornbeamshore.base.types import JobKey, TaskResult
+from hornbeamshore.entry.settings import EntrySettings, OwnershipSettings
+from hornbeamshore.wire.connection import WireSettings
+from hornbeamshore.wire.messages import (
+    CopyRecords,
+    FenceRecords,
+    OwnerTable,
+    RecordState,
+    StartRecord,
+    TableEntry,
+)
+
+
+def record(number):
+    result = TaskResult(0, 1, 0, 1)
+    key = JobKey("team", "desk", f"job-{number}")
+    return StartRecord(key, 0, 1, RecordState.ENDED, 1, result)
+
+
+@pytest.mark.parametrize("takes_ahead", [False, True])
+@pytest.mark.parametrize("count", [0, 511, 512, 2000])
+async def test_fence_brings_each_record_once(world, takes_ahead, count):
+    """Guards against records that are lost or doubled between the parts."""
+    async with world() as this:
+        assert (await this.entry.fence(1)).code == 0
+        ahead = []
+        this.entry.handle, handle = (
+            lambda conn, message: (
+                ahead.append(message.body)
+                if isinstance(message.body, FenceRecords)
+                else handle(conn, message)
+            ),
+            this.entry.handle,
+        )
+        told = tuple(record(number) for number in range(count))
+        await this.entry.conn.call(CopyRecords("desk/0", 1, "agent-2", told), 30)
+        reply = await this.entry.fence(2, takes_ahead=takes_ahead)
+    got = [item for body in ahead for item in body.records] + list(reply.records)
+    assert bool(ahead) == (takes_ahead and count >= 512)
+    assert all(body.epoch == 2 for body in ahead)
+    assert sorted(item.key.job_id for item in got) == sorted(
+        item.key.job_id for item in told
+    )
+
+
+# Partition that the agent was told, its owner, and whether candidates go first.
+CHOICES = {
+    "partition known": ("desk/3", "", True),
+    "owner is a late candidate": ("desk/3", "entry-7", True),
+    "partition unknown": ("", "", False),
+}
+
+
+@pytest.mark.parametrize(
+    ("partition", "owner", "candidates_first"), CHOICES.values(), ids=CHOICES
+)
+def test_agent_connects_to_those_that_may_take_over(partition, owner, candidates_first):
+    """Guards against candidates of a large region that reach no agent."""
+    cfg = SimpleNamespace(service="desk", data_centre="dc-0", max_entry_connections=8)
+    entries = tuple(
+        TableEntry(f"entry-{number}", 1, f"host-{number}", f"dc-{number % 4}", "")
+        for number in range(48)
+    )
+    chosen = choose_entries(OwnerTable(1, entries), cfg, partition, owner)
+    order = rendezvous_order(partition or "desk", [e.entry_id for e in entries])
+    first = [owner] if owner else []
+    first += [name for name in order if name != owner][: 8 - len(first)]
+    expected = [name.replace("entry", "host") for name in first]
+    assert len(chosen) == 8
+    assert (chosen == expected) == candidates_first
+
+
+def test_renewals_take_the_place_of_heartbeats():
+    """Guards against a heartbeat next to each renewal, which doubles idle traffic."""
+    assert OwnershipSettings().renew_every < WireSettings().heartbeat_every
+    assert EntrySettings.__dataclass_fields__["ownership"].default == (
+        OwnershipSettings()
+    )
