--- /dev/null
+++ b/packages/policy/src/hornbeamshore/policy/queueing.py
@@ -0,0 +1,560 @@
+"""Order in which queued tasks get slots."""
+
+import abc
+import bisect
+import heapq
+import itertools
+import math
+from collections import deque
+
+from hornbeamshore.config.model import Urgency
+
+CLASSES = tuple(Urgency)
+
+
+class Flow:
+    """Queued tasks of one team and kind, grouped by job and sorted by due time.
+
+    Work is counted in seconds on a mean target.
+
+    Attributes
+    ----------
+    excess : bool
+        Whether the flow is above its entitlement and gets what others leave.
+    tokens : float
+        Work that it may still start within its entitlement.
+    entitlement : float
+        Work each second that it gets before the excess of others.
+    usual : float
+        Tasks each second that usually arrive.
+    served : float
+        Work each second that it got lately.
+    """
+
+    __slots__ = (
+        "team", "kind", "urgency", "weight", "requires", "base",
+        "batches", "queued", "running", "speed",
+        "tag", "entry", "excess", "blocked",
+        "tokens", "tokens_at", "entitlement",
+        "arrived", "usual", "served", "last_used",
+    )  # fmt: skip
+
+    def __init__(self, team, kind):
+        self.team = team
+        self.kind = kind
+        self.urgency = Urgency.NORMAL
+        self.weight = 1.0
+        self.requires = frozenset()
+        self.base = 0.0
+        self.batches = []
+        self.queued = 0
+        self.running = 0
+        self.speed = 0.0
+        self.tag = 0.0
+        self.entry = None
+        self.excess = False
+        self.blocked = False
+        self.tokens = 0.0
+        self.tokens_at = 0.0
+        self.entitlement = 0.0
+        self.arrived = 0
+        self.usual = self.served = 0.0
+        self.last_used = 0.0
+
+    def add(self, batch, now):
+        """Queue a batch."""
+        bisect.insort(self.batches, batch, key=_due)
+        self.queued += len(batch.tasks)
+        self.arrived += len(batch.tasks)
+        self.last_used = now
+
+    def head(self):
+        """Return the first batch that has tasks, or None."""
+        while self.batches and not self.batches[0].tasks:
+            del self.batches[0]
+        return self.batches[0] if self.batches else None
+
+    def tail(self):
+        """Return the last batch that has tasks, or None."""
+        while self.batches and not self.batches[-1].tasks:
+            self.batches.pop()
+        return self.batches[-1] if self.batches else None
+
+    def refill(self, now, burst_s):
+        """Add the tokens earned since the last call."""
+        earned = self.entitlement * (now - self.tokens_at)
+        self.tokens = min(self.entitlement * burst_s, self.tokens + earned)
+        self.tokens_at = now
+
+
+class _Batch:
+    """Queued tasks of one job with one deadline.
+
+    Attributes
+    ----------
+    due : float
+        Arrival plus the time that the job would take on an idle fleet. Served by
+        due time, each job waits in proportion to its size.
+    """
+
+    __slots__ = ("key", "flow", "deadline", "since", "due", "tasks")
+
+    def __init__(self, flow, key, deadline, since, tasks):
+        self.key = key
+        self.flow = flow
+        self.deadline = deadline
+        self.since = self.due = since
+        self.tasks = deque(tasks)
+
+
+class _Lane:
+    """Flows that wait, in the order of service.
+
+    Attributes
+    ----------
+    virtual : float
+        Virtual time of start-time fair queueing.
+    share : float
+        Share of the work started by lanes before this one that it is owed.
+    credit : float
+        Work owed so far.
+    """
+
+    __slots__ = ("flows", "virtual", "share", "credit")
+
+    def __init__(self, share):
+        self.flows = []
+        self.virtual = 0.0
+        self.share = share
+        self.credit = 0.0
+
+
+def _due(batch):
+    return batch.due
+
+
+def _job_and_deadline(task):
+    return task.key, task.deadline
+
+
+class TaskQueue(abc.ABC):
+    """Holds queued tasks and decides which flow is served next."""
+
+    @abc.abstractmethod
+    def configure(self, deployment, service):
+        """Take weights, urgencies and labels of the flows."""
+
+    @abc.abstractmethod
+    def flow(self, team, kind):
+        """Return the `Flow` of a team and kind."""
+
+    @abc.abstractmethod
+    def flows(self):
+        """Return all flows."""
+
+    @abc.abstractmethod
+    def add(self, tasks, now):
+        """Queue tasks."""
+
+    @abc.abstractmethod
+    def cancel(self, key):
+        """Remove the tasks of a job; return them."""
+
+    @abc.abstractmethod
+    def expire(self, now):
+        """Remove the tasks whose deadline passed; return them."""
+
+    @abc.abstractmethod
+    def pick(self, now, excess=True):
+        """Return the `Flow` to serve next, or None.
+
+        Parameters
+        ----------
+        excess : bool
+            Whether flows above their entitlement count.
+        """
+
+    @abc.abstractmethod
+    def take(self, flow, now, last=False):
+        """Remove and return the first or last task of the picked flow."""
+
+    @abc.abstractmethod
+    def set_aside(self, flow):
+        """Leave the picked flow out until `restore`."""
+
+    @abc.abstractmethod
+    def restore(self):
+        """Bring back the flows that were set aside."""
+
+    @abc.abstractmethod
+    def block(self, flow):
+        """Leave the picked flow out until `unblock` of its team."""
+
+    @abc.abstractmethod
+    def unblock(self, team):
+        """Bring back the blocked flows of a team."""
+
+    @abc.abstractmethod
+    def correct(self, flow, work):
+        """Charge a flow for work that its task took beyond what was expected."""
+
+    @abc.abstractmethod
+    def learn(self, now, capacity):
+        """Update entitlements; called a few times each second."""
+
+    @abc.abstractmethod
+    def note_overload(self, now):
+        """Note that work had to be refused."""
+
+    @abc.abstractmethod
+    def ahead(self, flow, now):
+        """Return the work that is served before the next task of a flow."""
+
+    @abc.abstractmethod
+    def team_work(self, team):
+        """Return the queued work of a team."""
+
+    @abc.abstractmethod
+    def next_refill(self):
+        """Return when a flow may be back within its entitlement, or None."""
+
+    @abc.abstractmethod
+    def next_deadline(self):
+        """Return a moment not later than the first deadline, or None."""
+
+
+class FairQueue(TaskQueue):
+    """Urgency classes, entitlements and start-time fair queueing by flow.
+
+    A flow earns tokens at the rate of its entitlement, which follows its usual
+    demand and its weight. Flows with tokens are served by class and due time;
+    flows without share what these leave by start-time fair queueing. Tokens count
+    only during an overload: below it a burst takes slots that nobody else wants,
+    and putting it last would only delay it. Each lane is owed a small share of the
+    work of the lanes before it, so that none starves.
+    """
+
+    def __init__(self, cfg, run_times):
+        self._cfg = cfg
+        self._run_times = run_times
+        self._service = None
+        self._teams = {}
+        self._flows = {}
+        self._by_team = {}
+        self._jobs = {}
+        self._deadlines = []
+        self._sequence = itertools.count()
+        shares = (0.0, cfg.normal_share, cfg.background_share)
+        self._lanes = {
+            urgency: _Lane(share)
+            for urgency, share in zip(CLASSES, shares, strict=True)
+        }
+        self._excess = _Lane(cfg.excess_share)
+        self._order = (*self._lanes.values(), self._excess)
+        self._refills = []
+        self._aside = []
+        self._blocked = {}
+        self._learned_at = None
+        self._capacity = 1.0
+        self._ahead = {}
+        self._ahead_until = -math.inf
+        self._backlog = 0.0
+        self._overload_until = -math.inf
+
+    def configure(self, deployment, service):
+        """Take weights, urgencies and labels of the flows."""
+        self._service = deployment.services.get(service)
+        self._teams = deployment.teams
+        for flow in self._flows.values():
+            self._set_up(flow)
+            if flow.entry is not None:
+                self._push(flow)
+
+    def flow(self, team, kind):
+        """Return the `Flow` of a team and kind."""
+        flow = self._flows.get((team, kind))
+        if flow is None:
+            flow = self._flows[team, kind] = Flow(team, kind)
+            self._by_team.setdefault(team, []).append(flow)
+            self._set_up(flow)
+            flow.base = self._run_times.base(kind)
+            flow.tokens_at = self._learned_at or 0.0
+            self._entitle(flow, self._total_weight())
+            flow.tokens = flow.entitlement * self._cfg.burst
+        return flow
+
+    def flows(self):
+        """Return all flows."""
+        return self._flows.values()
+
+    def add(self, tasks, now):
+        """Queue tasks."""
+        for (key, deadline), group in itertools.groupby(tasks, _job_and_deadline):
+            self._add_batch(tuple(group), key, deadline, now)
+        if self._backlog > self._cfg.overload_backlog * self._capacity:
+            self.note_overload(now)
+
+    def cancel(self, key):
+        """Remove the tasks of a job; return them."""
+        removed = []
+        for batch in self._jobs.pop(key, ()):
+            removed.extend(self._drop(batch))
+        return tuple(removed)
+
+    def expire(self, now):
+        """Remove the tasks whose deadline passed; return them."""
+        removed = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            batch = heapq.heappop(self._deadlines)[2]
+            removed.extend(self._drop(batch))
+            self._forget(batch)
+        return tuple(removed)
+
+    def pick(self, now, excess=True):
+        """Return the `Flow` to serve next, or None."""
+        self._promote(now)
+        first = None
+        for lane in self._order if excess else self._order[:-1]:
+            flow = self._first(lane, now)
+            if flow is None:
+                lane.credit = 0.0
+                continue
+            if lane.credit >= flow.base:
+                first = flow
+                break
+            first = first or flow
+        if first is not None:
+            self._pop(self._lane(first))
+        return first
+
+    def take(self, flow, now, last=False):
+        """Remove and return the first or last task of the picked flow."""
+        batch = flow.tail() if last else flow.head()
+        task = batch.tasks.popleft()
+        if not batch.tasks:
+            self._forget(batch)
+        flow.queued -= 1
+        self._backlog -= flow.base
+        if not flow.excess:
+            flow.tokens -= flow.base
+        self._charge(flow)
+        if flow.queued:
+            self._push(flow)
+        return task
+
+    def set_aside(self, flow):
+        """Leave the picked flow out until `restore`."""
+        self._aside.append(flow)
+
+    def restore(self):
+        """Bring back the flows that were set aside."""
+        for flow in self._aside:
+            self._push(flow)
+        self._aside.clear()
+
+    def block(self, flow):
+        """Leave the picked flow out until `unblock` of its team."""
+        flow.blocked = True
+        self._blocked.setdefault(flow.team, []).append(flow)
+
+    def unblock(self, team):
+        """Bring back the blocked flows of a team."""
+        for flow in self._blocked.pop(team, ()):
+            flow.blocked = False
+            self._push(flow)
+
+    def correct(self, flow, work):
+        """Charge a flow for work that its task took beyond what was expected."""
+        flow.tokens -= work
+
+    def learn(self, now, capacity):
+        """Update entitlements; called a few times each second."""
+        if self._learned_at is None:
+            self._learned_at = now
+        passed = now - self._learned_at
+        self._learned_at = now
+        self._capacity = max(capacity, 1e-9)
+        if passed > 0:
+            self._learn_demand(now, passed)
+        self._backlog = sum(flow.queued * flow.base for flow in self._flows.values())
+        if now >= self._overload_until:
+            self._forgive()
+        total_weight = self._total_weight()
+        for flow in self._flows.values():
+            flow.refill(now, self._cfg.burst)
+            self._entitle(flow, total_weight)
+
+    def note_overload(self, now):
+        """Let entitlements count for a while."""
+        self._overload_until = now + self._cfg.overload_kept
+
+    def ahead(self, flow, now):
+        """Return the work that is served before the next task of a flow."""
+        if now >= self._ahead_until:
+            self._count_ahead()
+            self._ahead_until = now + self._cfg.count_every
+        return self._ahead.get(flow.urgency, 0.0)
+
+    def team_work(self, team):
+        """Return the queued work of a team."""
+        return sum(flow.queued * flow.base for flow in self._by_team.get(team, ()))
+
+    def next_refill(self):
+        """Return when a flow may be back within its entitlement, or None."""
+        return self._refills[0][0] if self._refills else None
+
+    def next_deadline(self):
+        """Return a moment not later than the first deadline, or None."""
+        while self._deadlines and not self._deadlines[0][2].tasks:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def _add_batch(self, tasks, key, deadline, now):
+        flow = self.flow(tasks[0].team, tasks[0].kind)
+        batch = _Batch(flow, key, deadline, now, tasks)
+        work = len(tasks) * flow.base
+        # A retry is due at once: it has less time left than what it would wait for.
+        if tasks[0].attempt == 1:
+            batch.due += flow.base + work / self._capacity
+        self._jobs.setdefault(key, []).append(batch)
+        heapq.heappush(self._deadlines, (deadline, next(self._sequence), batch))
+        flow.add(batch, now)
+        self._backlog += work
+        if not flow.blocked and (flow.entry is None or flow.head() is batch):
+            self._push(flow)
+
+    def _lane(self, flow):
+        return self._excess if flow.excess else self._lanes[flow.urgency]
+
+    def _push(self, flow):
+        """Put a flow into its lane; an entry that it has elsewhere becomes void."""
+        lane = self._lane(flow)
+        if flow.excess:
+            # A flow that was away has no claim on the service of that time.
+            order = flow.tag = max(flow.tag, lane.virtual)
+        else:
+            head = flow.head()
+            order = head.due if head else 0.0
+        flow.entry = next(self._sequence)
+        heapq.heappush(lane.flows, (order, flow.entry, flow))
+
+    def _pop(self, lane):
+        heapq.heappop(lane.flows)[2].entry = None
+
+    def _first(self, lane, now):
+        """Return the first flow of a lane; move those out that do not belong."""
+        while lane.flows:
+            _, entry, flow = lane.flows[0]
+            if flow.entry != entry:
+                heapq.heappop(lane.flows)
+            elif not flow.queued:
+                self._pop(lane)
+            elif flow.excess or flow.tokens > 0:
+                return flow
+            else:
+                flow.refill(now, self._cfg.burst)
+                if flow.tokens > 0 or now >= self._overload_until:
+                    return flow
+                self._demote(flow, lane, now)
+        return None
+
+    def _demote(self, flow, lane, now):
+        self._pop(lane)
+        flow.excess = True
+        self._push(flow)
+        wanted = flow.base - flow.tokens + flow.entitlement * self._cfg.promote_after
+        moment = now + wanted / max(flow.entitlement, 1e-9)
+        heapq.heappush(self._refills, (moment, next(self._sequence), flow))
+
+    def _promote(self, now):
+        while self._refills and self._refills[0][0] <= now:
+            flow = heapq.heappop(self._refills)[2]
+            flow.refill(now, self._cfg.burst)
+            if flow.tokens <= 0 and now < self._overload_until:
+                moment = now + self._cfg.promote_after
+                heapq.heappush(self._refills, (moment, next(self._sequence), flow))
+                continue
+            flow.excess = False
+            if flow.entry is not None:
+                self._push(flow)
+
+    def _forgive(self):
+        """Clear the debts of flows that took slots which nobody else wanted."""
+        for flow in self._flows.values():
+            flow.tokens = max(flow.tokens, 0.0)
+            if flow.excess:
+                flow.excess = False
+                if flow.entry is not None:
+                    self._push(flow)
+        self._refills.clear()
+
+    def _charge(self, flow):
+        lane = self._lane(flow)
+        if flow.excess:
+            lane.virtual = max(lane.virtual, flow.tag)
+            weight = flow.weight * self._cfg.class_weight(flow.urgency)
+            flow.tag += flow.base / weight
+        if lane.credit >= flow.base:
+            lane.credit -= flow.base
+            return
+        behind = self._order[self._order.index(lane) + 1 :]
+        for other in behind:
+            other.credit += other.share * flow.base
+
+    def _drop(self, batch):
+        tasks = tuple(batch.tasks)
+        batch.tasks.clear()
+        batch.flow.queued -= len(tasks)
+        self._backlog -= len(tasks) * batch.flow.base
+        return tasks
+
+    def _forget(self, batch):
+        batches = self._jobs.get(batch.key)
+        if batches is None:
+            return
+        if batch in batches:
+            batches.remove(batch)
+        if not batches:
+            del self._jobs[batch.key]
+
+    def _set_up(self, flow):
+        kind = self._service.kinds.get(flow.kind) if self._service else None
+        team = self._teams.get(flow.team)
+        if kind is not None:
+            flow.urgency = kind.urgency
+            flow.requires = frozenset(kind.requires)
+        flow.weight = (kind.weight if kind else 1.0) * (team.weight if team else 1.0)
+
+    def _learn_demand(self, now, passed):
+        cfg = self._cfg
+        served_gain = 1 - math.exp(-passed / cfg.served)
+        usual_gain = 1 - math.exp(-passed / cfg.usual)
+        for flow in self._flows.values():
+            flow.base = self._run_times.base(flow.kind)
+            flow.served += served_gain * (flow.speed - flow.served)
+            gap = flow.arrived / passed - flow.usual
+            flow.arrived = 0
+            if gap < 0:
+                flow.usual += gap * passed / cfg.forget
+            elif now >= self._overload_until:
+                flow.usual += gap * usual_gain
+            else:
+                # What arrives in an overload must not soon become the usual demand.
+                flow.usual += min(gap, flow.usual) * passed / cfg.forget
+
+    def _entitle(self, flow, total_weight):
+        fair = self._capacity * flow.weight / total_weight
+        usual = flow.usual * flow.base
+        flow.entitlement = max(fair * self._cfg.fair_floor, usual * self._cfg.headroom)
+
+    def _total_weight(self):
+        """Return the weight of all flows used lately."""
+        return sum(flow.weight for flow in self._flows.values()) or 1.0
+
+    def _count_ahead(self):
+        total = 0.0
+        for urgency in CLASSES:
+            for flow in self._flows.values():
+                if flow.urgency is urgency and flow.queued and not flow.excess:
+                    total += min(flow.queued * flow.base, max(0.0, flow.tokens))
+            self._ahead[urgency] = total
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 import trio
+
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.wire import codec, framing, handshake
@@ -26,6 +27,14 @@
     """The connection ended before the operation did."""
 
 
+class ConnectionRefused(ConnectionLost):
+    """The host of the peer refused the connection: nothing listens there."""
+
+
+class NotSent(ConnectionLost):
+    """The connection had ended before the message was queued; it was not sent."""
+
+
 class CallTimeout(Exception):  # noqa: N818
     """The peer did not reply in time; what became of the call is unknown."""
 
@@ -122,11 +131,11 @@
 
         Raises
         ------
-        ConnectionLost
+        NotSent
             If the connection is closed.
         """
         if not self.is_open:
-            raise ConnectionLost(f"{self!r} is closed")
+            raise NotSent(f"{self!r} is closed")
         message = Message(next(self._ids), reply_to, body)
         self._outbox.append(message)
         if len(self._outbox) > MAX_OUTBOX_MESSAGES:
@@ -149,7 +158,8 @@
         Raises
         ------
         ConnectionLost
-            If the connection ends first; the peer may have received the call.
+            If the connection ends first; the peer may have received the call, unless
+            this is a `NotSent`.
         CallTimeout
             If no reply comes within `timeout_s` seconds.
         """
@@ -247,6 +257,7 @@
                 with trio.fail_after(self.cfg.dead_after):
                     await self._stream.send_all(framing.frame(payload))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.ended_by_peer = True
                 self.close()
                 return
             except trio.TooSlowError:
@@ -275,7 +286,8 @@
     Raises
     ------
     ConnectionLost
-        If the address cannot be reached in time.
+        If the address cannot be reached in time; its subclass `ConnectionRefused`
+        if the host answered that nothing listens there.
     HandshakeError
         If one side refuses the other.
     """
@@ -288,11 +300,22 @@
                 reader = _handshake_reader(stream)
                 send, receive = _handshake_channel(stream, reader)
                 peer = await handshake.greet(send, receive, identity, secret)
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+        except OSError as exc:
+            kind = ConnectionRefused if _is_refusal(exc) else ConnectionLost
+            raise kind(f"{address}: {exc}") from exc
+        except (trio.TooSlowError, trio.BrokenResourceError) as exc:
             raise ConnectionLost(f"{address}: {exc}") from exc
         yield Connection(stream, peer, cfg, reader)
 
 
+def _is_refusal(exc):
+    if isinstance(exc, ConnectionRefusedError):
+        return True
+    # trio groups the failures of all addresses of a name in the cause.
+    causes = getattr(exc.__cause__, "exceptions", (exc.__cause__,))
+    return all(isinstance(cause, ConnectionRefusedError) for cause in causes)
+
+
 async def serve_connections(listeners, identity, secret, cfg, handler):
     """Accept connections for good; one task runs each of them.
 
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -16,6 +16,8 @@
 )
 
 PROTOCOL_VERSION = 1
+# Detail of a result whose body was dropped after its job had been answered.
+BODY_DROPPED = "The result was answered once and is no longer kept."
 
 
 class ProcessKind(enum.StrEnum):
@@ -95,11 +97,16 @@
     config_revision: int = 0
     table_version: int = 0
     slots_in_use: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Announce:
-    """What an agent offers to the entry that it is connected to."""
+    """What an agent offers to the entry that it is connected to.
+
+    `records_since` is the incarnation at the start of the agent's process: an agent
+    that was paused has a new incarnation but still has its start records.
+    """
 
     service: str
     target: str
@@ -107,6 +114,7 @@
     connections: int
     labels: tuple[str, ...] = ()
     leaving: bool = False
+    records_since: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +181,7 @@
     state: int
     started_at_ms: int
     result: TaskResult | None = None
+    agent_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,14 +207,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Fence:
-    """Request of an entry to own the partition at an epoch.
-
-    `forced` says that the present owner was told and gave the partition up.
-    """
+    """Request of an entry to own the partition at an epoch."""
 
     partition: str
     epoch: int
-    forced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -219,6 +224,22 @@
     roster: Roster = Roster()
 
 
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Renewal of the lease that the agent granted with an epoch."""
+
+    partition: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class RenewReply:
+    """Answer to `Renew`: whether the epoch still holds, and the present one."""
+
+    code: int
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class Release:
     """The owner gives the partition up; any candidate may fence at once."""
@@ -316,9 +337,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobRecord:
-    """Record of a job as its owner hands it over; `answer` is set once it ended."""
+    """Record of a job as its owner hands it over.
 
-    request: JobRequest
+    `request` is missing where only start records are known; `answer` is set once
+    the job ended.
+    """
+
+    key: JobKey
+    request: JobRequest | None
     accepted_at_ms: int
     answer: JobAnswer | None = None
     tasks: tuple[StartRecord, ...] = ()
@@ -326,13 +352,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Handover:
-    """Job records that a leaving owner gives its successor; `last` ends them."""
+    """Job records that a leaving owner gives its successor; `last` ends them.
+
+    `complete` and `taken_over_at_ms` say what the leaving owner knew of the time
+    before it.
+    """
 
     partition: str
     epoch: int
     jobs: tuple[JobRecord, ...]
     roster: Roster = Roster()
     last: bool = False
+    complete: bool = False
+    taken_over_at_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -356,10 +388,14 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerTable:
-    """Entries of the region; the version rises with each change."""
+    """Entries of the region; the version rises with each change.
+
+    `owned` names each partition that has ever had an owner.
+    """
 
     version: int = 0
     entries: tuple[TableEntry, ...] = ()
+    owned: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -422,6 +458,8 @@
     CancelTasks: "cancel_tasks",
     Fence: "fence",
     FenceReply: "fence_reply",
+    Renew: "renew",
+    RenewReply: "renew_reply",
     Release: "release",
     Reconcile: "reconcile",
     ReconcileReply: "reconcile_reply",
