--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -217,8 +217,9 @@
         # same attempt.
         if not self.fencing.commands(_owner(conn), start.partition, start.epoch):
             return refuse(ResultCode.STALE_EPOCH), False
-        if not self._may_start(ref):
-            return refuse(ResultCode.DUPLICATE_START), False
+        known = self._known_attempts(ref)
+        if known:
+            return refuse(_code_of_repeated(known)), False
         if self.records.full:
             detail = "the agent keeps as many start records as it can"
             return refuse(ResultCode.NO_FREE_SLOT, detail), False
@@ -230,14 +231,19 @@
             return refuse(ResultCode.NO_FREE_SLOT), True
         return None, True
 
-    def _may_start(self, ref):
+    def _known_attempts(self, ref):
+        """Return the records that bar an attempt from starting here."""
         own = self.records.attempts(ref.key, ref.index)
-        if any(record.state == RecordState.RUNNING for record in own):
-            return False
         # The later attempt of a task that ran on a lost agent is its owner's
         # decision, so a copy only bars the same and earlier attempts.
         known = own + self.copies.attempts(ref.key, ref.index)
-        return all(record.attempt < ref.attempt for record in known)
+        return [
+            record
+            for record in known
+            if record.state == RecordState.RUNNING
+            and record in own
+            or record.attempt >= ref.attempt
+        ]
 
     def _report(self, start, result):
         ref = TaskRef(start.key, start.index, start.attempt)
@@ -424,6 +430,17 @@
     return conn.peer.process_id, conn.peer.incarnation
 
 
+def _code_of_repeated(known):
+    """Return the code for an attempt that recorded ones bar.
+
+    A new owner may number its first attempt like one that was refused before it:
+    that one did not run here, which is no doubt about whether another copy ran.
+    """
+    if all(record.state == RecordState.REFUSED for record in known):
+        return ResultCode.NO_FREE_SLOT
+    return ResultCode.DUPLICATE_START
+
+
 def _refused(ref, refusal):
     return TaskResult(
         ref.index,
