Notice agents that are fenced before the wait for the first one

Cause: a new owner without a roster waited for the first agent on the wrong condition; whether it saw one depended on which of two tasks ran first, else it stood still for the whole 'acquire_timeout' (3 s). Change: the task that fences agents notifies the owner's own condition.

--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -201,7 +201,7 @@
         """Return whether a quorum of agents granted the epoch in time."""
         if not rosters.live_ids(self.roster):
             # Agents may hold a roster that this process has not heard of yet.
-            await self.entry.agents.changed.wait_until(
+            await self.changed.wait_until(
                 lambda: bool(self._holding), self.cfg.acquire_timeout
             )
         won = await self.changed.wait_until(
@@ -359,6 +359,7 @@
                     self.dispatcher.agent_leaving(link.agent_id)
                 if link.agent_id not in self._holding and link.conn.is_open:
                     self._holding.add(link.agent_id)
+                    self.changed.notify()
                     nursery.start_soon(self._hold_agent, link)
             await self.entry.agents.changed.wait()
 
