--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -223,7 +223,7 @@
         """Return whether a quorum of agents granted the epoch in time."""
         if not rosters.live_ids(self.roster):
             # Agents may hold a roster that this process has not heard of yet.
-            await self.entry.agents.changed.wait_until(
+            await self.changed.wait_until(
                 lambda: bool(self._holding), self.cfg.acquire_timeout
             )
         won = await self.changed.wait_until(
@@ -313,11 +313,8 @@
             return True
         if not self.roster.entries:
             return False
-        roster = rosters.without_expired(self.roster, now_ms, retention_ms)
-        return all(
-            (entry.agent_id, entry.incarnation) in self._known_records
-            for entry in rosters.unaccounted(roster, {})
-        )
+        known = rosters.without_expired(self.roster, now_ms, retention_ms)
+        return not rosters.unaccounted(known, self._known_records)
 
     # Serving
 
@@ -385,6 +382,7 @@
                     self.dispatcher.agent_leaving(link.agent_id)
                 if link.agent_id not in self._holding and link.conn.is_open:
                     self._holding.add(link.agent_id)
+                    self.changed.notify()
                     nursery.start_soon(self._hold_agent, link)
             await self.entry.agents.changed.wait()
 
@@ -523,18 +521,20 @@
         log.warning("Agent %s is lost.", agent_id)
         self.dispatcher.agent_lost(agent_id)
         records = self.dispatcher.records_of(agent_id)
-        # An owner that took over after the agent's end lacks records to copy.
-        known = self._knows_records_of(agent_id)
-        copied = await self.copy_records(agent_id, records)
-        return rosters.with_lost(
-            self.roster, agent_id, unix_ms(), accounted_for=known and copied
-        )
+        copied = self._knows_records_of(agent_id)
+        copied = copied and await self.copy_records(agent_id, records)
+        return rosters.with_lost(self.roster, agent_id, unix_ms(), accounted_for=copied)
 
     def _knows_records_of(self, agent_id):
+        """Return whether the book has all start records of a live agent.
+
+        An agent that was lost before it granted this owner's fence may have run
+        tasks of an earlier owner, so copies of what is known account for nothing.
+        """
         return self._known_complete or any(
-            (entry.agent_id, entry.incarnation) in self._known_records
-            for entry in self.roster.entries
-            if entry.live and entry.agent_id == agent_id
+            item.live and (item.agent_id, item.incarnation) in self._known_records
+            for item in self.roster.entries
+            if item.agent_id == agent_id
         )
 
     async def copy_records(self, agent_id, records):
