Give the fakes of the conformance test the present interfaces

Cause: agents now choose entries by partition and get a slice of the configuration. Change: the fakes take both.

--- a/tests/spec/agents_side.py
+++ b/tests/spec/agents_side.py
@@ -117,7 +117,7 @@
     )
     agent = Agent(cfg, b"secret", target=None, seed=a)
     agent.executor = FakeExecutor()
-    agent.uplinks = SimpleNamespace(reset=lambda: None, choose=lambda _: None)
+    agent.uplinks = SimpleNamespace(reset=lambda: None, choose=lambda *_, **__: None)
     return agent
 
 
--- a/tests/spec/system_side.py
+++ b/tests/spec/system_side.py
@@ -225,7 +225,10 @@
             **dict.fromkeys(names, "x"),
         )
         replica = SimpleNamespace(
-            current=world.deployment, subscribe=lambda _: None, revision=1
+            current=world.deployment,
+            subscribe=lambda _: None,
+            revision=1,
+            service_slice=lambda _: None,
         )
         self.entry = SteeredEntry(cfg, self.identity, replica, EntryMetrics(), None)
         self.entry.agents = SteeredLinks()
