Serve connections that arrive as a planned stop of an entry begins

Change: connections are accepted for 0.5 s more; the process ends after the HTTP server has; /healthz is 503 before an entry has a configuration.

--- a/packages/bench/src/hornbeamshore/bench/scenario.py
+++ b/packages/bench/src/hornbeamshore/bench/scenario.py
@@ -140,12 +140,17 @@
         await self.load.submit_until_answered(trace, self.rng)
 
     async def wait_answered(self, entry_id):
-        """Return once an entry answers a new job with code 0."""
+        """Return once an entry has a configuration and answers a job with code 0."""
+
+        async def is_configured():
+            report = await self.fleet.status(entry_id)
+            return report is not None and report["revision"]
 
         async def is_answered():
             reply = await self.load.submit(self.make(tasks=2), entry_id)
             return reply is not None and reply.code == ResultCode.OK
 
+        await poll(is_configured)
         await poll(is_answered)
 
     async def wait_used(self, agent_id):
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -59,6 +59,7 @@
         self.http_address = self.peer_address = ""
         self.entry = None
         self._stopping = trio.Event()
+        self._http_ended = trio.Event()
 
     def stop(self):
         """Begin a graceful shutdown."""
@@ -142,9 +143,11 @@
         )
         nursery.start_soon(entry.run_owners, nursery)
         nursery.start_soon(keep_reporting, entry)
-        nursery.start_soon(
-            serve_http, self.api, self._http_listeners, self._http_cfg, self._stopping
-        )
+        nursery.start_soon(self._serve_callers)
+
+    async def _serve_callers(self):
+        await serve_http(self.api, self._http_listeners, self._http_cfg, self._stopping)
+        self._http_ended.set()
 
     def _addresses(self):
         others = [
@@ -175,7 +178,11 @@
             conn.try_send(self.handler.heartbeat())
         for owner in self.entry.owners.values():
             owner.resign()
-        if not await self.entry.wait_idle(self.cfg.drain_timeout):
+        with trio.move_on_after(self.cfg.drain_timeout) as drain:
+            await self._http_ended.wait()
+            # Callers that disconnected have left their submissions behind.
+            await self.entry.wait_idle(float("inf"))
+        if drain.cancelled_caught:
             log.warning("Requests were still in flight at the end of the drain.")
         with trio.move_on_after(self.cfg.wire.dead_after):
             await self.entry.membership.leave()
--- a/packages/entry/src/hornbeamshore/entry/http_api.py
+++ b/packages/entry/src/hornbeamshore/entry/http_api.py
@@ -172,6 +172,9 @@
         _check_method(head, "GET", "HEAD")
         if self._service.status().get("draining"):
             return code_answer(ResultCode.DRAINING)
+        if self._service.deployment() is None:
+            # A balancer that sent work here would have it refused.
+            return code_answer(ResultCode.NOT_CONFIGURED)
         return code_answer(ResultCode.OK, "The entry serves requests.")
 
     def _metrics(self, head):
--- a/packages/entry/src/hornbeamshore/entry/http_server.py
+++ b/packages/entry/src/hornbeamshore/entry/http_server.py
@@ -47,8 +47,9 @@
     cfg : HttpSettings
         Bounds.
     stopping : trio.Event
-        Begins the stop: nothing new is accepted, idle connections are closed, and
-        requests in flight are answered within ``cfg.graceful_timeout``.
+        Begins the stop: after ``cfg.linger`` nothing new is accepted, idle
+        connections are closed, and requests in flight are answered within
+        ``cfg.graceful_timeout``.
     """
     context = WorkerContext(None)
     counted = _CountedApp(app, stopping)
@@ -72,6 +73,7 @@
             )
             task_status.started()
             await stopping.wait()
+            await trio.sleep(cfg.linger)
             accepting.cancel_scope.cancel()
         for listener in listeners:
             await listener.aclose()
--- a/packages/entry/src/hornbeamshore/entry/http_settings.py
+++ b/packages/entry/src/hornbeamshore/entry/http_settings.py
@@ -25,6 +25,10 @@
         which the headers of the first request must arrive.
     send_timeout : Duration
         Time for which sent bytes may stay unacknowledged before a connection ends.
+    linger : Duration
+        Time for which new connections are still served after a planned stop began.
+        Callers and balancers that have not seen it yet have requests on their way,
+        which a closed listener would cut off unread.
     graceful_timeout : Duration
         Time for which requests in flight are served on after a planned stop began;
         above the longest deadline, so that none is cut off.
@@ -36,4 +40,5 @@
     body_budget: ByteSize = ByteSize(256 * 1024 * 1024)
     idle_timeout: Duration = Duration(75.0)
     send_timeout: Duration = Duration(30.0)
+    linger: Duration = Duration(0.5)
     graceful_timeout: Duration = Duration(65.0)
