--- a/packages/entry/src/hornbeamshore/entry/membership.py
+++ b/packages/entry/src/hornbeamshore/entry/membership.py
@@ -55,7 +55,7 @@
         presence = _in_region(PRESENCE, cfg.region) + "/"
         self._presence_prefix = deployment_key(cfg.deployment, presence)
         self._rng = random.Random(me.incarnation)
-        self._leaving = False
+        self._scope = trio.CancelScope()
         self._lease_id = 0
         self.store_errors = 0
         self._founding = trio.Lock()
@@ -63,9 +63,13 @@
         self._founded = {}
 
     async def run(self):
-        """Join, renew the presence and remove dead entries, until cancelled."""
+        """Join, renew the presence and remove dead entries, until `leave`."""
+        with self._scope:
+            await self._keep_joined()
+
+    async def _keep_joined(self):
         pause = RETRY_S
-        while not self._leaving:
+        while True:
             try:
                 await self._join()
                 pause = RETRY_S
@@ -80,7 +84,8 @@
 
     async def leave(self):
         """Take this entry out of the table and end its presence."""
-        self._leaving = True
+        # A retry of joining must not follow.
+        self._scope.cancel()
         name = self._me.entry_id
         try:
             await self.change_table(lambda table: tables.without_entries(table, {name}))
@@ -163,7 +168,7 @@
 
     async def _stay(self):
         every = self._cfg.presence_ttl / 3
-        while not self._leaving:
+        while True:
             await trio.sleep(every * self._rng.uniform(0.9, 1.1))
             await self._store.keep_alive(self._lease_id)
             await self._remove_absent()
