--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -27,7 +27,7 @@
     WireSettings,
     open_connection,
 )
-from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.handshake import HandshakeError, Identity
 from hornbeamshore.wire.messages import ProcessKind, StatusQuery
 
 STOP_TIMEOUT_S = 20.0
@@ -246,19 +246,12 @@
         """Return the report of an entry for operators, None if it gives none."""
         identity = Identity(self.deployment, ProcessKind.OPERATOR, "bench", 0, "")
         address = self.peer_of(entry_id)
-        try:
-            async with (
-                open_connection(
-                    address, identity, SECRET.encode(), WireSettings()
-                ) as conn,
-                trio.open_nursery() as nursery,
-            ):
-                nursery.start_soon(conn.run, _NoMessages())
-                reply = await conn.call(StatusQuery("status"), STATUS_TIMEOUT_S)
-                nursery.cancel_scope.cancel()
-                return json.loads(reply.content)
-        except (ConnectionLost, CallTimeout):
-            return None
+        with contextlib.suppress(ConnectionLost, HandshakeError):
+            async with open_connection(
+                address, identity, SECRET.encode(), WireSettings()
+            ) as conn:
+                return await _ask_status(conn)
+        return None
 
     async def owner_of(self, partition):
         """Return the id of the entry that says it owns a partition, or None."""
@@ -322,6 +315,17 @@
         pass
 
 
+async def _ask_status(conn):
+    content = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(conn.run, _NoMessages())
+        with contextlib.suppress(ConnectionLost, CallTimeout):
+            reply = await conn.call(StatusQuery("status"), STATUS_TIMEOUT_S)
+            content = json.loads(reply.content)
+        nursery.cancel_scope.cancel()
+    return content
+
+
 async def _post(url, body):
     content = json.dumps(body).encode()
     headers = [("Content-Type", "application/json")]
@@ -339,7 +343,14 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(
-    deployment, entries, targets, wire=None, *, relayed=False, log_level="info"
+    deployment,
+    entries,
+    targets,
+    wire=None,
+    *,
+    relayed=False,
+    log_level="info",
+    starting=None,
 ):
     """Start a deployment, yield its `Fleet`, and end all its processes.
 
@@ -351,13 +362,16 @@
         Targets to start, each with an agent.
     relayed : bool
         Whether a `Relay` stands in front of the peer address of each entry.
+    starting : trio.CapacityLimiter or None
+        Bounds how many fleets start at a time.
     """
     with tempfile.TemporaryDirectory(prefix="hornbeamshore-") as name:
         async with trio.open_nursery() as nursery:
             relay_nursery = nursery if relayed else None
             fleet = Fleet(deployment, Path(name), wire, relay_nursery, log_level)
             try:
-                await fleet.start(entries, targets)
+                async with starting or contextlib.nullcontext():
+                    await fleet.start(entries, targets)
                 yield fleet
             finally:
                 fleet.end_all()
--- a/tests/failures/test_connections.py
+++ b/tests/failures/test_connections.py
@@ -46,6 +46,7 @@
         "outcomes that were sent into a dead connection",
         partial(agent_silent, **INWARD),
         31,
+        "silent-agents",
         relayed=True,
     ),
     Row(
@@ -53,6 +54,7 @@
         "starts that were sent into a dead connection",
         partial(agent_silent, **OUTWARD),
         32,
+        "silent-agents",
         relayed=True,
     ),
     Row(
@@ -60,6 +62,7 @@
         "an agent whose tasks stay open for good",
         agent_silent,
         33,
+        "silent-agents",
         relayed=True,
     ),
     Row(
@@ -67,6 +70,7 @@
         "submissions that were sent into a dead connection",
         partial(entries_silent, **INWARD),
         34,
+        "silent-entries",
         relayed=True,
     ),
     Row(
@@ -74,6 +78,7 @@
         "answers that were sent into a dead connection",
         partial(entries_silent, **OUTWARD),
         35,
+        "silent-entries",
         relayed=True,
     ),
     Row(
@@ -81,6 +86,7 @@
         "a front that waits for good",
         entries_silent,
         36,
+        "silent-entries",
         relayed=True,
     ),
     Row(
@@ -88,6 +94,7 @@
         "two owners at once after all connections of one went silent",
         owner_silent,
         37,
+        "silent-entries",
         relayed=True,
     ),
 )
--- a/tests/failures/test_pairs.py
+++ b/tests/failures/test_pairs.py
@@ -37,18 +37,21 @@
         "a takeover that needs the store",
         owner_killed_store_down,
         71,
+        "pairs",
     ),
     Row(
         "owner-paused-agent-killed",
         "a successor that takes an unknown key of a dead agent as new",
         owner_paused_agent_killed,
         72,
+        "pairs",
     ),
     Row(
         "silent-during-handover",
         "records that neither the old nor the new owner has",
         silent_during_handover,
         73,
+        "silent-agents",
         relayed=True,
     ),
 )
--- a/tests/failures/test_planned_stops.py
+++ b/tests/failures/test_planned_stops.py
@@ -51,18 +51,20 @@
 
 
 ROWS = (
-    Row(
-        "owner-stopped",
-        "work lost between an owner and its successor",
-        stop_owner,
-        41,
-        cuts_nothing=True,
-    ),
     Row(
         "agent-stopped",
         "running tasks cut off, or new ones on a leaving target",
         stop_agent,
         42,
+        "planned",
+        cuts_nothing=True,
+    ),
+    Row(
+        "owner-stopped",
+        "work lost between an owner and its successor",
+        stop_owner,
+        41,
+        "planned",
         cuts_nothing=True,
     ),
     Row(
@@ -70,6 +72,7 @@
         "requests cut off by the daily replacement of hosts",
         replace_all,
         43,
+        "rolling",
         cuts_nothing=True,
     ),
 )
