--- a/packages/base/src/hornbeamshore/base/codes.py
+++ b/packages/base/src/hornbeamshore/base/codes.py
@@ -59,6 +59,7 @@
     NOT_OWNER = 508
     OWNER_ALIVE = 509
     ENTRY_UNREACHABLE = 510
+    SEND_TASKS = 511
     CONFIG_INVALID = 600
     CONFIG_CONFLICT = 601
     STORE_UNAVAILABLE = 602
@@ -173,6 +174,9 @@
     ResultCode.OWNER_ALIVE: CodeInfo(
         _NOT, 503, "The agent still hears the present owner."
     ),
+    ResultCode.SEND_TASKS: CodeInfo(
+        _NOT, 503, "The owner accepts the offer and waits for the tasks."
+    ),
     ResultCode.ENTRY_UNREACHABLE: CodeInfo(
         _NOT, 503, "No entry of the deployment could be reached."
     ),
--- a/packages/base/src/hornbeamshore/base/types.py
+++ b/packages/base/src/hornbeamshore/base/types.py
@@ -153,6 +153,10 @@
         Whether this is a single request that is passed through to the service.
     fingerprint : bytes
         Digest of the content; a resubmission must have the same one.
+    task_count : int
+        Number of tasks. An offer gives it without the tasks themselves.
+    age_ms : int
+        Milliseconds since the submission reached its front.
     """
 
     key: JobKey
@@ -162,6 +166,13 @@
     submitted_at_ms: int
     single: bool
     fingerprint: bytes
+    task_count: int = 0
+    age_ms: int = 0
+
+    @property
+    def is_offer(self):
+        """Return whether the tasks are still to be sent."""
+        return not self.tasks
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -22,6 +22,7 @@
     TaskPhase,
     start_records,
 )
+from hornbeamshore.entry.refusals import RefusedKeys
 from hornbeamshore.policy.scheduler import Scheduler
 from hornbeamshore.policy.types import JobLoad, Outcome, QueuedTask, TargetInfo
 from hornbeamshore.wire.messages import (
@@ -90,6 +91,7 @@
         self.scheduler = Scheduler(policy)
         self.book = JobBook(deployment.retention, MAX_RESULT_BYTES)
         self.tenure = None
+        self._refused = RefusedKeys()
         self._links = {}
         self._retries = []
         self._retry_ids = itertools.count()
@@ -284,16 +286,24 @@
         if not self.is_active:
             reply(JobAnswer.refused(req.key, refuse(ResultCode.NOT_OWNER)))
             return
-        log.debug("Job %s arrived with %d tasks.", req.key.job_id, len(req.tasks))
+        log.debug("Job %s arrived with %d tasks.", req.key.job_id, req.task_count)
         job = self.book.get(req.key)
         if job is not None:
             self._join(job, req, reply)
             return
-        refusal = self._check_unfamiliar(req) or self._admit(req)
+        now = trio.current_time()
+        refusal = self._refused.refusal_of(req.key, now - req.age_ms / 1000)
+        refusal = refusal or self._check_unfamiliar(req) or self._admit(req)
         if refusal is not None:
+            if refusal.run_state == RunState.NOT_RUN:
+                self._refused.add(req.key, refusal, now)
             self.metrics.job_ended(self.partition.service, req.kind, refusal.code)
             reply(JobAnswer.refused(req.key, refusal))
             return
+        if req.is_offer:
+            reply(JobAnswer.refused(req.key, refuse(ResultCode.SEND_TASKS)))
+            return
+        self._refused.forget(req.key)
         job = Job(req.key, req, unix_ms(), self._deadline_of(req))
         job.waiters.append(reply)
         self.book.add(job)
@@ -324,6 +334,9 @@
         self.query(key, reply, wait=True)
 
     def _join(self, job, req, reply):
+        if job.request is None and req.is_offer:
+            reply(JobAnswer.refused(req.key, refuse(ResultCode.SEND_TASKS)))
+            return
         if job.request is None:
             self._resume(job, req)
         if job.request.fingerprint != req.fingerprint:
@@ -375,7 +388,7 @@
             key=req.key,
             team=req.key.team,
             kind=req.kind,
-            task_count=len(req.tasks),
+            task_count=req.task_count,
             timeout_s=req.timeout_ms / 1000,
         )
         return self.scheduler.admit(load, trio.current_time())
@@ -429,6 +442,8 @@
         if result.code == ResultCode.DUPLICATE_START:
             result = _of_unknown_copy(result)
         job.tasks[index] = entry.ended(result)
+        if result.ok:
+            job.succeeded.add(index)
         if result.run_state == RunState.NOT_RUN:
             self.metrics.wasted_message("refusal")
             if job.is_open and result.code != ResultCode.CANCELLED:
--- a/packages/entry/src/hornbeamshore/entry/front.py
+++ b/packages/entry/src/hornbeamshore/entry/front.py
@@ -14,6 +14,14 @@
 # The owner answers by the deadline; this is for its last message to arrive.
 ANSWER_GRACE_S = 0.75
 RETRY_AFTER_S = 1.0
+# Time for which a flow is offered without tasks after a refusal for load.
+OFFER_FOR_S = 1.0
+
+_LOAD_REFUSALS = (
+    ResultCode.OVERLOADED,
+    ResultCode.QUOTA_EXCEEDED,
+    ResultCode.DEADLINE_UNREACHABLE,
+)
 
 log = PartLogger("entry")
 
@@ -32,6 +40,7 @@
 
     def __init__(self, entry):
         self._entry = entry
+        self._refused_until = {}
 
     def deployment(self):
         """Return the configuration in force, or None."""
@@ -43,16 +52,45 @@
 
     async def submit(self, request, timeout_s):
         """Return the whole answer to a submission."""
-        due = trio.current_time() + timeout_s
-
-        def body():
-            left_ms = max(1, round((due - trio.current_time()) * 1000))
-            return Submit(
-                replace(request, timeout_ms=left_ms), self._entry.table.version
+        arrived = trio.current_time()
+        due = arrived + timeout_s
+        flow = (request.key.service, request.key.team, request.kind)
+
+        def make_body(tasks):
+            now = trio.current_time()
+            left = replace(
+                request,
+                tasks=tasks,
+                task_count=len(request.tasks),
+                timeout_ms=max(1, round((due - now) * 1000)),
+                age_ms=round((now - arrived) * 1000),
             )
+            return Submit(left, self._entry.table.version)
 
         with self._entry.submission_in_flight():
-            return await self._ask_owner(request.key, body, due + ANSWER_GRACE_S)
+            answer = None
+            if self._is_refused(flow):
+                answer = await self._ask_owner(
+                    request.key, lambda: make_body(()), due + ANSWER_GRACE_S
+                )
+            if answer is None or answer.code == ResultCode.SEND_TASKS:
+                answer = await self._ask_owner(
+                    request.key, lambda: make_body(request.tasks), due + ANSWER_GRACE_S
+                )
+        self._note_refusal(flow, answer)
+        return answer
+
+    def _is_refused(self, flow):
+        """Return whether submissions of a flow are likely to be refused now.
+
+        They are then offered without their tasks: an owner under a flood has no
+        time to decode tasks that it refuses.
+        """
+        return trio.current_time() < self._refused_until.get(flow, 0.0)
+
+    def _note_refusal(self, flow, answer):
+        if answer.code in _LOAD_REFUSALS:
+            self._refused_until[flow] = trio.current_time() + OFFER_FOR_S
 
     async def query(self, key, timeout_s):
         """Return the answer of an earlier submission, or code RUNNING or 107."""
--- a/packages/entry/src/hornbeamshore/entry/jobs.py
+++ b/packages/entry/src/hornbeamshore/entry/jobs.py
@@ -94,6 +94,7 @@
         self.ended_at_ms = 0
         self.waiters = []
         self.unacknowledged = []
+        self.succeeded = set()
         self.requeues = 0
         self._settled = False
 
@@ -106,13 +107,7 @@
         """Return whether each task of the request has ended successfully."""
         if self.request is None:
             return False
-        return all(
-            index in self.tasks
-            and self.tasks[index].phase is TaskPhase.ENDED
-            and self.tasks[index].result is not None
-            and self.tasks[index].result.ok
-            for index in range(len(self.request.tasks))
-        )
+        return len(self.succeeded) == len(self.request.tasks)
 
     def running(self):
         """Return the indexes and entries of the tasks that run."""
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -10,7 +10,8 @@
 }
 struct JobRequest {
   1: JobKey key, 2: string kind, 3: list<TaskSpec> tasks, 4: i64 timeout_ms,
-  5: i64 submitted_at_ms, 6: bool single, 7: binary fingerprint
+  5: i64 submitted_at_ms, 6: bool single, 7: binary fingerprint,
+  8: i32 task_count, 9: i64 age_ms
 }
 struct JobAnswer {
   1: JobKey key, 2: i32 code, 3: i32 run_state, 4: string detail,
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -484,6 +484,8 @@
      - submitted_at_ms
      - single
      - fingerprint
+     - task_count
+     - age_ms
 
     """
 
@@ -495,10 +497,12 @@
         'submitted_at_ms',
         'single',
         'fingerprint',
+        'task_count',
+        'age_ms',
     )
 
 
-    def __init__(self, key=None, kind=None, tasks=None, timeout_ms=None, submitted_at_ms=None, single=None, fingerprint=None,):
+    def __init__(self, key=None, kind=None, tasks=None, timeout_ms=None, submitted_at_ms=None, single=None, fingerprint=None, task_count=None, age_ms=None,):
         self.key = key
         self.kind = kind
         self.tasks = tasks
@@ -506,6 +510,8 @@
         self.submitted_at_ms = submitted_at_ms
         self.single = single
         self.fingerprint = fingerprint
+        self.task_count = task_count
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -558,6 +564,16 @@
                     self.fingerprint = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.task_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -599,6 +615,14 @@
             oprot.writeFieldBegin('fingerprint', TType.STRING, 7)
             oprot.writeBinary(self.fingerprint)
             oprot.writeFieldEnd()
+        if self.task_count is not None:
+            oprot.writeFieldBegin('task_count', TType.I32, 8)
+            oprot.writeI32(self.task_count)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 9)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5668,6 +5692,8 @@
     (5, TType.I64, 'submitted_at_ms', None, None, ),  # 5
     (6, TType.BOOL, 'single', None, None, ),  # 6
     (7, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 7
+    (8, TType.I32, 'task_count', None, None, ),  # 8
+    (9, TType.I64, 'age_ms', None, None, ),  # 9
 )
 all_structs.append(JobAnswer)
 JobAnswer.thrift_spec = (
