--- a/packages/bench/src/hornbeamshore/bench/measure.py
+++ b/packages/bench/src/hornbeamshore/bench/measure.py
@@ -253,12 +253,20 @@
             output.setdefault(profile.name, {})[kind.name] = found
             more = details_of(profile, targets, passes)
             details.setdefault(profile.name, {})[kind.name] = more
+            # A run that is cut short leaves what it found so far.
+            _write(output, details)
 
     async with trio.open_nursery() as nursery:
         for name in names:
             nursery.start_soon(run_deployment, PROFILES[name])
 
 
+def _write(output, details):
+    OUTPUT.parent.mkdir(exist_ok=True)
+    OUTPUT.write_text(json.dumps(output, indent=1))
+    DETAILS.write_text(json.dumps(details, indent=1))
+
+
 def main(seed=1, deployment="", system=""):
     """Measure and print; a name limits the run to one deployment or system.
 
@@ -271,9 +279,6 @@
     kinds = [kind for kind in SYSTEMS if system in ("", kind.name)]
     output, details = {}, {}
     trio.run(_measure, names, kinds, seed, output, details)
-    OUTPUT.parent.mkdir(exist_ok=True)
-    OUTPUT.write_text(json.dumps(output, indent=1))
-    DETAILS.write_text(json.dumps(details, indent=1))
     print(tables.render(output, details, seed))
 
 
