Found a partition anew only where nobody can know of a roster

Cause: an entry that was cut off from all agents for 3 s took a partition that had an owner for one without a roster, and became a second owner beside the first. Change: a partition that is listed as owned is founded anew only if each entry of the table is connected and told no roster, and agents are connected that hold none; owners tell their rosters to entries that connect.

--- a/packages/entry/src/hornbeamshore/entry/handler.py
+++ b/packages/entry/src/hornbeamshore/entry/handler.py
@@ -71,8 +71,8 @@
         """Tell a new peer what it may lack."""
         if conn.peer.kind == ProcessKind.ENTRY:
             self._entry.peers.opened(conn)
-            for notice in self._entry.own_notices():
-                conn.try_send(notice)
+            for body in (*self._entry.own_notices(), *self._entry.own_rosters()):
+                conn.try_send(body)
             self._entry.notify_owners()
         # Agents are told once they have announced their service.
         if self._entry.table.version and conn.peer.kind == ProcessKind.ENTRY:
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -258,12 +258,27 @@
     async def _found(self):
         """Return whether the store made this entry the partition's first owner.
 
-        Without a roster nothing but the store can exclude another first owner.
+        Without a roster nothing but the store can exclude another first owner. A
+        partition that had an owner before is founded anew only if nobody can know
+        of a roster: each entry of the table is connected and told none, and agents
+        are connected that hold none. An entry that was merely cut off from all
+        agents must not found a second owner beside the first.
         """
+        if self.name in self.entry.table.owned and not self._is_orphaned():
+            log.info("%s has an owner elsewhere or no agent yet.", self.name)
+            return False
         first = await self.entry.membership.found_partition(self.partition)
         self._founded_first = bool(first)
         return first is not None
 
+    def _is_orphaned(self):
+        others = [
+            item.entry_id
+            for item in self.entry.table.entries
+            if item.entry_id != self.entry.entry_id
+        ]
+        return bool(self._grants) and all(map(self.entry.peers.get, others))
+
     def _activate(self):
         handover = self._take_handover()
         self._known_complete = self._founded_first or (
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -17,6 +17,7 @@
     JobCancel,
     OwnerNotice,
     OwnerTable,
+    RosterUpdate,
     Submit,
     TableUpdate,
 )
@@ -185,6 +186,14 @@
         for conn in self.peers.all():
             conn.try_send(notice)
 
+    def own_rosters(self):
+        """Return an update for each partition that this entry owns."""
+        return [
+            RosterUpdate(str(partition), owner.roster)
+            for partition, owner in self.owners.items()
+            if owner.dispatcher.is_active
+        ]
+
     def own_notices(self):
         """Return a notice for each partition that this entry owns."""
         return [
