Leave the store up between the rows that share it

Change: store-down comes last; the row of the expired lease also checks that the presence was gone and came back; a failed application is shown with its reason.

--- a/tests/failures/test_store.py
+++ b/tests/failures/test_store.py
@@ -7,7 +7,6 @@
 from returns.result import Success
 
 from hornbeamshore.base.codes import ResultCode
-from hornbeamshore.bench.caller import apply_config
 from hornbeamshore.bench.fleet import EntryPlan
 from hornbeamshore.bench.scenario import CONFIG, DEPLOYMENT, Row, poll
 from hornbeamshore.config.apply import apply_deployment
@@ -52,8 +51,9 @@
 
 async def apply_answer_lost(scenario):
     await scenario.fleet.set_store_faults(lose_answers=1)
-    revision = await apply_config(scenario.fleet.store.line, CONFIG)
-    await poll(lambda: _in_force(scenario, revision))
+    result = await _apply(scenario)
+    assert isinstance(result, Success), result
+    await poll(lambda: _in_force(scenario, result.unwrap().revision))
 
 
 async def lease_expires(scenario):
@@ -65,25 +65,21 @@
     async with EtcdStore(EtcdSettings((store,))) as client:
         key = deployment_key(DEPLOYMENT, f"entries/{owner}")
         item = await client.get(key)
-    await scenario.fleet.call_store("/standin/expire", {"ID": str(item.lease_id)})
-    await trio.sleep(3)
-    proc.resume()
+        await scenario.fleet.call_store("/standin/expire", {"ID": str(item.lease_id)})
+        assert await client.get(key) is None
+        await trio.sleep(3)
+        proc.resume()
+        await poll(lambda: client.get(key))
     await poll(lambda: _has_joined(scenario, owner))
 
 
 async def operators_race(scenario):
-    store = scenario.fleet.store.line
-    deployment = check_deployment(CONFIG.read_text()).unwrap().deployment
     before = max((await _revisions(scenario)).values())
     seen = {entry_id: [before] for entry_id in scenario.fleet.entries}
     results = []
 
     async def apply():
-        async with EtcdStore(EtcdSettings((store,))) as client:
-            result = await apply_deployment(
-                client, deployment, expected_revision=before
-            )
-            results.append(result)
+        results.append(await _apply(scenario, before))
 
     async def observe():
         while True:
@@ -105,6 +101,14 @@
     assert all(revisions == sorted(revisions) for revisions in seen.values()), seen
 
 
+async def _apply(scenario, expected_revision=None):
+    deployment = check_deployment(CONFIG.read_text()).unwrap().deployment
+    async with EtcdStore(EtcdSettings((scenario.fleet.store.line,))) as client:
+        return await apply_deployment(
+            client, deployment, expected_revision=expected_revision
+        )
+
+
 async def _revisions(scenario):
     found = {}
     for entry_id in scenario.fleet.entries:
@@ -128,7 +132,6 @@
     Row(
         "store-slow", "work or joins that wait for the store", store_slow, 51, "starts"
     ),
-    Row("store-down", "work that stops with the store", store_down, 52, "store"),
     Row(
         "store-down-at-start",
         "an entry and an agent that cannot start without the store",
@@ -148,6 +151,8 @@
         "store",
     ),
     Row("operators-race", "a change that is overwritten", operators_race, 57, "store"),
+    # Leaves the store down, so that nothing after the load needs it either.
+    Row("store-down", "work that stops with the store", store_down, 52, "store"),
 )
 
 
