Send acknowledgements together with starts

Cause: each job sent an acknowledgement of its own to each of its agents, a third of the frames between owner and agents. Change: acknowledgements wait up to 0.2 s for a start to the same agent; a dispatcher that is not active waits for a tenure instead of for times that have passed.

--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -40,6 +40,9 @@
 # Refusals by agents are rare; a task that meets this many has no fitting target.
 MAX_REQUEUES_PER_TASK = 8
 EXPIRE_EVERY_S = 5.0
+# Acknowledgements wait this long for a start to the same agent, so that both go out
+# as one frame; they only let the agent drop bodies.
+ACKNOWLEDGE_EVERY_S = 0.2
 # How long after a deadline the owner waits for the agent's own timeout report.
 DEADLINE_GRACE_S = 0.25
 
@@ -98,6 +101,7 @@
         self._deadlines = []
         self._cancels = {}
         self._acknowledgements = {}
+        self._acknowledged_at = 0.0
         self._wake = trio.Event()
         self.configure(deployment)
 
@@ -551,7 +555,6 @@
 
     def _acknowledge(self, agent_id, ref):
         self._acknowledgements.setdefault(agent_id, []).append(ref)
-        self.wake()
 
     # The task of the dispatcher
 
@@ -565,16 +568,24 @@
             if now >= expire_at:
                 self.book.expire(unix_ms())
                 expire_at = now + EXPIRE_EVERY_S
-            with trio.move_on_at(min(self._next_wakeup(now), expire_at)):
+            # While it is not active, what is due waits for a tenure.
+            wakeup = self._next_wakeup(now) if self.is_active else expire_at
+            with trio.move_on_at(min(wakeup, expire_at)):
                 await self._wake.wait()
             self._wake = trio.Event()
 
     def _act(self, now):
         self._enqueue_due_retries(now)
         self._end_expired(now)
-        for assignment in self.scheduler.assign(now):
+        assignments = self.scheduler.assign(now)
+        for assignment in assignments:
             self._start(assignment)
-        self._flush_messages()
+        self._send_cancels()
+        if now - self._acknowledged_at >= ACKNOWLEDGE_EVERY_S:
+            self._acknowledged_at = now
+            self._send_acknowledgements(list(self._acknowledgements))
+        else:
+            self._send_acknowledgements({item.agent_id for item in assignments})
 
     def _next_wakeup(self, now):
         times = [now + EXPIRE_EVERY_S]
@@ -582,6 +593,8 @@
             times.append(self._retries[0][0])
         if self._deadlines:
             times.append(self._deadlines[0][0] + DEADLINE_GRACE_S)
+        if self._acknowledgements:
+            times.append(self._acknowledged_at + ACKNOWLEDGE_EVERY_S)
         scheduled = self.scheduler.next_wakeup(now)
         if scheduled is not None:
             times.append(scheduled)
@@ -628,16 +641,19 @@
         if not self._links[agent_id].conn.try_send(start):
             self._apply_result(job, task.index, entry, _not_sent(task))
 
-    def _flush_messages(self):
+    def _send_cancels(self):
         cancels, self._cancels = self._cancels, {}
-        acknowledgements, self._acknowledgements = self._acknowledgements, {}
         for agent_id, refs in cancels.items():
             self._send(
                 agent_id,
                 CancelTasks(str(self.partition), self.tenure.epoch, tuple(refs)),
             )
-        for agent_id, refs in acknowledgements.items():
-            self._send(agent_id, Acknowledge(str(self.partition), tuple(refs)))
+
+    def _send_acknowledgements(self, agent_ids):
+        for agent_id in agent_ids:
+            refs = self._acknowledgements.pop(agent_id, None)
+            if refs:
+                self._send(agent_id, Acknowledge(str(self.partition), tuple(refs)))
 
     def _send(self, agent_id, body):
         link = self._links.get(agent_id)
