--- a/packages/agent/src/hornbeamshore/agent/executor.py
+++ b/packages/agent/src/hornbeamshore/agent/executor.py
@@ -1,14 +1,12 @@
 """Slots: one task for each, which runs what it is given on its own connection."""
 
-from dataclasses import dataclass, field
-
 import trio
 
 from hornbeamshore.agent.target import TargetFailure
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import TaskResult
-from hornbeamshore.wire.messages import Start, TaskRef
+from hornbeamshore.wire.messages import TaskRef
 
 log = PartLogger("agent")
 
@@ -17,12 +15,14 @@
 CLOSE_TIMEOUT_S = 1.0
 
 
-@dataclass(slots=True)
 class _Run:
-    start: Start
-    scope: trio.CancelScope
-    cancelled: bool = False
-    began_at: float = field(default_factory=trio.current_time)
+    __slots__ = ("start", "scope", "cancelled", "began_at")
+
+    def __init__(self, start, scope):
+        self.start = start
+        self.scope = scope
+        self.cancelled = False
+        self.began_at = trio.current_time()
 
 
 class Executor:
--- a/packages/agent/src/hornbeamshore/agent/records.py
+++ b/packages/agent/src/hornbeamshore/agent/records.py
@@ -8,7 +8,7 @@
 import bisect
 from array import array
 from collections import deque
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import msgspec
 
@@ -27,11 +27,13 @@
 _HASH_MASK = (1 << 64) - 1
 
 
-@dataclass(slots=True)
 class _Live:
-    record: StartRecord
-    changed_at: float
-    settled: bool
+    __slots__ = ("record", "changed_at", "settled")
+
+    def __init__(self, record, changed_at, settled):
+        self.record = record
+        self.changed_at = changed_at
+        self.settled = settled
 
 
 class _Block:
--- a/packages/base/src/hornbeamshore/base/codes.py
+++ b/packages/base/src/hornbeamshore/base/codes.py
@@ -174,12 +174,12 @@
     ResultCode.OWNER_ALIVE: CodeInfo(
         _NOT, 503, "The agent still hears the present owner."
     ),
-    ResultCode.SEND_TASKS: CodeInfo(
-        _NOT, 503, "The owner accepts the offer and waits for the tasks."
-    ),
     ResultCode.ENTRY_UNREACHABLE: CodeInfo(
         _NOT, 503, "No entry of the deployment could be reached."
     ),
+    ResultCode.SEND_TASKS: CodeInfo(
+        _NOT, 503, "The owner accepts the offer and waits for the tasks."
+    ),
     ResultCode.CONFIG_INVALID: CodeInfo(
         _NOT, 422, "The configuration file has faults."
     ),
--- a/packages/bench/src/hornbeamshore/bench/failure_load.py
+++ b/packages/bench/src/hornbeamshore/bench/failure_load.py
@@ -7,7 +7,7 @@
 import collections
 import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import httpcore
 import trio
@@ -37,14 +37,14 @@
     agent_id: str
 
 
-@dataclass(slots=True)
 class Copy:
     """One sending of a submission; `reply` is None where no whole answer came."""
 
-    entry_id: str
-    sent_ms: int
-    ended_ms: float = float("inf")
-    reply: object = None
+    def __init__(self, entry_id, sent_ms):
+        self.entry_id = entry_id
+        self.sent_ms = sent_ms
+        self.ended_ms = float("inf")
+        self.reply = None
 
     @property
     def is_not_run(self):
@@ -52,14 +52,14 @@
         return self.reply is not None and self.reply.run_state == NOT_RUN
 
 
-@dataclass(slots=True)
 class Trace:
     """Submission with all its copies."""
 
-    job: dict
-    single: bool
-    repeatable: bool
-    copies: list = field(default_factory=list)
+    def __init__(self, job, single, repeatable):
+        self.job = job
+        self.single = single
+        self.repeatable = repeatable
+        self.copies = []
 
     @property
     def job_id(self):
--- a/packages/bench/src/hornbeamshore/bench/replay.py
+++ b/packages/bench/src/hornbeamshore/bench/replay.py
@@ -34,11 +34,11 @@
 LEAST_URGENT_FLOOD = "shops/lookup"
 
 
-@dataclass(slots=True)
 class _Open:
-    job: object
-    left: int
-    failed: bool = False
+    def __init__(self, job, left):
+        self.job = job
+        self.left = left
+        self.failed = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/bench/src/hornbeamshore/bench/standin_store.py
+++ b/packages/bench/src/hornbeamshore/bench/standin_store.py
@@ -8,11 +8,10 @@
 import base64
 import collections
 import contextlib
-import dataclasses
 import functools
 import itertools
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import fire
 import hypercorn.trio
@@ -36,7 +35,6 @@
     """The write took effect, but its answer is not to be sent."""
 
 
-@dataclass
 class Faults:
     """Faults that are switched on.
 
@@ -53,10 +51,11 @@
         as on a connection that a middlebox lost.
     """
 
-    down: bool = False
-    delay_s: float = 0.0
-    lose_answers: int = 0
-    mute_watches: bool = False
+    def __init__(self):
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+        self.mute_watches = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,13 +82,13 @@
         return {name: text for name, text in body.items() if text not in ("", "0")}
 
 
-@dataclass
 class LeaseState:
     """Granted lease."""
 
-    ttl: int
-    deadline: float
-    keys: set = field(default_factory=set)
+    def __init__(self, ttl, deadline):
+        self.ttl = ttl
+        self.deadline = deadline
+        self.keys = set()
 
 
 class StandinStore:
@@ -304,9 +303,10 @@
         return {"header": self._header()}
 
     def _set_faults(self, body):
-        self.faults = dataclasses.replace(self.faults, **body)
+        known = vars(self.faults)
+        known.update({name: body[name] for name in body.keys() & known.keys()})
         self.wake()
-        return dataclasses.asdict(self.faults)
+        return known
 
     async def _expire_leases(self):
         while True:
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -2,13 +2,12 @@
 
 import hashlib
 import json
-from dataclasses import dataclass, field
 
 import httpcore
 import pytest
 import trio
 
-from hornbeamshore.base.codes import Refusal, ResultCode, refuse
+from hornbeamshore.base.codes import ResultCode, refuse
 from hornbeamshore.base.settings import ByteSize
 from hornbeamshore.base.types import Header, JobAnswer, TaskResult
 from hornbeamshore.config.model import Deployment, Kind, Service, Team
@@ -39,17 +38,17 @@
 )
 
 
-@dataclass
 class EchoService(SubmissionService):
     """Service whose targets answer with what they were sent."""
 
-    answers: dict = field(default_factory=dict)
-    requests: list = field(default_factory=list)
-    open: trio.Event = field(default_factory=trio.Event)
-    media_type: str = "application/json"
-    draining: bool = False
-    stopping: trio.Event = field(default_factory=trio.Event)
-    outcome: Refusal | Exception | None = None
+    def __init__(self):
+        self.answers = {}
+        self.requests = []
+        self.open = trio.Event()
+        self.media_type = "application/json"
+        self.draining = False
+        self.stopping = trio.Event()
+        self.outcome = None
 
     async def submit(self, request, timeout_s):
         self.requests.append(request)
--- a/tests/ownership/test_founding.py
+++ b/tests/ownership/test_founding.py
@@ -47,7 +47,7 @@
     store = FakeStore(OwnerTable(1, (), owned), down)
     me = TableEntry("entry-1", 1, "127.0.0.1:1", "x", "x")
     taken = []
-    cfg = SimpleNamespace(deployment="x")
+    cfg = SimpleNamespace(deployment="x", region="")
     membership = EntryMembership(store, cfg, me, taken.append)
     answers = {}
 
