Place starts again that a leaving agent never took

Change: the agent refuses all starts from its leaving on and hands all its records over, so a start that they do not name did not run and is placed again.

--- a/packages/entry/src/hornbeamshore/entry/dispatcher.py
+++ b/packages/entry/src/hornbeamshore/entry/dispatcher.py
@@ -215,6 +215,23 @@
                 if entry.agent_id == agent_id:
                     self._end_lost(job, index, entry)
 
+    def agent_left(self, agent_id, records):
+        """End the use of an agent that ends as planned with all its records.
+
+        It refuses each start that it has no record of, so a start that was on its
+        way to it did not run.
+        """
+        self.agent_gone(agent_id)
+        started = {
+            TaskRef(record.key, record.index, record.attempt)
+            for record in records
+            if record.state != RecordState.REFUSED
+        }
+        for ref in self.running_on(agent_id):
+            if ref not in started:
+                self.never_received(agent_id, ref)
+        self.agent_lost(agent_id)
+
     def records_of(self, agent_id):
         """Return the start records that an agent is known to hold."""
         return tuple(
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -572,7 +572,7 @@
         if not self.is_active:
             return False
         self.dispatcher.merge_records(link.agent_id, records)
-        self.dispatcher.agent_lost(link.agent_id)
+        self.dispatcher.agent_left(link.agent_id, records)
         kept = self.dispatcher.records_of(link.agent_id)
         copied = await self.copy_records(link.agent_id, kept)
         self._left[link.agent_id, link.incarnation] = copied
