Keep the logs of running fleets in the build directory

Cause: directories of three fleets vanished from the system's temporary directory during a run; missing logs passed for targets that started nothing, and the rows failed as 'answered without having run'. Change: the failure tests keep them in build/failures; a missing log is an error.

--- a/packages/bench/src/hornbeamshore/bench/fleet.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet.py
@@ -147,9 +147,14 @@
         return json.loads(self.entries[entry_id].line)["peer"]
 
     def target_log(self, agent_id):
-        """Return the events that a target wrote, oldest first."""
-        path = self.directory / f"{agent_id}.log"
-        lines = path.read_text().splitlines() if path.exists() else []
+        """Return the events that a target wrote, oldest first.
+
+        Raises
+        ------
+        FileNotFoundError
+            If the log is gone, which must not pass for a target without work.
+        """
+        lines = (self.directory / f"{agent_id}.log").read_text().splitlines()
         return [json.loads(line) for line in lines]
 
     async def start_store(self):
@@ -351,6 +356,7 @@
     relayed=False,
     log_level="info",
     starting=None,
+    directory=None,
 ):
     """Start a deployment, yield its `Fleet`, and end all its processes.
 
@@ -364,8 +370,10 @@
         Whether a `Relay` stands in front of the peer address of each entry.
     starting : trio.CapacityLimiter or None
         Bounds how many fleets start at a time.
+    directory : pathlib.Path or None
+        Where the directory of the fleet is made; None for the system's.
     """
-    with tempfile.TemporaryDirectory(prefix="hornbeamshore-") as name:
+    with tempfile.TemporaryDirectory(prefix="hornbeamshore-", dir=directory) as name:
         async with trio.open_nursery() as nursery:
             relay_nursery = nursery if relayed else None
             fleet = Fleet(deployment, Path(name), wire, relay_nursery, log_level)
--- a/packages/bench/src/hornbeamshore/bench/load.py
+++ b/packages/bench/src/hornbeamshore/bench/load.py
@@ -192,11 +192,11 @@
     def starts(self):
         """Return the starts in the logs of all targets, by identifier."""
         found = collections.defaultdict(list)
-        for path in self.fleet.directory.glob("*.log"):
-            for event in self.fleet.target_log(path.stem):
+        for agent_id in self.fleet.targets:
+            for event in self.fleet.target_log(agent_id):
                 if event["event"] == "start":
                     start = Start(
-                        event["index"], event["attempt"], event["unix_ms"], path.stem
+                        event["index"], event["attempt"], event["unix_ms"], agent_id
                     )
                     found[event["job"]].append(start)
         return found
--- a/packages/bench/src/hornbeamshore/bench/scenario.py
+++ b/packages/bench/src/hornbeamshore/bench/scenario.py
@@ -194,13 +194,14 @@
     rows : sequence of Row
         Rows that agree in `relayed`.
     keep_logs : pathlib.Path
-        Directory to which the logs of a failed row are copied.
+        Directory of the running fleets, to which the logs of a failed row are copied.
     ended : callable
         Called with each row, the `Load` of it, and the exception of a failed one.
     starting : trio.CapacityLimiter
         Bounds how many fleets start at a time.
     """
     left = list(rows)
+    keep_logs.mkdir(parents=True, exist_ok=True)
     while left:
         async with running_fleet(
             DEPLOYMENT,
@@ -209,6 +210,7 @@
             relayed=left[0].relayed,
             log_level="debug",
             starting=starting,
+            directory=keep_logs,
         ) as fleet:
             is_new, exc = True, None
             while left and exc is None:
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -13,7 +13,7 @@
 MAX_FLEETS = 8
 # The start of a process takes about a second of a core.
 MAX_STARTING = 3
-KEEP_LOGS = Path("build/failures")
+KEEP_LOGS = Path("build/failures").absolute()
 
 
 @pytest.fixture(scope="session")
