--- a/Makefile
+++ b/Makefile
@@ -2,17 +2,17 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := base wire store config policy entry agent cli bench
-SOURCES := packages tests spec
+PACKAGES := base wire store config policy entry agent dispatch runner cli bench
+SOURCES := packages platform tests spec
 
 .PHONY: setup demo test lint format model measure slopes thrift clean
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: requirements.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml)
+$(VENV)/.ready: requirements.txt requirements-dev.txt $(PACKAGES:%=packages/%/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements-dev.txt
-	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=--editable packages/%)
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=--editable packages/%) --editable platform
 	touch $@
 
 demo: setup
--- a/packages/base/src/hornbeamshore/base/clock.py
+++ b/packages/base/src/hornbeamshore/base/clock.py
@@ -17,3 +17,12 @@
 def random_id(size=8):
     """Return `size` random bytes as hexadecimal text."""
     return os.urandom(size).hex()
+
+
+def boot_time_s():
+    """Return seconds since the host booted, which count while it is suspended.
+
+    Leases are measured with it: the steady clock stands still in a suspended host,
+    whose leases expire all the same.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -0,0 +1,348 @@
+"""Jobs of an entry: from submission over runs on agents to the answer."""
+
+import itertools
+from collections import defaultdict
+
+import trio
+
+from hornbeamshore.base.clock import boot_time_s
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.dispatch.fleet import Fleet
+from hornbeamshore.dispatch.jobs import Job, Run, TaskPhase
+from hornbeamshore.dispatch.placement import EarliestEnd
+from hornbeamshore.dispatch.waiting import EqualShares
+from hornbeamshore.policy.runtimes import LearnedRunTimes
+from hornbeamshore.wire.connection import MessageHandler
+from hornbeamshore.wire.messages import (
+    AckRuns,
+    AgentReport,
+    Resources,
+    RunEnd,
+    RunOrder,
+    RunTasks,
+    StopRuns,
+)
+
+log = PartLogger("entry")
+
+
+class Coordinator(MessageHandler):
+    """Dispatches jobs directly to agents.
+
+    Each job is served by the task of its request. Messages of agents and the clock
+    change the tables; after each change, waiting tasks are placed.
+
+    Parameters
+    ----------
+    cfg : DispatchSettings
+        Settings.
+    """
+
+    def __init__(self, cfg):
+        self.cfg = cfg
+        self.fleet = Fleet()
+        self.jobs = {}
+        self.run_times = LearnedRunTimes(cfg.run_times)
+        self.waiting = EqualShares(cfg)
+        self.placement = EarliestEnd(cfg, self.run_times)
+        self.orders = self.stops = 0
+        self._views = {}
+        self._run_ids = itertools.count(1)
+        self._paused_until = 0.0
+        self._batch = defaultdict(list)
+
+    async def run(self):
+        """Watch waiting jobs and lost agents until cancelled."""
+        last = boot_time_s()
+        while True:
+            await trio.sleep(self.cfg.tick)
+            now = boot_time_s()
+            if now - last > self.cfg.thaw_gap:
+                log.warning("suspended gap=%.3f", now - last)
+                self._paused_until = trio.current_time() + self.cfg.thaw_pause
+            last = now
+            self._give_up_lost_agents(now)
+            self._refuse_hopeless()
+            self.place()
+
+    async def submit(self, spec, queue, deadline_s):
+        """Run a job and return its `JobOutcome`; stop it when cancelled.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Seconds for which the caller waits.
+        """
+        received_at = trio.current_time()
+        with trio.move_on_after(deadline_s):
+            known = self.jobs.get(spec.job_id)
+            while known is not None:
+                if not known.finished.is_set():
+                    await known.finished.wait()
+                    return known.outcome
+                # A stopped job may still run for a moment; a copy must not overlap.
+                await known.drained.wait()
+                known = self.jobs.get(spec.job_id)
+            job = self._open(spec, queue, received_at)
+            try:
+                await job.finished.wait()
+            finally:
+                self._close(job)
+            return job.outcome
+        known = self.jobs.get(spec.job_id)
+        job = Job(spec, queue, received_at) if known is None else known
+        job.finish(ResultCode.DEADLINE_EXCEEDED)
+        return job.outcome
+
+    def cancel(self, job_id):
+        """Stop a job; return whether it was in progress."""
+        job = self.jobs.get(job_id)
+        if job is None or job.finished.is_set():
+            return False
+        job.finish(ResultCode.CANCELLED)
+        return True
+
+    def end_all(self):
+        """Answer all jobs, since this process ends."""
+        for job in self.jobs.values():
+            job.finish(ResultCode.DRAINING, self.cfg.retry_after)
+
+    def pending(self, queue):
+        """Return the number of jobs of a queue of which nothing has started."""
+        return sum(
+            job.queue.name == queue.name and not job.has_started
+            for job in self.jobs.values()
+        )
+
+    @property
+    def is_connected(self):
+        """Return whether any agent takes runs."""
+        return any(view.is_usable for view in self.fleet.agents.values())
+
+    # Jobs.
+
+    def _open(self, spec, queue, received_at):
+        job = Job(spec, queue, received_at)
+        self.jobs[spec.job_id] = job
+        chain = job.longest_estimate_s * self.run_times.base(queue.name)
+        objective = queue.stretch * chain + queue.objective_s
+        job.on_time_at = received_at + objective - self.cfg.overhead
+        job.late_at = received_at + self.cfg.late_factor * objective
+        for task in job.release_tasks():
+            self.waiting.add(task)
+        self.place()
+        return job
+
+    def _close(self, job):
+        if not job.finished.is_set():
+            job.finish(ResultCode.CANCELLED)
+        self.waiting.remove_job(job)
+        by_agent = defaultdict(list)
+        for run in job.runs.values():
+            by_agent[run.agent_id].append(run.run_id)
+        for agent_id, run_ids in by_agent.items():
+            self._send(self._views.get(agent_id), StopRuns(tuple(run_ids)))
+            self.stops += len(run_ids)
+        if not job.runs:
+            del self.jobs[job.spec.job_id]
+        log.info(
+            "job answered id=%s queue=%s code=%d state=%r ms=%.0f runs=%s",
+            job.spec.job_id,
+            job.queue.name,
+            job.outcome.code,
+            job.outcome.run_state.label,
+            (trio.current_time() - job.received_at) * 1000,
+            ",".join(job.history) or "-",
+        )
+
+    def _refuse_hopeless(self):
+        now = trio.current_time()
+        for job in list(self.jobs.values()):
+            if job.has_started or job.finished.is_set():
+                continue
+            chain = job.longest_estimate_s * self.run_times.base(job.queue.name)
+            if now + chain > job.on_time_at:
+                job.finish(ResultCode.OVERLOADED, self.cfg.retry_after)
+
+    # Placement.
+
+    def place(self):
+        """Order runs of waiting tasks from agents with room."""
+        now = trio.current_time()
+        if now < self._paused_until:
+            return
+        agents = {}
+        blocked = set()
+        while True:
+            names = [n for n in self.waiting.queues(now) if n not in blocked]
+            if not names:
+                break
+            task = self.waiting.tasks(names[0])[0]
+            service = task.job.queue.service
+            if service not in agents:
+                agents[service] = self.fleet.usable(service)
+            view = self.placement.choose(task, agents[service], now)
+            if view is None:
+                blocked.add(names[0])
+                continue
+            expected = self.placement.expected_s(task, view)
+            work = expected * task.spec.needs.cpu_millis / 1000
+            self.waiting.take(task, work, now)
+            self._order(task, view)
+        self._flush_orders()
+
+    def _order(self, task, view):
+        task.phase = TaskPhase.PLACED
+        task.attempts += 1
+        run = Run(next(self._run_ids), task, view.agent_id)
+        task.job.runs[run.run_id] = run
+        view.runs[run.run_id] = run
+        view.reserve(task.spec.needs)
+        order = RunOrder(
+            run.run_id, task.step, task.index, task.attempts, task.spec.needs
+        )
+        self._batch[view.agent_id, task.job.spec.job_id].append(order)
+
+    def _flush_orders(self):
+        batch, self._batch = self._batch, defaultdict(list)
+        for (agent_id, job_id), orders in batch.items():
+            view = self._views[agent_id]
+            job = self.jobs[job_id]
+            body = RunTasks(job_id, job.spec.content, tuple(orders))
+            total = sum((order.needs for order in orders), Resources())
+            message_id = self._send(view, body)
+            if message_id:
+                view.ordered(message_id, total)
+            self.orders += len(orders)
+
+    def _send(self, view, body):
+        if view is None or view.conn is None or not view.conn.is_open:
+            return 0
+        return view.conn.send(body)
+
+    # Agents.
+
+    def opened(self, conn):
+        """Wait for the first report, which tells what became of earlier runs."""
+        view, replaced = self.fleet.connect(conn)
+        self._views[view.agent_id] = view
+        if replaced is not None:
+            view.runs = replaced.runs
+            self.run_times.forget_target(view.agent_id)
+        log.info("agent connected id=%s runs=%d", view.agent_id, len(view.runs))
+
+    def closed(self, conn):
+        """Keep the runs of a lost agent until it certainly has stopped them."""
+        view = self._views.get(conn.peer.process_id)
+        if view is not None and view.conn is conn:
+            view.conn = view.report = None
+            view.lost_at = boot_time_s()
+            log.warning("agent lost id=%s runs=%d", view.agent_id, len(view.runs))
+
+    def handle(self, conn, message):
+        """Take a report of an agent."""
+        view = self._views.get(conn.peer.process_id)
+        if isinstance(message.body, AgentReport) and view.conn is conn:
+            self._take_report(view, message.body)
+
+    def _take_report(self, view, report):
+        first = view.report is None
+        view.take_report(report)
+        for end in report.ends:
+            self._take_end(view, end)
+        if report.ends:
+            run_ids = tuple(end.run_id for end in report.ends)
+            self._send(view, AckRuns(run_ids))
+        if first and report.complete:
+            self._reconcile(view, set(report.held))
+        self.place()
+
+    def _reconcile(self, view, held):
+        unwanted = held - view.runs.keys()
+        for run_id in list(view.runs):
+            run = view.runs[run_id]
+            if run_id not in held:
+                not_run = RunEnd(run_id, ResultCode.OUTCOME_UNKNOWN, RunState.NOT_RUN)
+                self._end_run(view, run, not_run)
+            elif run.task.job.finished.is_set():
+                unwanted.add(run_id)
+        if unwanted:
+            self._send(view, StopRuns(tuple(unwanted)))
+
+    def _give_up_lost_agents(self, now):
+        limit = self.cfg.lease.agent_silence_s
+        for view in list(self._views.values()):
+            if view.conn is not None or now - view.lost_at <= limit:
+                continue
+            if view.runs:
+                log.warning(
+                    "agent given up id=%s runs=%d", view.agent_id, len(view.runs)
+                )
+            for run in list(view.runs.values()):
+                lost = RunEnd(run.run_id, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
+                self._end_run(view, run, lost)
+            del self._views[view.agent_id]
+            del self.fleet.agents[view.agent_id]
+            self.run_times.forget_target(view.agent_id)
+
+    # Ends of runs.
+
+    def _take_end(self, view, end):
+        run = view.runs.get(end.run_id)
+        if run is None:
+            return
+        if end.code == ResultCode.OK and end.run_time_us:
+            ratio = end.run_time_us / 1e6 / run.task.spec.estimate_s
+            queue = run.task.job.queue.name
+            self.run_times.observe(queue, view.agent_id, ratio)
+        self._end_run(view, run, end)
+
+    def _end_run(self, view, run, end):
+        task, job = run.task, run.task.job
+        code = ResultCode(end.code)
+        job.has_run |= end.run_state != RunState.NOT_RUN
+        del view.runs[run.run_id]
+        del job.runs[run.run_id]
+        job.history.append(f"{task.step}.{task.index}@{view.agent_id}:{int(code)}")
+        if job.finished.is_set():
+            job.check_drained()
+            if job.drained.is_set() and self.jobs.get(job.spec.job_id) is job:
+                del self.jobs[job.spec.job_id]
+        elif code is ResultCode.OK:
+            self._complete(task)
+        else:
+            self._retry(task, view, code, end.detail)
+
+    def _complete(self, task):
+        job = task.job
+        if not job.complete_task(task):
+            return
+        if job.is_complete:
+            job.finish(ResultCode.OK)
+            return
+        for released in job.release_tasks():
+            self.waiting.add(released)
+
+    def _retry(self, task, view, code, detail):
+        now = trio.current_time()
+        if code is ResultCode.TASK_FAILED:
+            task.failures += 1
+            if task.failures >= task.job.queue.max_failures:
+                task.job.finish(ResultCode.TASK_FAILED)
+                return
+        log.info(
+            "task placed again job=%s task=%d.%d agent=%s code=%d detail=%r",
+            task.job.spec.job_id,
+            task.step,
+            task.index,
+            view.agent_id,
+            code,
+            detail,
+        )
+        if code is ResultCode.NEVER_RUNNABLE:
+            task.avoid[view.agent_id] = float("inf")
+        else:
+            task.avoid[view.agent_id] = now + self.cfg.avoid_time
+        task.phase = TaskPhase.WAITING
+        self.waiting.add(task, first=True)
--- /dev/null
+++ b/packages/dispatch/src/hornbeamshore/dispatch/placement.py
@@ -0,0 +1,81 @@
+"""Choice of the agent for a task."""
+
+import abc
+import math
+
+
+class Placement(abc.ABC):
+    """Chooses agents for tasks."""
+
+    @abc.abstractmethod
+    def choose(self, task, agents, now):
+        """Return the agent that should run a task now, or None to let it wait.
+
+        Parameters
+        ----------
+        task : Task
+            Waiting task.
+        agents : list of AgentView
+            Usable agents of the service.
+        now : float
+            Trio time.
+        """
+
+
+class EarliestEnd(Placement):
+    """Chooses the agent with the earliest expected end, and the emptiest of equals.
+
+    A task waits for a faster agent as long as only that one can end it in time.
+
+    Parameters
+    ----------
+    cfg : DispatchSettings
+        Settings.
+    run_times : RunTimes
+        Ratio of actual to declared run times for each queue and agent.
+    """
+
+    def __init__(self, cfg, run_times):
+        self._cfg = cfg
+        self._run_times = run_times
+        self._step = math.log(cfg.speed_tolerance)
+
+    def choose(self, task, agents, now):
+        """Return the agent that should run a task now, or None to let it wait."""
+        fitting = [view for view in agents if self._may_run(task, view, now)]
+        if not fitting:
+            return None
+        best = min(fitting, key=lambda view: self._rank(task, view))
+        limit = task.job.on_time_at
+        if now + self.expected_s(task, best) <= limit:
+            return best
+        fastest = min(self.expected_s(task, view) for view in agents)
+        return None if now + fastest <= limit else best
+
+    def expected_s(self, task, view):
+        """Return the expected run time of a task at an agent."""
+        queue = task.job.queue.name
+        return task.spec.estimate_s * self._run_times.estimate(queue, view.agent_id)
+
+    def _rank(self, task, view):
+        slowness = self._run_times.slowness(view.agent_id)
+        rack = task.spec.near_rack
+        return (
+            bool(rack) and rack not in view.report.labels,
+            round(math.log(slowness) / self._step),
+            view.load + 0.05 * (view.data_centre != self._cfg.data_centre),
+        )
+
+    def _may_run(self, task, view, now):
+        step = task.spec
+        if not step.needs.fits(view.free) or task.avoid.get(view.agent_id, now) > now:
+            return False
+        if step.required_label and step.required_label not in view.report.labels:
+            return False
+        if not step.max_per_target:
+            return True
+        present = sum(
+            run.task.job is task.job and run.task.step == task.step
+            for run in view.runs.values()
+        )
+        return present < step.max_per_target
--- /dev/null
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -0,0 +1,57 @@
+"""Settings of the entry side of direct dispatch."""
+
+from dataclasses import dataclass, field
+
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.policy.settings import RunTimeSettings
+from hornbeamshore.wire.leases import LeaseSettings
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """Settings of a `Coordinator`.
+
+    Attributes
+    ----------
+    data_centre : str
+        Of this entry; its own targets are preferred among equals.
+    run_times : RunTimeSettings
+        How the run times of queues and the speeds of targets are learned.
+    fairness_window : Duration
+        Time over which the queues' use of capacity is compared.
+    late_factor : float
+        A job is worth answering until this many times its objective.
+    overhead : Duration
+        Time between submission and answer that no target works.
+    speed_tolerance : float
+        Ratio of run times up to which targets count as equally fast.
+    retry_after : Duration
+        When a caller that was refused for load should come back.
+    tick : Duration
+        How often waiting jobs are looked at.
+    thaw_gap : Duration
+        Gap between two ticks that shows that the process was suspended; the
+        platform's bound for a suspension that goes unnoticed is 300 ms.
+    thaw_pause : Duration
+        Time for disconnects that arrived during a suspension to be read before
+        any task is started again.
+    avoid_time : Duration
+        Time for which a task does not return to an agent that refused it.
+    """
+
+    data_centre: str = ""
+    lease: LeaseSettings = field(default_factory=LeaseSettings)
+    run_times: RunTimeSettings = field(
+        default_factory=lambda: RunTimeSettings(
+            declared_deviation=0.4, pair_deviation=0.05, noise=0.3
+        )
+    )
+    fairness_window: Duration = Duration(5.0)
+    late_factor: float = 3.0
+    overhead: Duration = Duration(0.02)
+    speed_tolerance: float = 1.15
+    retry_after: Duration = Duration(1.0)
+    tick: Duration = Duration(0.02)
+    thaw_gap: Duration = Duration(0.3)
+    thaw_pause: Duration = Duration(0.1)
+    avoid_time: Duration = Duration(0.1)
--- /dev/null
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -0,0 +1,88 @@
+"""Connections of an agent to the entries."""
+
+import trio
+
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.wire.connection import (
+    ConnectionLost,
+    MessageHandler,
+    open_connection,
+)
+from hornbeamshore.wire.handshake import HandshakeError
+from hornbeamshore.wire.messages import AckRuns, RunTasks, StopRuns
+
+log = PartLogger("agent")
+
+
+class EntryHandler(MessageHandler):
+    """Passes the messages of one entry to the runner."""
+
+    def __init__(self, runner):
+        self._runner = runner
+        self._session = None
+
+    def opened(self, conn):
+        """Attach the connection to the session of its entry."""
+        self._session = self._runner.attach(conn)
+
+    def closed(self, conn):
+        """Detach the connection; the runs go on until the lease of the entry ends."""
+        if self._session is not None:
+            self._session.detach(conn)
+        log.info(
+            "entry detached id=%s by_peer=%s", conn.peer.process_id, conn.ended_by_peer
+        )
+
+    def handle(self, conn, message):
+        """Act on an order, a stop or an acknowledgement."""
+        body = message.body
+        if isinstance(body, RunTasks):
+            self._runner.order(self._session, message.id, body)
+        elif isinstance(body, StopRuns):
+            self._runner.stop(self._session, body.run_ids)
+        elif isinstance(body, AckRuns):
+            self._session.acknowledge(body.run_ids)
+
+
+class EntryLinks:
+    """Keeps a connection to each entry address that it was given.
+
+    Parameters
+    ----------
+    runner : Runner
+        Whose sessions the connections serve.
+    identity : Identity
+        Of this agent.
+    secret : bytes
+        Of the deployment.
+    """
+
+    def __init__(self, runner, identity, secret):
+        self._runner = runner
+        self._identity = identity
+        self._secret = secret
+        self._scopes = {}
+
+    def use(self, nursery, addresses):
+        """Connect to exactly these addresses from now on."""
+        for address in addresses - self._scopes.keys():
+            self._scopes[address] = trio.CancelScope()
+            nursery.start_soon(self._keep_connected, address)
+        for address in self._scopes.keys() - addresses:
+            self._scopes.pop(address).cancel()
+
+    async def _keep_connected(self, address):
+        with self._scopes[address]:
+            while True:
+                await self._connect_once(address)
+                await trio.sleep(self._runner.cfg.wire.redial_after)
+
+    async def _connect_once(self, address):
+        cfg = self._runner.cfg.wire
+        try:
+            async with open_connection(
+                address, self._identity, self._secret, cfg
+            ) as conn:
+                await conn.run(EntryHandler(self._runner))
+        except (ConnectionLost, HandshakeError) as exc:
+            log.debug("no connection to %s: %s", address, exc)
--- /dev/null
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -0,0 +1,89 @@
+"""What an agent keeps for each entry that orders runs from it."""
+
+from hornbeamshore.base.clock import boot_time_s
+from hornbeamshore.wire.messages import AgentReport, RunEnd
+
+
+class Session:
+    """Runs and untaken ends of one life of an entry.
+
+    A session outlives its connections: an entry that reconnects within its lease
+    finds its runs as they were.
+
+    Attributes
+    ----------
+    runs : dict of int to Run
+        Runs that have not ended, by run id.
+    ends : dict of int to RunEnd
+        Ends that the entry has not acknowledged.
+    last_heard : float
+        Boot time of the last message of the entry.
+    """
+
+    def __init__(self, entry_id, incarnation):
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.conn = None
+        self.runs = {}
+        self.ends = {}
+        self.last_heard = boot_time_s()
+        self.received = 0
+        self._unsent = set()
+
+    def attach(self, conn):
+        """Use a new connection; all that is not acknowledged is sent again."""
+        self.conn = conn
+        self.received = 0
+        self.last_heard = boot_time_s()
+        self._unsent = set(self.ends)
+
+    def detach(self, conn):
+        """Forget a connection that ended."""
+        if self.conn is conn:
+            self.conn = None
+
+    def end(self, run_id, code, run_state, run_time_s=0.0, detail=""):
+        """Record the end of a run."""
+        self.runs.pop(run_id, None)
+        self.ends[run_id] = RunEnd(
+            run_id, int(code), int(run_state), round(run_time_s * 1e6), detail
+        )
+        self._unsent.add(run_id)
+
+    def acknowledge(self, run_ids):
+        """Forget ends that the entry has taken."""
+        for run_id in run_ids:
+            self.ends.pop(run_id, None)
+            self._unsent.discard(run_id)
+
+    @property
+    def has_news(self):
+        """Return whether an end was not sent on the present connection."""
+        return bool(self._unsent)
+
+    def report(self, state, *, complete=False):
+        """Send the state of the agent and the unsent ends.
+
+        Parameters
+        ----------
+        state : RunnerState
+            Fields that all entries are told.
+        complete : bool
+            Whether the report lists all runs of this session.
+        """
+        ends = tuple(self.ends[run_id] for run_id in sorted(self._unsent))
+        self._unsent.clear()
+        self.conn.try_send(
+            AgentReport(
+                state.target,
+                state.service,
+                state.labels,
+                state.accepting,
+                state.capacity,
+                state.free,
+                self.received,
+                ends,
+                complete,
+                tuple(self.runs) if complete else (),
+            )
+        )
--- /dev/null
+++ b/packages/store/src/hornbeamshore/store/directory.py
@@ -0,0 +1,124 @@
+"""Addresses of processes, which they keep in the store under leases."""
+
+import trio
+
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.store.base import LeaseNotFound, StoreError
+
+# A process that ended without notice stays listed this long; readers find out by
+# themselves that its address does not answer.
+LEASE_TTL_S = 15
+RENEW_EVERY_S = 4.0
+RETRY_S = 1.0
+
+log = PartLogger("store")
+
+
+class Registration:
+    """Keeps the address of this process in the store.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    key : str
+        Key of this process.
+    address : str
+        Address that peers connect to.
+    """
+
+    def __init__(self, store, key, address):
+        self._store = store
+        self._key = key
+        self._address = address
+        self._lease = None
+
+    async def keep(self):
+        """Register and renew until cancelled; an outage is waited out."""
+        while True:
+            try:
+                await self._renew()
+                pause = RENEW_EVERY_S
+            except LeaseNotFound:
+                log.warning("registration lost key=%s", self._key)
+                self._lease = None
+                continue
+            except StoreError as exc:
+                log.warning("registration not renewed key=%s: %s", self._key, exc)
+                pause = RETRY_S
+            await trio.sleep(pause)
+
+    async def withdraw(self):
+        """Remove the key; an outage leaves it to the lease."""
+        if self._lease is not None:
+            try:
+                await self._store.revoke_lease(self._lease.lease_id)
+            except StoreError as exc:
+                log.warning("registration not withdrawn key=%s: %s", self._key, exc)
+
+    async def _renew(self):
+        if self._lease is None:
+            lease = await self._store.grant_lease(LEASE_TTL_S)
+            known = await self._store.get(self._key)
+            outcome = await self._store.compare_and_swap(
+                self._key,
+                self._address.encode(),
+                known.mod_revision if known else 0,
+                lease.lease_id,
+            )
+            if not outcome.succeeded:
+                raise StoreError(f"{self._key} was changed by another process")
+            self._lease = lease
+            log.info("registered key=%s address=%s", self._key, self._address)
+        else:
+            await self._store.keep_alive(self._lease.lease_id)
+            # An outage may remove keys without ending the calls of their lease.
+            known = await self._store.get(self._key)
+            if known is None or known.lease_id != self._lease.lease_id:
+                raise LeaseNotFound(f"{self._key} is gone")
+
+
+class Directory:
+    """Follows the addresses below a prefix.
+
+    Attributes
+    ----------
+    addresses : set of str
+        Known addresses. One whose key is removed stays until `forget_after` seconds
+        have passed, since an outage of the store may remove keys of live processes.
+    """
+
+    def __init__(self, store, prefix, forget_after):
+        self._store = store
+        self._prefix = prefix
+        self._forget_after = forget_after
+        self._known = {}
+        self._removed = {}
+
+    @property
+    def addresses(self):
+        """Return the known addresses."""
+        now = trio.current_time()
+        for key, at in list(self._removed.items()):
+            if now - at > self._forget_after:
+                del self._removed[key], self._known[key]
+        return set(self._known.values())
+
+    async def follow(self, changed):
+        """Follow the store until cancelled, and call `changed` after each change."""
+        async with self._store.watch(self._prefix) as watch:
+            while True:
+                try:
+                    async for change in watch:
+                        self._take(change)
+                        changed()
+                except StoreError as exc:
+                    log.warning("directory not read prefix=%s: %s", self._prefix, exc)
+                await trio.sleep(RETRY_S)
+
+    def _take(self, change):
+        if change.item is not None:
+            self._removed.pop(change.key, None)
+            self._known[change.key] = change.item.value.decode(errors="replace")
+        elif change.key in self._known:
+            self._removed.setdefault(change.key, trio.current_time())
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -100,6 +100,22 @@
 struct StatusQuery { 1: string topic }
 struct StatusReply { 1: string content }
 
+// Direct dispatch: an entry orders runs of tasks from an agent, under a lease that
+// lasts while the agent hears from the entry.
+struct Resources { 1: i32 cpu_millis, 2: i32 mem_mb, 3: i32 gpus }
+struct RunOrder {
+  1: i64 run_id, 2: i32 step, 3: i32 index, 4: i32 attempt, 5: Resources needs
+}
+struct RunTasks { 1: string job_id, 2: string spec, 3: list<RunOrder> orders }
+struct StopRuns { 1: list<i64> run_ids }
+struct AckRuns { 1: list<i64> run_ids }
+struct RunEnd { 1: i64 run_id, 2: i32 code, 3: i32 run_state, 4: i64 run_time_us, 5: string detail }
+struct AgentReport {
+  1: string target, 2: string service_name, 3: list<string> labels, 4: bool accepting,
+  5: Resources capacity, 6: Resources free, 7: i64 received, 8: list<RunEnd> ends,
+  9: bool complete, 10: list<i64> held
+}
+
 // Exactly one body is set.
 struct Message {
   1: i64 id, 2: i64 reply_to,
@@ -120,6 +136,8 @@
   52: optional ConfigPull config_pull, 53: optional ConfigUpdate config_update,
   54: optional StatusQuery status_query,  55: optional StatusReply status_reply,
   56: optional Renew renew, 57: optional RenewReply renew_reply,
-  58: optional FenceRecords fence_records
+  58: optional FenceRecords fence_records,
+  60: optional RunTasks run_tasks, 61: optional StopRuns stop_runs,
+  62: optional AckRuns ack_runs, 63: optional AgentReport agent_report
 }
 struct Batch { 1: list<Message> messages }
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -53,12 +53,15 @@
         Time without any connection after which a peer is lost.
     redial_after : Duration
         Pause between two tries to connect.
+    dial_timeout : Duration
+        Longest time to connect and shake hands, on either side.
     """
 
     heartbeat_every: Duration = Duration(0.5)
     suspect_after: Duration = Duration(1.5)
     dead_after: Duration = Duration(6.0)
     redial_after: Duration = Duration(0.2)
+    dial_timeout: Duration = Duration(handshake.HANDSHAKE_TIMEOUT_S)
 
 
 class MessageHandler(abc.ABC):
@@ -314,7 +317,7 @@
     host, _, port = address.rpartition(":")
     async with contextlib.AsyncExitStack() as stack:
         try:
-            with trio.fail_after(handshake.HANDSHAKE_TIMEOUT_S):
+            with trio.fail_after(cfg.dial_timeout):
                 stream = await trio.open_tcp_stream(host, int(port))
                 await stack.enter_async_context(stream)
                 reader = _handshake_reader(stream)
@@ -363,7 +366,7 @@
     reader = _handshake_reader(stream)
     send, receive = _handshake_channel(stream, reader)
     try:
-        with trio.fail_after(handshake.HANDSHAKE_TIMEOUT_S):
+        with trio.fail_after(cfg.dial_timeout):
             peer = await handshake.accept(send, receive, identity, secret)
     except (
         handshake.HandshakeError,
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -5025,6 +5025,787 @@
         return not (self == other)
 
 
+class Resources(object):
+    """
+    Attributes:
+     - cpu_millis
+     - mem_mb
+     - gpus
+
+    """
+
+    __slots__ = (
+        'cpu_millis',
+        'mem_mb',
+        'gpus',
+    )
+
+
+    def __init__(self, cpu_millis=None, mem_mb=None, gpus=None,):
+        self.cpu_millis = cpu_millis
+        self.mem_mb = mem_mb
+        self.gpus = gpus
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.cpu_millis = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.mem_mb = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.gpus = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Resources')
+        if self.cpu_millis is not None:
+            oprot.writeFieldBegin('cpu_millis', TType.I32, 1)
+            oprot.writeI32(self.cpu_millis)
+            oprot.writeFieldEnd()
+        if self.mem_mb is not None:
+            oprot.writeFieldBegin('mem_mb', TType.I32, 2)
+            oprot.writeI32(self.mem_mb)
+            oprot.writeFieldEnd()
+        if self.gpus is not None:
+            oprot.writeFieldBegin('gpus', TType.I32, 3)
+            oprot.writeI32(self.gpus)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunOrder(object):
+    """
+    Attributes:
+     - run_id
+     - step
+     - index
+     - attempt
+     - needs
+
+    """
+
+    __slots__ = (
+        'run_id',
+        'step',
+        'index',
+        'attempt',
+        'needs',
+    )
+
+
+    def __init__(self, run_id=None, step=None, index=None, attempt=None, needs=None,):
+        self.run_id = run_id
+        self.step = step
+        self.index = index
+        self.attempt = attempt
+        self.needs = needs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.step = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.needs = Resources()
+                    self.needs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunOrder')
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 1)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 2)
+            oprot.writeI32(self.step)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 3)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 4)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.needs is not None:
+            oprot.writeFieldBegin('needs', TType.STRUCT, 5)
+            self.needs.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunTasks(object):
+    """
+    Attributes:
+     - job_id
+     - spec
+     - orders
+
+    """
+
+    __slots__ = (
+        'job_id',
+        'spec',
+        'orders',
+    )
+
+
+    def __init__(self, job_id=None, spec=None, orders=None,):
+        self.job_id = job_id
+        self.spec = spec
+        self.orders = orders
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.spec = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.orders = []
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = RunOrder()
+                        _elem138.read(iprot)
+                        self.orders.append(_elem138)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunTasks')
+        if self.job_id is not None:
+            oprot.writeFieldBegin('job_id', TType.STRING, 1)
+            oprot.writeString(self.job_id.encode('utf-8') if sys.version_info[0] == 2 else self.job_id)
+            oprot.writeFieldEnd()
+        if self.spec is not None:
+            oprot.writeFieldBegin('spec', TType.STRING, 2)
+            oprot.writeString(self.spec.encode('utf-8') if sys.version_info[0] == 2 else self.spec)
+            oprot.writeFieldEnd()
+        if self.orders is not None:
+            oprot.writeFieldBegin('orders', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.orders))
+            for iter139 in self.orders:
+                iter139.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StopRuns(object):
+    """
+    Attributes:
+     - run_ids
+
+    """
+
+    __slots__ = (
+        'run_ids',
+    )
+
+
+    def __init__(self, run_ids=None,):
+        self.run_ids = run_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.run_ids = []
+                    (_etype143, _size140) = iprot.readListBegin()
+                    for _i144 in range(_size140):
+                        _elem145 = iprot.readI64()
+                        self.run_ids.append(_elem145)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StopRuns')
+        if self.run_ids is not None:
+            oprot.writeFieldBegin('run_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.run_ids))
+            for iter146 in self.run_ids:
+                oprot.writeI64(iter146)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AckRuns(object):
+    """
+    Attributes:
+     - run_ids
+
+    """
+
+    __slots__ = (
+        'run_ids',
+    )
+
+
+    def __init__(self, run_ids=None,):
+        self.run_ids = run_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.run_ids = []
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = iprot.readI64()
+                        self.run_ids.append(_elem152)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AckRuns')
+        if self.run_ids is not None:
+            oprot.writeFieldBegin('run_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.run_ids))
+            for iter153 in self.run_ids:
+                oprot.writeI64(iter153)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RunEnd(object):
+    """
+    Attributes:
+     - run_id
+     - code
+     - run_state
+     - run_time_us
+     - detail
+
+    """
+
+    __slots__ = (
+        'run_id',
+        'code',
+        'run_state',
+        'run_time_us',
+        'detail',
+    )
+
+
+    def __init__(self, run_id=None, code=None, run_state=None, run_time_us=None, detail=None,):
+        self.run_id = run_id
+        self.code = code
+        self.run_state = run_state
+        self.run_time_us = run_time_us
+        self.detail = detail
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.code = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.run_state = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.run_time_us = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunEnd')
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 1)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
+        if self.code is not None:
+            oprot.writeFieldBegin('code', TType.I32, 2)
+            oprot.writeI32(self.code)
+            oprot.writeFieldEnd()
+        if self.run_state is not None:
+            oprot.writeFieldBegin('run_state', TType.I32, 3)
+            oprot.writeI32(self.run_state)
+            oprot.writeFieldEnd()
+        if self.run_time_us is not None:
+            oprot.writeFieldBegin('run_time_us', TType.I64, 4)
+            oprot.writeI64(self.run_time_us)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 5)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AgentReport(object):
+    """
+    Attributes:
+     - target
+     - service_name
+     - labels
+     - accepting
+     - capacity
+     - free
+     - received
+     - ends
+     - complete
+     - held
+
+    """
+
+    __slots__ = (
+        'target',
+        'service_name',
+        'labels',
+        'accepting',
+        'capacity',
+        'free',
+        'received',
+        'ends',
+        'complete',
+        'held',
+    )
+
+
+    def __init__(self, target=None, service_name=None, labels=None, accepting=None, capacity=None, free=None, received=None, ends=None, complete=None, held=None,):
+        self.target = target
+        self.service_name = service_name
+        self.labels = labels
+        self.accepting = accepting
+        self.capacity = capacity
+        self.free = free
+        self.received = received
+        self.ends = ends
+        self.complete = complete
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.labels = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.accepting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.capacity = Resources()
+                    self.capacity.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.free = Resources()
+                    self.free.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.received = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype163, _size160) = iprot.readListBegin()
+                    for _i164 in range(_size160):
+                        _elem165 = RunEnd()
+                        _elem165.read(iprot)
+                        self.ends.append(_elem165)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.complete = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype169, _size166) = iprot.readListBegin()
+                    for _i170 in range(_size166):
+                        _elem171 = iprot.readI64()
+                        self.held.append(_elem171)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AgentReport')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.labels))
+            for iter172 in self.labels:
+                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.accepting is not None:
+            oprot.writeFieldBegin('accepting', TType.BOOL, 4)
+            oprot.writeBool(self.accepting)
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.STRUCT, 5)
+            self.capacity.write(oprot)
+            oprot.writeFieldEnd()
+        if self.free is not None:
+            oprot.writeFieldBegin('free', TType.STRUCT, 6)
+            self.free.write(oprot)
+            oprot.writeFieldEnd()
+        if self.received is not None:
+            oprot.writeFieldBegin('received', TType.I64, 7)
+            oprot.writeI64(self.received)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter173 in self.ends:
+                iter173.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.complete is not None:
+            oprot.writeFieldBegin('complete', TType.BOOL, 9)
+            oprot.writeBool(self.complete)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 10)
+            oprot.writeListBegin(TType.I64, len(self.held))
+            for iter174 in self.held:
+                oprot.writeI64(iter174)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Message(object):
     """
     Attributes:
@@ -5066,6 +5847,10 @@
      - renew
      - renew_reply
      - fence_records
+     - run_tasks
+     - stop_runs
+     - ack_runs
+     - agent_report
 
     """
 
@@ -5108,10 +5893,14 @@
         'renew',
         'renew_reply',
         'fence_records',
+        'run_tasks',
+        'stop_runs',
+        'ack_runs',
+        'agent_report',
     )
 
 
-    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None, fence_records=None,):
+    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None, fence_records=None, run_tasks=None, stop_runs=None, ack_runs=None, agent_report=None,):
         self.id = id
         self.reply_to = reply_to
         self.hello = hello
@@ -5150,6 +5939,10 @@
         self.renew = renew
         self.renew_reply = renew_reply
         self.fence_records = fence_records
+        self.run_tasks = run_tasks
+        self.stop_runs = stop_runs
+        self.ack_runs = ack_runs
+        self.agent_report = agent_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5386,6 +6179,30 @@
                     self.fence_records.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 60:
+                if ftype == TType.STRUCT:
+                    self.run_tasks = RunTasks()
+                    self.run_tasks.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 61:
+                if ftype == TType.STRUCT:
+                    self.stop_runs = StopRuns()
+                    self.stop_runs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 62:
+                if ftype == TType.STRUCT:
+                    self.ack_runs = AckRuns()
+                    self.ack_runs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 63:
+                if ftype == TType.STRUCT:
+                    self.agent_report = AgentReport()
+                    self.agent_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5548,6 +6365,22 @@
             oprot.writeFieldBegin('fence_records', TType.STRUCT, 58)
             self.fence_records.write(oprot)
             oprot.writeFieldEnd()
+        if self.run_tasks is not None:
+            oprot.writeFieldBegin('run_tasks', TType.STRUCT, 60)
+            self.run_tasks.write(oprot)
+            oprot.writeFieldEnd()
+        if self.stop_runs is not None:
+            oprot.writeFieldBegin('stop_runs', TType.STRUCT, 61)
+            self.stop_runs.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ack_runs is not None:
+            oprot.writeFieldBegin('ack_runs', TType.STRUCT, 62)
+            self.ack_runs.write(oprot)
+            oprot.writeFieldEnd()
+        if self.agent_report is not None:
+            oprot.writeFieldBegin('agent_report', TType.STRUCT, 63)
+            self.agent_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5600,11 +6433,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype136, _size133) = iprot.readListBegin()
-                    for _i137 in range(_size133):
-                        _elem138 = Message()
-                        _elem138.read(iprot)
-                        self.messages.append(_elem138)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = Message()
+                        _elem180.read(iprot)
+                        self.messages.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5621,8 +6454,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter139 in self.messages:
-                iter139.write(oprot)
+            for iter181 in self.messages:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6017,6 +6850,62 @@
     None,  # 0
     (1, TType.STRING, 'content', 'UTF8', None, ),  # 1
 )
+all_structs.append(Resources)
+Resources.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'cpu_millis', None, None, ),  # 1
+    (2, TType.I32, 'mem_mb', None, None, ),  # 2
+    (3, TType.I32, 'gpus', None, None, ),  # 3
+)
+all_structs.append(RunOrder)
+RunOrder.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'run_id', None, None, ),  # 1
+    (2, TType.I32, 'step', None, None, ),  # 2
+    (3, TType.I32, 'index', None, None, ),  # 3
+    (4, TType.I32, 'attempt', None, None, ),  # 4
+    (5, TType.STRUCT, 'needs', [Resources, None], None, ),  # 5
+)
+all_structs.append(RunTasks)
+RunTasks.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'spec', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'orders', (TType.STRUCT, [RunOrder, None], False), None, ),  # 3
+)
+all_structs.append(StopRuns)
+StopRuns.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'run_ids', (TType.I64, None, False), None, ),  # 1
+)
+all_structs.append(AckRuns)
+AckRuns.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'run_ids', (TType.I64, None, False), None, ),  # 1
+)
+all_structs.append(RunEnd)
+RunEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'run_id', None, None, ),  # 1
+    (2, TType.I32, 'code', None, None, ),  # 2
+    (3, TType.I32, 'run_state', None, None, ),  # 3
+    (4, TType.I64, 'run_time_us', None, None, ),  # 4
+    (5, TType.STRING, 'detail', 'UTF8', None, ),  # 5
+)
+all_structs.append(AgentReport)
+AgentReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.BOOL, 'accepting', None, None, ),  # 4
+    (5, TType.STRUCT, 'capacity', [Resources, None], None, ),  # 5
+    (6, TType.STRUCT, 'free', [Resources, None], None, ),  # 6
+    (7, TType.I64, 'received', None, None, ),  # 7
+    (8, TType.LIST, 'ends', (TType.STRUCT, [RunEnd, None], False), None, ),  # 8
+    (9, TType.BOOL, 'complete', None, None, ),  # 9
+    (10, TType.LIST, 'held', (TType.I64, None, False), None, ),  # 10
+)
 all_structs.append(Message)
 Message.thrift_spec = (
     None,  # 0
@@ -6078,6 +6967,11 @@
     (56, TType.STRUCT, 'renew', [Renew, None], None, ),  # 56
     (57, TType.STRUCT, 'renew_reply', [RenewReply, None], None, ),  # 57
     (58, TType.STRUCT, 'fence_records', [FenceRecords, None], None, ),  # 58
+    None,  # 59
+    (60, TType.STRUCT, 'run_tasks', [RunTasks, None], None, ),  # 60
+    (61, TType.STRUCT, 'stop_runs', [StopRuns, None], None, ),  # 61
+    (62, TType.STRUCT, 'ack_runs', [AckRuns, None], None, ),  # 62
+    (63, TType.STRUCT, 'agent_report', [AgentReport, None], None, ),  # 63
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -469,6 +469,117 @@
 
 
 # Name of the field of the thrift struct Message for each class that can be a body.
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Processor time in thousandths of a core, memory and accelerators."""
+
+    cpu_millis: int = 0
+    mem_mb: int = 0
+    gpus: int = 0
+
+    def __add__(self, other):
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.mem_mb + other.mem_mb,
+            self.gpus + other.gpus,
+        )
+
+    def __sub__(self, other):
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.mem_mb - other.mem_mb,
+            self.gpus - other.gpus,
+        )
+
+    def fits(self, room):
+        """Return whether these resources are available in `room`."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.mem_mb <= room.mem_mb
+            and self.gpus <= room.gpus
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class RunOrder:
+    """One run of a task; `run_id` is unique for the life of the ordering entry."""
+
+    run_id: int
+    step: int
+    index: int
+    attempt: int
+    needs: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class RunTasks:
+    """Runs of tasks of one job that an entry orders from an agent."""
+
+    job_id: str
+    spec: str
+    orders: tuple[RunOrder, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class StopRuns:
+    """Runs that an entry no longer wants; each is answered by a `RunEnd`."""
+
+    run_ids: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AckRuns:
+    """Runs whose ends the entry has taken; the agent forgets them."""
+
+    run_ids: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnd:
+    """End of a run: the target no longer works on it and never will.
+
+    `code` is a `ResultCode` value and `run_state` a `RunState` value.
+    """
+
+    run_id: int
+    code: int
+    run_state: int
+    run_time_us: int = 0
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AgentReport:
+    """State of an agent and its target, and the ends that an entry has not taken.
+
+    Attributes
+    ----------
+    target : str
+        Id of the target's incarnation.
+    accepting : bool
+        Whether new runs are accepted.
+    capacity, free : Resources
+        Of the target; `free` counts the runs of all entries and goes below zero by
+        what waits at the agent.
+    received : int
+        Id of the last `RunTasks` message of the receiving entry that `free` counts.
+    complete : bool
+        Whether `held` lists each run of the receiving entry that has not ended;
+        true in the first report of a connection.
+    """
+
+    target: str
+    service: str
+    labels: tuple[str, ...]
+    accepting: bool
+    capacity: Resources
+    free: Resources
+    received: int
+    ends: tuple[RunEnd, ...] = ()
+    complete: bool = False
+    held: tuple[int, ...] = ()
+
+
 BODY_FIELDS = {
     Hello: "hello",
     Challenge: "challenge",
@@ -506,6 +617,10 @@
     ConfigUpdate: "config_update",
     StatusQuery: "status_query",
     StatusReply: "status_reply",
+    RunTasks: "run_tasks",
+    StopRuns: "stop_runs",
+    AckRuns: "ack_runs",
+    AgentReport: "agent_report",
 }
 
 
