--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -117,6 +117,7 @@
         known = self.target
         if known is not None and target.life == known.life:
             if target.sequence > known.sequence:
+                self.driver.observe_clock(target.clock_ms)
                 self._refresh(target)
             return
         if known is not None and not target.replaces(known):
@@ -126,6 +127,7 @@
             "target announced id=%s leaving=%s", target.incarnation_id, target.leaving
         )
         self._lose_target("replaced")
+        self.driver.observe_clock(target.clock_ms)
         self.target = target
         self._fence = 0
         self._acknowledged = 0
@@ -561,24 +563,20 @@
     async def _report_changes(self):
         """Report ends at once, and free capacity after a pause that gathers."""
         told = None
-        last = -self.cfg.report_pause
+        due = trio.current_time()
         while True:
             await self._wake_report.wait()
             self._wake_report = trio.Event()
             if self.target is None:
                 continue
             state = self.state()
-            due = trio.current_time() >= last + self.cfg.report_pause
+            is_due = state != told and trio.current_time() >= due
             for session in self.sessions.values():
-                if session.conn is None:
-                    continue
-                if session.has_news or (state != told and due):
+                if session.conn is not None and (session.has_news or is_due):
                     session.report(state)
-            if state != told and due:
-                told, last = state, trio.current_time()
+            if is_due:
+                told, due = state, trio.current_time() + self.cfg.report_pause
             elif state != told:
-                with trio.move_on_after(
-                    last + self.cfg.report_pause - trio.current_time()
-                ):
+                with trio.move_on_at(due):
                     await self._wake_report.wait()
                 self._wake_report.set()
--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -138,6 +138,10 @@
 class TargetDriver(abc.ABC):
     """Opens channels to the incarnations of one target."""
 
+    @abc.abstractmethod
+    def observe_clock(self, clock_ms):
+        """Take a reading of the target's steady clock that has just arrived."""
+
     @abc.abstractmethod
     def open_channel(self, incarnation, fence):
         """Return a `TargetChannel`; calls below the highest fence do nothing."""
