Refuse a job for lateness only where no target has room

Change: tasks are placed before jobs are refused, and the refusal is due when the fastest target could no longer end the job in time.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -63,8 +63,8 @@
                 self._paused_until = trio.current_time() + self.cfg.thaw_pause
             last = now
             self._give_up_lost_agents(now)
-            self._refuse_hopeless()
             self.place()
+            self._refuse_late()
 
     async def submit(self, spec, queue, deadline_s):
         """Run a job and return its `JobOutcome`; stop it when cancelled.
@@ -156,13 +156,14 @@
             ",".join(job.history) or "-",
         )
 
-    def _refuse_hopeless(self):
+    def _refuse_late(self):
+        """Refuse jobs that found no room and can no longer end in time."""
         now = trio.current_time()
         for job in list(self.jobs.values()):
             if job.has_started or job.finished.is_set():
                 continue
-            chain = job.longest_estimate_s * self.run_times.base(job.queue.name)
-            if now + chain > job.on_time_at:
+            agents = self.fleet.usable(job.queue.service)
+            if now + self.placement.fastest_s(job, agents) > job.on_time_at:
                 job.finish(ResultCode.OVERLOADED, self.cfg.retry_after)
 
     # Placement.
--- a/packages/dispatch/src/hornbeamshore/dispatch/placement.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/placement.py
@@ -52,6 +52,12 @@
         fastest = min(self.expected_s(task, view) for view in agents)
         return None if now + fastest <= limit else best
 
+    def fastest_s(self, job, agents):
+        """Return the run time of a whole job on the fastest of some agents."""
+        base = self._run_times.base(job.queue.name)
+        slowness = [self._run_times.slowness(view.agent_id) for view in agents]
+        return job.longest_estimate_s * base * min(slowness, default=1.0)
+
     def expected_s(self, task, view):
         """Return the expected run time of a task at an agent."""
         queue = task.job.queue.name
