--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -1,7 +1,7 @@
 """Jobs of an entry: from submission over runs on agents to the answer."""
 
 import itertools
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 
 import trio
 
@@ -10,6 +10,7 @@
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.dispatch.fleet import Fleet
 from hornbeamshore.dispatch.jobs import Job, Run, TaskPhase
+from hornbeamshore.dispatch.model import JobOutcome
 from hornbeamshore.dispatch.placement import EarliestEnd
 from hornbeamshore.dispatch.waiting import EqualShares
 from hornbeamshore.policy.runtimes import LearnedRunTimes
@@ -24,6 +25,9 @@
     StopRuns,
 )
 
+# Cancelled jobs that are remembered, so that a delayed copy does not run again.
+MAX_CANCELLED_JOBS = 4096
+
 log = PartLogger("entry")
 
 
@@ -37,16 +41,20 @@
     ----------
     cfg : DispatchSettings
         Settings.
+    clock : callable
+        Returns the seconds in which leases are measured.
     """
 
-    def __init__(self, cfg):
+    def __init__(self, cfg, clock=boot_time_s):
         self.cfg = cfg
+        self._clock = clock
         self.fleet = Fleet()
         self.jobs = {}
         self.run_times = LearnedRunTimes(cfg.run_times)
         self.waiting = EqualShares(cfg)
         self.placement = EarliestEnd(cfg, self.run_times)
         self.orders = self.stops = 0
+        self._cancelled = OrderedDict()
         self._views = {}
         self._run_ids = itertools.count(1)
         self._paused_until = 0.0
@@ -54,10 +62,10 @@
 
     async def run(self):
         """Watch waiting jobs and lost agents until cancelled."""
-        last = boot_time_s()
+        last = self._clock()
         while True:
             await trio.sleep(self.cfg.tick)
-            now = boot_time_s()
+            now = self._clock()
             if now - last > self.cfg.thaw_gap:
                 log.warning("suspended gap=%.3f", now - last)
                 self._paused_until = trio.current_time() + self.cfg.thaw_pause
@@ -75,38 +83,46 @@
             Seconds for which the caller waits.
         """
         received_at = trio.current_time()
+        job = Job(spec, queue, received_at)
         with trio.move_on_after(deadline_s):
-            known = self.jobs.get(spec.job_id)
-            while known is not None:
-                if not known.finished.is_set():
-                    await known.finished.wait()
-                    return known.outcome
-                # A stopped job may still run for a moment; a copy must not overlap.
-                await known.drained.wait()
-                known = self.jobs.get(spec.job_id)
-            job = self._open(spec, queue, received_at)
+            known = await self._join(spec.job_id)
+            if known is not None:
+                return known
+            self._open(job)
             try:
                 await job.finished.wait()
             finally:
                 self._close(job)
-            return job.outcome
-        known = self.jobs.get(spec.job_id)
-        job = Job(spec, queue, received_at) if known is None else known
         job.finish(ResultCode.DEADLINE_EXCEEDED)
         return job.outcome
 
+    async def _join(self, job_id):
+        """Return the outcome of a copy in progress; None if the job has to run."""
+        if job_id in self._cancelled:
+            return JobOutcome.of(ResultCode.CANCELLED)
+        while (known := self.jobs.get(job_id)) is not None:
+            await known.finished.wait()
+            if not known.is_abandoned:
+                return known.outcome
+            # A stopped job may still run for a moment; a copy must not overlap.
+            await known.drained.wait()
+        return None
+
     def cancel(self, job_id):
         """Stop a job; return whether it was in progress."""
         job = self.jobs.get(job_id)
         if job is None or job.finished.is_set():
             return False
-        job.finish(ResultCode.CANCELLED)
+        self._cancelled[job_id] = None
+        if len(self._cancelled) > MAX_CANCELLED_JOBS:
+            self._cancelled.popitem(last=False)
+        self._finish(job, ResultCode.CANCELLED)
         return True
 
     def end_all(self):
         """Answer all jobs, since this process ends."""
         for job in self.jobs.values():
-            job.finish(ResultCode.DRAINING, self.cfg.retry_after)
+            self._finish(job, ResultCode.DRAINING)
 
     def pending(self, queue):
         """Return the number of jobs of a queue of which nothing has started."""
@@ -122,22 +138,27 @@
 
     # Jobs.
 
-    def _open(self, spec, queue, received_at):
-        job = Job(spec, queue, received_at)
-        self.jobs[spec.job_id] = job
-        chain = job.longest_estimate_s * self.run_times.base(queue.name)
+    def _open(self, job):
+        queue = job.queue
+        self.jobs[job.spec.job_id] = job
+        # Declared times are the measure of objectives; faster targets leave slack.
+        self.run_times.declare(queue.name, 1.0)
+        chain = job.longest_estimate_s * max(1.0, self.run_times.base(queue.name))
         objective = queue.stretch * chain + queue.objective_s
-        job.on_time_at = received_at + objective - self.cfg.overhead
-        job.late_at = received_at + self.cfg.late_factor * objective
+        job.on_time_at = job.received_at + objective - self.cfg.overhead
         for task in job.release_tasks():
             self.waiting.add(task)
         self.place()
-        return job
+
+    def _finish(self, job, code):
+        """Set the outcome of a job; no task of it is placed any more."""
+        self.waiting.remove_job(job)
+        job.finish(code, self.cfg.retry_after)
 
     def _close(self, job):
         if not job.finished.is_set():
-            job.finish(ResultCode.CANCELLED)
-        self.waiting.remove_job(job)
+            job.is_abandoned = True
+            self._finish(job, ResultCode.CANCELLED)
         by_agent = defaultdict(list)
         for run in job.runs.values():
             by_agent[run.agent_id].append(run.run_id)
@@ -163,8 +184,18 @@
             if job.has_started or job.finished.is_set():
                 continue
             agents = self.fleet.usable(job.queue.service)
-            if now + self.placement.fastest_s(job, agents) > job.on_time_at:
-                job.finish(ResultCode.OVERLOADED, self.cfg.retry_after)
+            fastest_s = self.placement.fastest_s(job, agents)
+            has_room = self.placement.has_room(job.tasks[0][0], agents, now)
+            if now + fastest_s > job.on_time_at and not has_room:
+                self._finish(job, ResultCode.OVERLOADED)
+                log.info(
+                    "job refused id=%s queue=%s waited_ms=%.0f fastest_ms=%.0f free=%s",
+                    job.spec.job_id,
+                    job.queue.name,
+                    (now - job.received_at) * 1000,
+                    fastest_s * 1000,
+                    ",".join(f"{v.agent_id}:{v.free.cpu_millis}" for v in agents),
+                )
 
     # Placement.
 
@@ -214,7 +245,8 @@
             total = sum((order.needs for order in orders), Resources())
             message_id = self._send(view, body)
             if message_id:
-                view.ordered(message_id, total)
+                run_ids = {order.run_id for order in orders}
+                view.ordered(message_id, total, run_ids)
             self.orders += len(orders)
 
     def _send(self, view, body):
@@ -238,7 +270,7 @@
         view = self._views.get(conn.peer.process_id)
         if view is not None and view.conn is conn:
             view.conn = view.report = None
-            view.lost_at = boot_time_s()
+            view.lost_at = self._clock()
             log.warning("agent lost id=%s runs=%d", view.agent_id, len(view.runs))
 
     def handle(self, conn, message):
@@ -248,22 +280,22 @@
             self._take_report(view, message.body)
 
     def _take_report(self, view, report):
-        first = view.report is None
         view.take_report(report)
         for end in report.ends:
             self._take_end(view, end)
         if report.ends:
             run_ids = tuple(end.run_id for end in report.ends)
             self._send(view, AckRuns(run_ids))
-        if first and report.complete:
+        if report.complete:
             self._reconcile(view, set(report.held))
         self.place()
 
     def _reconcile(self, view, held):
+        """Compare with all runs that an agent has received and not ended."""
         unwanted = held - view.runs.keys()
         for run_id in list(view.runs):
             run = view.runs[run_id]
-            if run_id not in held:
+            if run_id not in held and not view.is_on_the_way(run_id):
                 not_run = RunEnd(run_id, ResultCode.OUTCOME_UNKNOWN, RunState.NOT_RUN)
                 self._end_run(view, run, not_run)
             elif run.task.job.finished.is_set():
@@ -320,7 +352,7 @@
         if not job.complete_task(task):
             return
         if job.is_complete:
-            job.finish(ResultCode.OK)
+            self._finish(job, ResultCode.OK)
             return
         for released in job.release_tasks():
             self.waiting.add(released)
@@ -330,7 +362,7 @@
         if code is ResultCode.TASK_FAILED:
             task.failures += 1
             if task.failures >= task.job.queue.max_failures:
-                task.job.finish(ResultCode.TASK_FAILED)
+                self._finish(task.job, ResultCode.TASK_FAILED)
                 return
         log.info(
             "task placed again job=%s task=%d.%d agent=%s code=%d detail=%r",
--- a/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
@@ -14,6 +14,8 @@
         Present connection; None while there is none.
     report : AgentReport or None
         Last report; None until the first one of the present connection.
+    is_reconciled : bool
+        Whether the agent has listed its runs on the present connection.
     runs : dict of int to Run
         Runs ordered from this agent that have not ended.
     lost_at : float
@@ -28,17 +30,14 @@
         self.report = None
         self.runs = {}
         self.lost_at = 0.0
+        self.is_reconciled = False
         self._unreported = deque()
         self._reserved = Resources()
 
     @property
     def is_usable(self):
         """Return whether the agent takes runs."""
-        return (
-            self.conn is not None
-            and self.report is not None
-            and (self.report.accepting)
-        )
+        return self.conn is not None and self.is_reconciled and self.report.accepting
 
     @property
     def free(self):
@@ -55,6 +54,7 @@
         """Use a new connection, whose first report is to come."""
         self.conn = conn
         self.report = None
+        self.is_reconciled = False
         self._unreported.clear()
         self._reserved = Resources()
 
@@ -62,13 +62,18 @@
         """Count resources that are about to be ordered."""
         self._reserved += needs
 
-    def ordered(self, message_id, needs):
-        """Note which message ordered resources that `reserve` has counted."""
-        self._unreported.append((message_id, needs))
+    def ordered(self, message_id, needs, run_ids):
+        """Note which message ordered runs, whose resources `reserve` has counted."""
+        self._unreported.append((message_id, needs, run_ids))
+
+    def is_on_the_way(self, run_id):
+        """Return whether the last report may have been sent before an order."""
+        return any(run_id in run_ids for _, _, run_ids in self._unreported)
 
     def take_report(self, report):
         """Use a newer report, which counts the orders that it says it received."""
         self.report = report
+        self.is_reconciled |= report.complete
         while self._unreported and self._unreported[0][0] <= report.received:
             self._reserved -= self._unreported.popleft()[1]
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
@@ -62,11 +62,12 @@
 
     Attributes
     ----------
-    received_at, on_time_at, late_at : float
-        Trio times of the submission, of its objective, and of the moment when an
-        answer is of no more use.
+    received_at, on_time_at : float
+        Trio times of the submission and of its objective.
     has_run : bool
         Whether a run ended that may have reached a target.
+    is_abandoned : bool
+        Whether its caller left before the answer.
     runs : dict of int to Run
         Runs that have not ended.
     finished : trio.Event
@@ -79,8 +80,9 @@
         self.spec = spec
         self.queue = queue
         self.received_at = received_at
-        self.on_time_at = self.late_at = float("inf")
+        self.on_time_at = float("inf")
         self.has_run = False
+        self.is_abandoned = False
         self.outcome = None
         self.runs = {}
         self.history = []
--- a/packages/dispatch/src/hornbeamshore/dispatch/placement.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/placement.py
@@ -52,6 +52,10 @@
         fastest = min(self.expected_s(task, view) for view in agents)
         return None if now + fastest <= limit else best
 
+    def has_room(self, task, agents, now):
+        """Return whether any agent could run a task now, in time or late."""
+        return any(self._may_run(task, view, now) for view in agents)
+
     def fastest_s(self, job, agents):
         """Return the run time of a whole job on the fastest of some agents."""
         base = self._run_times.base(job.queue.name)
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -19,8 +19,6 @@
         How the run times of queues and the speeds of targets are learned.
     fairness_window : Duration
         Time over which the queues' use of capacity is compared.
-    late_factor : float
-        A job is worth answering until this many times its objective.
     overhead : Duration
         Time between submission and answer that no target works.
     speed_tolerance : float
@@ -47,7 +45,6 @@
         )
     )
     fairness_window: Duration = Duration(5.0)
-    late_factor: float = 3.0
     overhead: Duration = Duration(0.02)
     speed_tolerance: float = 1.15
     retry_after: Duration = Duration(1.0)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -68,6 +68,8 @@
         Settings.
     driver : TargetDriver
         Opens channels to the target.
+    clock : callable
+        Returns the seconds in which leases are measured.
 
     Attributes
     ----------
@@ -79,8 +81,9 @@
         By entry id.
     """
 
-    def __init__(self, cfg, driver):
+    def __init__(self, cfg, driver, clock=boot_time_s):
         self.cfg = cfg
+        self._clock = clock
         self.driver = driver
         self.target = None
         self.is_adopted = False
@@ -160,7 +163,7 @@
         if session is None or session.incarnation != peer.incarnation:
             if session is not None:
                 self._abandon(session, "entry restarted")
-            session = Session(peer.process_id, peer.incarnation)
+            session = Session(peer.process_id, peer.incarnation, self._clock)
             self.sessions[peer.process_id] = session
         session.attach(conn)
         log.info(
@@ -184,9 +187,9 @@
             refusal = self._refusal(run)
             if refusal is None:
                 self._table.enqueue(run)
+                self._admit()
             else:
                 self._refuse(run, refusal)
-        self._admit()
         self._changed()
 
     def stop(self, session, run_ids):
@@ -216,7 +219,7 @@
     def state(self):
         """Return the `RunnerState`."""
         target = self.target
-        now = boot_time_s()
+        now = self._clock()
         accepting = (
             self.is_adopted
             and not self.leaving
@@ -241,7 +244,7 @@
     def _refusal(self, run):
         if self.leaving or self.target is None or self.target.leaving:
             return ResultCode.AGENT_LEAVING
-        now = boot_time_s()
+        now = self._clock()
         if not self.is_adopted or self._health.is_ejected(now):
             return ResultCode.TARGET_UNREACHABLE
         if self._health.is_probing(now) and (self._table.active or self._table.queue):
@@ -293,7 +296,7 @@
         if run.stop_reason is not None:
             self._end(run, run.stop_reason, RunState.NOT_RUN)
             return
-        run.started_at = boot_time_s()
+        run.started_at = self._clock()
         self.runs_started += 1
         try:
             answer = await channel.start(run.task, run.number, run.spec)
@@ -304,7 +307,8 @@
                 "start unanswered task=%s run=%d: %s", run.task, run.number, exc
             )
             if self._is_active(run):
-                self._stop(run, ResultCode.OUTCOME_UNKNOWN)
+                self._health.failed(run.job_id, self._clock())
+                self._send_stop(run, ResultCode.OUTCOME_UNKNOWN)
         except TargetReplaced:
             self._lose_target("another incarnation answered")
         else:
@@ -314,12 +318,10 @@
 
     def _start_answered(self, run, answer):
         if answer is StartAnswer.STARTED:
-            if run.stop_reason is None:
-                run.phase = RunPhase.RUNNING
-                run.percent_at = boot_time_s()
-            else:
-                run.phase = RunPhase.STOPPING
-                self._commands.send_nowait(partial(self._stop_run, run))
+            run.phase = RunPhase.RUNNING
+            run.percent_at = self._clock()
+            if run.stop_reason is not None:
+                self._send_stop(run, run.stop_reason)
             return
         log.info("start refused task=%s run=%d: %s", run.task, run.number, answer.value)
         if answer is StartAnswer.STALE_RUN and run.number < 4096:
@@ -327,25 +329,31 @@
             self._commands.send_nowait(partial(self._start_run, run))
             return
         if answer is StartAnswer.UNHEALTHY:
-            self._health.failed(run.job_id, boot_time_s())
+            self._health.failed(run.job_id, self._clock())
         self._end(run, _REFUSAL_CODES[answer], RunState.NOT_RUN, answer.value)
 
     def _start_failed(self, run, detail):
         if self._is_active(run):
-            self._health.failed(run.job_id, boot_time_s())
+            self._health.failed(run.job_id, self._clock())
             self._end(run, ResultCode.TARGET_UNREACHABLE, RunState.NOT_RUN, detail)
 
     def _stop(self, run, reason):
         if run.stop_reason is not None:
             return
-        run.stop_reason = reason
         if run.phase is RunPhase.QUEUED:
             self._table.withdraw(run)
             self._refuse(run, reason)
             self._changed()
-        elif run.phase is RunPhase.RUNNING or reason is ResultCode.OUTCOME_UNKNOWN:
-            run.phase = RunPhase.STOPPING
-            self._commands.send_nowait(partial(self._stop_run, run))
+        elif run.phase is RunPhase.RUNNING:
+            self._send_stop(run, reason)
+        else:
+            # Its start is on the way; the lane stops it after the answer.
+            run.stop_reason = reason
+
+    def _send_stop(self, run, reason):
+        run.stop_reason = run.stop_reason or reason
+        run.phase = RunPhase.STOPPING
+        self._commands.send_nowait(partial(self._stop_run, run))
 
     async def _stop_run(self, run, channel):
         if not self._is_active(run):
@@ -384,7 +392,7 @@
             await self._poll_once(channel)
 
     async def _poll_once(self, channel):
-        issued = boot_time_s()
+        issued = self._clock()
         expected = [
             run
             for run in self._table.active.values()
@@ -400,7 +408,7 @@
             log.warning(
                 "poll unanswered silence=%.2f: %s", issued - self._last_renewal, exc
             )
-            silence = boot_time_s() - self._last_renewal
+            silence = self._clock() - self._last_renewal
             if silence > self.cfg.lease.target_silence_s:
                 self._lose_target("silent")
             else:
@@ -420,7 +428,7 @@
         for run in expected:
             if run.key not in present and self._is_active(run):
                 self._vanished(run)
-        now = boot_time_s()
+        now = self._clock()
         for key, item in present.items():
             run = self._table.active.get(key)
             if run is not None and item.percent != run.percent:
@@ -435,7 +443,7 @@
         if ended.kind is EndKind.DONE:
             self._health.succeeded()
         elif ended.kind is EndKind.FAILED:
-            self._health.failed(run.job_id, boot_time_s())
+            self._health.failed(run.job_id, self._clock())
         code = _END_CODES[ended.kind]
         if ended.kind is EndKind.STOPPED and run.stop_reason is not None:
             code = run.stop_reason
@@ -451,7 +459,7 @@
 
     def _end(self, run, code, run_state, detail=""):
         self._table.release(run)
-        run_time_s = boot_time_s() - run.started_at if run.started_at else 0.0
+        run_time_s = self._clock() - run.started_at if run.started_at else 0.0
         run.session.end(run.run_id, code, run_state, run_time_s, detail)
         self._changed()
 
@@ -512,7 +520,7 @@
             return
         log.info("target adopted id=%s fence=%d", target.incarnation_id, self._fence)
         self._table.capacity = self.target.capacity
-        self._last_renewal = boot_time_s()
+        self._last_renewal = self._clock()
         self.is_adopted = True
         for session in self.sessions.values():
             if session.conn is not None:
@@ -525,7 +533,7 @@
         accepting = None
         while True:
             await trio.sleep(SUPERVISE_EVERY_S)
-            now = boot_time_s()
+            now = self._clock()
             for session in list(self.sessions.values()):
                 self._check_session(session, now)
             if self.target is not None and self.state().accepting != accepting:
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -1,6 +1,5 @@
 """What an agent keeps for each entry that orders runs from it."""
 
-from hornbeamshore.base.clock import boot_time_s
 from hornbeamshore.wire.messages import AgentReport, RunEnd
 
 
@@ -20,13 +19,14 @@
         Boot time of the last message of the entry.
     """
 
-    def __init__(self, entry_id, incarnation):
+    def __init__(self, entry_id, incarnation, clock):
         self.entry_id = entry_id
+        self._clock = clock
         self.incarnation = incarnation
         self.conn = None
         self.runs = {}
         self.ends = {}
-        self.last_heard = boot_time_s()
+        self.last_heard = self._clock()
         self.received = 0
         self._unsent = set()
 
@@ -34,7 +34,7 @@
         """Use a new connection; all that is not acknowledged is sent again."""
         self.conn = conn
         self.received = 0
-        self.last_heard = boot_time_s()
+        self.last_heard = self._clock()
         self._unsent = set(self.ends)
 
     def detach(self, conn):
--- /dev/null
+++ b/tests/dispatch/conftest.py
@@ -0,0 +1,125 @@
+"""Agents as the coordinator sees them, for the tests of dispatch."""
+
+import itertools
+
+import pytest
+import trio
+
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.dispatch.coordinator import Coordinator
+from hornbeamshore.dispatch.model import JobSpec, Queue, Step
+from hornbeamshore.dispatch.settings import DispatchSettings
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import (
+    AgentReport,
+    Message,
+    Resources,
+    RunEnd,
+    RunTasks,
+    StopRuns,
+)
+
+CAPACITY = Resources(8000, 4096, 0)
+NEEDS = Resources(2000, 64, 0)
+QUEUE = Queue(
+    "check", "desk", "/c/", "order-desk", max_failures=2, stretch=1.6, objective_s=0.06
+)
+
+
+class FakeAgent:
+    """Agent that takes orders and ends runs when the test says so."""
+
+    def __init__(self, coordinator, agent_id, incarnation=1, data_centre="perth"):
+        self.peer = Identity("test", "agent", agent_id, incarnation, data_centre)
+        self.is_open = True
+        self.sent = []
+        self._ids = itertools.count(1)
+        self._coordinator = coordinator
+        self._received = 0
+        self.is_accepting = True
+        self.labels = ("a", "r1")
+        coordinator.opened(self)
+
+    def send(self, body):
+        self.sent.append(body)
+        message_id = next(self._ids)
+        if isinstance(body, RunTasks):
+            self._received = message_id
+        return message_id
+
+    @property
+    def orders(self):
+        """Return the orders received, by run id."""
+        return {
+            order.run_id: order
+            for body in self.sent
+            if isinstance(body, RunTasks)
+            for order in body.orders
+        }
+
+    @property
+    def stopped(self):
+        """Return the ids of the runs that the entry asked to stop."""
+        bodies = [body for body in self.sent if isinstance(body, StopRuns)]
+        return [run_id for body in bodies for run_id in body.run_ids]
+
+    def report(self, *ends, free=CAPACITY, held=None):
+        """Send a report, a complete one if `held` is given."""
+        body = AgentReport(
+            "t-1",
+            "order-desk",
+            self.labels,
+            self.is_accepting,
+            CAPACITY,
+            free,
+            self._received,
+            ends,
+            held is not None,
+            held or (),
+        )
+        self._coordinator.handle(self, Message(1, 0, body))
+
+    def end(self, code=ResultCode.OK, run_state=RunState.RAN, run_time_s=0.1):
+        """End all runs that were ordered and report them."""
+        ends = [
+            RunEnd(run_id, int(code), int(run_state), round(run_time_s * 1e6))
+            for run_id in self.orders
+        ]
+        self.sent.clear()
+        self.report(*ends)
+
+    def disconnect(self):
+        self.is_open = False
+        self._coordinator.closed(self)
+
+
+def job_of(count=2, job_id="j1", estimate_s=0.1, **changes):
+    """Return a job of one step."""
+    return JobSpec(job_id, "content", (Step(count, NEEDS, estimate_s, **changes),))
+
+
+class Submission:
+    """Submission of a job that runs in the background."""
+
+    def __init__(self, nursery, coordinator, spec, queue=QUEUE, deadline_s=10.0):
+        self.outcome = None
+        self.scope = trio.CancelScope()
+        nursery.start_soon(self._run, coordinator, spec, queue, deadline_s)
+
+    async def _run(self, coordinator, spec, queue, deadline_s):
+        with self.scope:
+            self.outcome = await coordinator.submit(spec, queue, deadline_s)
+
+
+@pytest.fixture
+async def coordinator(autojump_clock, nursery):
+    coordinator = Coordinator(DispatchSettings("perth"), trio.current_time)
+    nursery.start_soon(coordinator.run)
+    return coordinator
+
+
+@pytest.fixture
+def agent(coordinator):
+    agent = FakeAgent(coordinator, "agent-1")
+    agent.report(held=())
+    return agent
--- /dev/null
+++ b/tests/dispatch/test_coordinator.py
@@ -0,0 +1,261 @@
+"""Jobs of an entry: answers, retries, lost agents, copies and refusals."""
+
+import pytest
+import trio
+import trio.lowlevel
+
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.dispatch.model import JobSpec, Step
+from hornbeamshore.wire.messages import Resources
+
+from .conftest import NEEDS, FakeAgent, Submission, job_of
+
+
+async def test_a_job_is_answered_when_all_tasks_are_done(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against partial answers."""
+    submission = Submission(nursery, coordinator, job_of(2))
+    await trio.sleep(0.05)
+    first, second = agent.orders.values()
+    assert {first.index, second.index} == {0, 1}
+    agent.end()
+    await trio.lowlevel.checkpoint()
+    await trio.sleep(0.01)
+    assert submission.outcome.code is ResultCode.OK
+    assert coordinator.jobs == {}
+
+
+async def test_a_step_waits_for_the_steps_before_it(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against tasks that start before what they depend on."""
+    steps = (Step(1, NEEDS, 0.1), Step(2, NEEDS, 0.1, after=(0,)))
+    submission = Submission(nursery, coordinator, JobSpec("j1", "content", steps))
+    await trio.sleep(0.05)
+    assert [order.step for order in agent.orders.values()] == [0]
+    agent.end()
+    assert [order.step for order in agent.orders.values()] == [1, 1]
+    agent.end()
+    await trio.sleep(0.05)
+    assert submission.outcome.code is ResultCode.OK
+
+
+@pytest.mark.parametrize(
+    ("code", "run_state", "outcomes"),
+    [
+        (ResultCode.TASK_FAILED, RunState.RAN, [None, ResultCode.TASK_FAILED]),
+        (ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, [None, None, None]),
+        (ResultCode.NO_FREE_SLOT, RunState.NOT_RUN, [None, None, None]),
+    ],
+    ids=["failed", "lost", "refused"],
+)
+async def test_runs_that_did_not_succeed(
+    autojump_clock, nursery, coordinator, agent, code, run_state, outcomes
+):
+    """Guards against lost tasks, and jobs that fail though a target was to blame."""
+    submission = Submission(nursery, coordinator, job_of(1, estimate_s=2.0))
+    for expected in outcomes:
+        await trio.sleep(0.2)
+        assert len(agent.orders) == 1
+        agent.end(code, run_state)
+        await trio.sleep(0.01)
+        assert (submission.outcome and submission.outcome.code) == expected
+
+
+@pytest.mark.parametrize(
+    ("code", "run_state", "expected"),
+    [
+        (ResultCode.NO_FREE_SLOT, RunState.NOT_RUN, RunState.NOT_RUN),
+        (ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, RunState.UNKNOWN),
+    ],
+)
+async def test_a_late_job_is_refused_as_not_run_only_if_that_is_true(
+    autojump_clock, nursery, coordinator, agent, code, run_state, expected
+):
+    """Guards against a refusal of a job of which a task has run."""
+    submission = Submission(nursery, coordinator, job_of(1), deadline_s=0.5)
+    await trio.sleep(0.02)
+    agent.is_accepting = False
+    agent.end(code, run_state)
+    await trio.sleep(1.0)
+    assert submission.outcome.run_state is expected
+
+
+async def test_a_job_without_room_is_refused_when_it_can_only_be_late(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against callers held until their deadline for nothing."""
+    agent.report(free=Resources())
+    submission = Submission(nursery, coordinator, job_of(1))
+    await trio.sleep(0.05)
+    assert submission.outcome is None
+    await trio.sleep(0.3)
+    assert submission.outcome.code is ResultCode.OVERLOADED
+    assert submission.outcome.run_state is RunState.NOT_RUN
+    assert submission.outcome.retry_after_s > 0
+
+
+async def test_nothing_of_a_refused_job_starts(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a start between the refusal of a job and its answer."""
+    agent.report(free=Resources())
+    Submission(nursery, coordinator, job_of(1))
+    await trio.sleep(0.02)
+    coordinator.end_all()
+    agent.report()
+    assert agent.orders == {}
+
+
+async def test_an_agent_is_used_once_it_has_listed_its_runs(
+    autojump_clock, nursery, coordinator
+):
+    """Guards against runs of an earlier life that nobody waits for any more."""
+    agent = FakeAgent(coordinator, "agent-1")
+    agent.report()
+    Submission(nursery, coordinator, job_of(1, estimate_s=1.0))
+    await trio.sleep(0.05)
+    assert agent.orders == {}
+    agent.report(held=())
+    assert len(agent.orders) == 1
+    # A later complete report may have been sent before the order arrived.
+    agent.is_accepting = False
+    agent._received = 0
+    agent.report(held=())
+    assert len(agent.orders) == 1
+    assert len(coordinator.jobs["j1"].runs) == 1
+
+
+async def test_the_runs_of_a_caller_that_left_are_stopped(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against work for nobody."""
+    submission = Submission(nursery, coordinator, job_of(2))
+    await trio.sleep(0.02)
+    submission.scope.cancel()
+    await trio.sleep(0.02)
+    assert sorted(agent.stopped) == sorted(agent.orders)
+
+
+async def test_a_copy_waits_until_the_runs_of_a_left_job_have_ended(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against two runs of a task at the same time."""
+    left = Submission(nursery, coordinator, job_of(1))
+    await trio.sleep(0.02)
+    left.scope.cancel()
+    copy = Submission(nursery, coordinator, job_of(1))
+    await trio.sleep(0.05)
+    assert len(agent.orders) == 1
+    agent.end(ResultCode.CANCELLED)
+    await trio.sleep(0.05)
+    assert len(agent.orders) == 1
+    agent.end()
+    await trio.sleep(0.05)
+    assert copy.outcome.code is ResultCode.OK
+
+
+async def test_a_copy_of_a_job_in_progress_gets_its_answer(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against work done twice for a caller that asks again."""
+    submissions = [Submission(nursery, coordinator, job_of(1)) for _ in range(2)]
+    await trio.sleep(0.02)
+    assert len(agent.orders) == 1
+    agent.end()
+    await trio.sleep(0.02)
+    assert [item.outcome.code for item in submissions] == [ResultCode.OK] * 2
+
+
+async def test_a_cancelled_job_does_not_run_again(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a delayed copy that runs after the cancellation."""
+    submission = Submission(nursery, coordinator, job_of(1))
+    await trio.sleep(0.02)
+    assert coordinator.cancel("j1")
+    await trio.sleep(0.02)
+    assert submission.outcome.code is ResultCode.CANCELLED
+    assert agent.stopped == [1]
+    copy = Submission(nursery, coordinator, job_of(1))
+    await trio.sleep(0.02)
+    assert copy.outcome.code is ResultCode.CANCELLED
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "held", "again_within_s"),
+    [(1, (1,), None), (1, (), 0.5), (2, (), 0.5)],
+    ids=["kept", "never received", "agent restarted"],
+)
+async def test_an_agent_that_reconnects(
+    autojump_clock, nursery, coordinator, agent, incarnation, held, again_within_s
+):
+    """Guards against tasks lost, or run twice, when a connection breaks."""
+    Submission(nursery, coordinator, job_of(1, estimate_s=5.0))
+    await trio.sleep(0.02)
+    agent.disconnect()
+    await trio.sleep(0.2)
+    again = FakeAgent(coordinator, "agent-1", incarnation)
+    again.report(held=held)
+    await trio.sleep(again_within_s or 4.0)
+    assert len(again.orders) == (again_within_s is not None)
+
+
+async def test_tasks_of_a_lost_agent_run_elsewhere_once_they_have_stopped(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a second run while the first may still go on."""
+    Submission(nursery, coordinator, job_of(1, estimate_s=5.0))
+    await trio.sleep(0.02)
+    agent.disconnect()
+    other = FakeAgent(coordinator, "agent-2")
+    other.report(held=())
+    await trio.sleep(coordinator.cfg.lease.agent_silence_s - 0.1)
+    assert other.orders == {}
+    await trio.sleep(0.3)
+    assert len(other.orders) == 1
+
+
+async def test_a_suspended_entry_reads_disconnects_before_it_starts_tasks(
+    autojump_clock, nursery, agent, coordinator
+):
+    """Guards against starting tasks of a caller that left during a suspension."""
+    suspended = 0.0
+    coordinator._clock = lambda: trio.current_time() + suspended
+    await trio.sleep(0.1)
+    suspended = 5.0
+    await trio.sleep(0.03)
+    Submission(nursery, coordinator, job_of(1, estimate_s=5.0))
+    await trio.sleep(0.02)
+    assert agent.orders == {}
+    await trio.sleep(0.2)
+    assert len(agent.orders) == 1
+
+
+@pytest.mark.parametrize(
+    ("changes", "labels", "runs"),
+    [
+        ({"required_label": "gpu"}, ("a",), 0),
+        ({"required_label": "gpu"}, ("gpu",), 3),
+        ({"max_per_target": 2}, ("a",), 2),
+    ],
+)
+async def test_tasks_keep_to_the_constraints_of_their_step(
+    autojump_clock, nursery, coordinator, agent, changes, labels, runs
+):
+    """Guards against tasks on targets that their step excludes."""
+    agent.labels = labels
+    agent.report()
+    Submission(nursery, coordinator, job_of(3, estimate_s=5.0, **changes))
+    await trio.sleep(0.05)
+    assert len(agent.orders) == runs
+
+
+async def test_no_more_is_ordered_than_fits(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against orders that the agent can only refuse."""
+    Submission(nursery, coordinator, job_of(10, estimate_s=5.0))
+    await trio.sleep(0.05)
+    assert len(agent.orders) == 4
--- /dev/null
+++ b/tests/platform/standin_http.py
@@ -0,0 +1,57 @@
+"""A small HTTP server that answers as a test tells it."""
+
+import contextlib
+import json
+
+import trio
+
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.entry.http_server import open_http_listeners, serve_http
+from hornbeamshore.entry.http_settings import HttpSettings
+from hornbeamshore.platform.asgi import answer, read_body
+
+CFG = HttpSettings(linger=Duration(0.0), graceful_timeout=Duration(0.1))
+
+
+class StandIn:
+    """ASGI application with scripted answers that keeps the requests.
+
+    Attributes
+    ----------
+    answers : list of tuple
+        Status and body of the next answers; the last one stays.
+    requests : list of tuple
+        Method, path with query, headers and decoded body.
+    """
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.requests = []
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        data = await read_body(receive, 1 << 20)
+        path = scope["path"]
+        if scope["query_string"]:
+            path += "?" + scope["query_string"].decode()
+        body = json.loads(data) if data else None
+        headers = dict(scope["headers"])
+        self.requests.append((scope["method"], path, headers, body))
+        status, content = self.answers[0]
+        if len(self.answers) > 1:
+            self.answers.pop(0)
+        if status is None:
+            await trio.sleep_forever()
+        await answer(send, status, content)
+
+
+@contextlib.asynccontextmanager
+async def serving(app):
+    """Serve an application and yield its address."""
+    async with trio.open_nursery() as nursery:
+        listeners = await open_http_listeners("127.0.0.1", 0)
+        await nursery.start(serve_http, app, listeners, CFG, trio.Event())
+        port = listeners[0].socket.getsockname()[1]
+        yield f"127.0.0.1:{port}"
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,130 @@
+"""Announcements of the target, and settings of the platform."""
+
+import json
+
+import httpcore
+import pytest
+
+from hornbeamshore.base.settings import SettingsError
+from hornbeamshore.platform.announcements import AnnouncementApi
+from hornbeamshore.platform.settings import parse_settings
+from hornbeamshore.wire.messages import Resources
+
+from .standin_http import serving
+
+ANNOUNCEMENT = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "clockMs": 482113,
+    "seq": 4,
+    "born": 1234,
+}
+
+
+class FakeRunner:
+    def __init__(self):
+        self.seen = []
+
+    def announced(self, target):
+        self.seen.append(target)
+
+    def departed(self, incarnation_id):
+        self.seen.append(incarnation_id)
+
+
+async def put(body):
+    runner = FakeRunner()
+    async with (
+        serving(AnnouncementApi(runner)) as address,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        url = f"http://{address}/hornbeamshore/instances/i-1"
+        response = await pool.request("PUT", url, content=body)
+    return response.status, runner.seen
+
+
+async def test_an_announcement_is_taken():
+    """Guards against fields of an announcement taken for others."""
+    status, (target,) = await put(json.dumps(ANNOUNCEMENT).encode())
+    assert status == 200
+    assert target.life == ("i-1", 1234)
+    assert target.capacity == Resources(16000, 32768, 0)
+    assert (target.sequence, target.clock_ms, target.leaving) == (4, 482113, False)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "new"},
+        {"seq": "4"},
+        {"capacity": None},
+        {"capacity": {"cpu": "many", "memMb": 1}},
+        {"service": 7},
+    ],
+)
+async def test_an_announcement_that_cannot_be_read_names_no_target(change):
+    """Guards against a process that ends over, or uses, what it cannot read."""
+    status, seen = await put(json.dumps({**ANNOUNCEMENT, **change}).encode())
+    assert (status, seen) == (400, [])
+
+
+async def test_bytes_that_are_no_json_name_no_target():
+    """Guards against a process that ends over bytes of another writer."""
+    assert await put(b"\xff\x00") == (400, [])
+
+
+async def test_a_target_that_ends_is_forgotten():
+    """Guards against work for a target that has said that it ended."""
+    runner = FakeRunner()
+    async with (
+        serving(AnnouncementApi(runner)) as address,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        url = f"http://{address}/hornbeamshore/instances/i-1"
+        response = await pool.request("DELETE", url)
+    assert (response.status, runner.seen) == (200, ["i-1"])
+
+
+SETTINGS = """\
+node=front-1
+ip=10.1.0.13
+zone=perth-a
+portRange=7720,7735
+platform.address=10.200.1.7:8169
+listen.front=10.1.0.13:8161
+seeds=10.1.0.13:8166,10.2.0.30:8166
+bounds.graceS=6
+bounds.maxHoldMs=800
+unknown.field=1
+"""
+
+
+def test_settings_are_translated():
+    """Guards against settings of the platform taken for others."""
+    cfg = parse_settings(SETTINGS)
+    assert cfg.inner_address == "10.1.0.13:7720"
+    assert cfg.seed_hosts == ("10.1.0.13", "10.2.0.30")
+    assert cfg.data_centre == "perth-a"
+    assert cfg.lease.target_lease == 0.8
+    assert cfg.runner.leave_timeout == 4.5
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("node=front-1\n", "", "node"),
+        ("portRange=7720,7735", "portRange=x", "number"),
+        ("bounds.graceS=6", "bounds.graceS=long", "number"),
+    ],
+)
+def test_faulty_settings_name_the_fault(old, new, named):
+    """Guards against a process that starts with settings it cannot use."""
+    with pytest.raises(SettingsError, match=named):
+        parse_settings(SETTINGS.replace(old, new))
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,210 @@
+"""Jobs of callers over HTTP."""
+
+import contextlib
+import json
+
+import httpcore
+import msgspec
+import pytest
+import trio
+
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.dispatch.model import JobOutcome, Queue, Routing
+from hornbeamshore.dispatch.routing import RoutingReplica
+from hornbeamshore.platform.ingress import (
+    IngressApi,
+    NotServed,
+    ReadyApi,
+    decode_job,
+)
+from hornbeamshore.platform.routing import decode_routing
+from hornbeamshore.wire.messages import Resources
+
+from .standin_http import serving
+
+JOB = {
+    "taskSpec": "text",
+    "bestEffort": True,
+    "steps": [{"count": 2, "cpu": 500, "memMb": 64, "estimateMs": 120}],
+}
+
+
+class FakeCoordinator:
+    def __init__(self):
+        self.outcome = JobOutcome.of(ResultCode.OK)
+        self.jobs = {"known": None}
+        self.submitted = []
+        self.left = trio.Event()
+
+    async def submit(self, spec, queue, deadline_s):
+        self.submitted.append((spec, queue.name, deadline_s))
+        if self.outcome is None:
+            try:
+                await trio.sleep_forever()
+            finally:
+                self.left.set()
+        return self.outcome
+
+    def cancel(self, job_id):
+        return job_id == "known"
+
+    def pending(self, queue):
+        return 3
+
+
+@contextlib.asynccontextmanager
+async def ingress(coordinator, *, is_configured=True):
+    replica = RoutingReplica()
+    if is_configured:
+        replica.offer(Routing(1, (Queue("q", "desk.example", "/p/", "s"),)))
+    async with (
+        serving(IngressApi(coordinator, replica)) as address,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+
+        async def call(method, path, body=None, host="desk.example"):
+            headers = {"Host": host, "Hornbeamshore-Deadline-Ms": "2500"}
+            content = b"" if body is None else json.dumps(body).encode()
+            url = f"http://{address}{path}"
+            return await pool.request(method, url, headers=headers, content=content)
+
+        yield call
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "body"),
+    [
+        (JobOutcome.of(ResultCode.OK), 200, {"state": "completed"}),
+        (JobOutcome.of(ResultCode.TASK_FAILED), 200, {"state": "failed"}),
+        (
+            JobOutcome(ResultCode.OVERLOADED, RunState.NOT_RUN, 1.0),
+            503,
+            {"error": "overloaded"},
+        ),
+        (
+            JobOutcome(ResultCode.DEADLINE_EXCEEDED, RunState.UNKNOWN),
+            504,
+            {"error": "deadline_exceeded"},
+        ),
+    ],
+)
+async def test_answers_to_a_submission(outcome, status, body):
+    """Guards against a job refused as not run of which a task has run."""
+    coordinator = FakeCoordinator()
+    coordinator.outcome = outcome
+    async with ingress(coordinator) as call:
+        response = await call("POST", "/p/5c0e7a21d94b36f8", JOB)
+    assert response.status == status
+    assert json.loads(response.content) == body
+    spec, queue, deadline_s = coordinator.submitted[0]
+    assert (spec.job_id, spec.content, queue) == ("5c0e7a21d94b36f8", "text", "q")
+    assert spec.steps[0].needs == Resources(500, 64, 0)
+    assert deadline_s == 2.5
+    assert (b"retry-after", b"1") in response.headers or status != 503
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "host", "status", "body"),
+    [
+        ("GET", "/p/", "desk.example", 200, {"pending": 3}),
+        ("GET", "/p/known", "desk.example", 200, {"state": "running"}),
+        ("GET", "/p/other", "desk.example", 410, {}),
+        ("DELETE", "/p/known", "desk.example", 200, {}),
+        ("DELETE", "/p/other", "desk.example", 410, {}),
+        ("GET", "/p/", "desk.example:8161", 200, {"pending": 3}),
+        ("GET", "/other/", "desk.example", 404, {"error": "no such queue"}),
+        ("GET", "/p/", "other.example", 404, {"error": "no such queue"}),
+    ],
+)
+async def test_other_requests(method, path, host, status, body):
+    """Guards against answers for a queue or job that is not known."""
+    async with ingress(FakeCoordinator()) as call:
+        response = await call(method, path, host=host)
+    assert (response.status, json.loads(response.content)) == (status, body)
+
+
+async def test_an_entry_without_configuration_refuses():
+    """Guards against a 404 for queues that the entry does not know yet."""
+    async with ingress(FakeCoordinator(), is_configured=False) as call:
+        response = await call("POST", "/p/1", JOB)
+    assert response.status == 503
+
+
+async def test_a_caller_that_disconnects_ends_its_job():
+    """Guards against work for callers that left."""
+    coordinator = FakeCoordinator()
+    coordinator.outcome = None
+    async with ingress(coordinator) as call:
+        with trio.move_on_after(0.3):
+            await call("POST", "/p/1", JOB)
+        with trio.fail_after(5):
+            await coordinator.left.wait()
+
+
+@pytest.mark.parametrize(
+    ("change", "error"),
+    [
+        ({"bestEffort": False}, NotServed),
+        ({"repetitions": 2}, NotServed),
+        ({"steps": [{"count": 2, "allOrNothing": True}]}, NotServed),
+        ({"steps": [{"count": 2, "longRunning": True}]}, NotServed),
+        ({"steps": []}, ValueError),
+        ({"steps": [{"count": 0}]}, ValueError),
+        ({"steps": [{"count": 1, "after": [0]}]}, ValueError),
+        ({"taskSpec": 4}, ValueError),
+    ],
+)
+def test_jobs_that_are_refused(change, error):
+    """Guards against jobs accepted that cannot be served as asked."""
+    with pytest.raises(error):
+        decode_job("1", json.dumps({**JOB, **change}).encode())
+
+
+@pytest.mark.parametrize("is_ready", [True, False])
+async def test_readiness(is_ready):
+    """Guards against callers sent to an entry that serves nothing."""
+    async with (
+        serving(ReadyApi(lambda: is_ready)) as address,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        response = await pool.request("GET", f"http://{address}/hornbeamshore/ready")
+    assert response.status == (200 if is_ready else 503)
+
+
+def test_routing_of_a_configuration():
+    """Guards against fields of the configuration taken for others."""
+    data = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r-1",
+                "host": "h",
+                "prefix": "/p/",
+                "kind": "non_idempotent",
+                "timeoutMs": 1500,
+                "sloMs": 60,
+                "priority": 2,
+                "service": "s",
+                "maxAttempts": 3,
+                "stretch": 1.6,
+            }
+        ],
+        "services": [],
+    }
+    routing = decode_routing(json.dumps(data).encode())
+    assert routing == Routing(7, (Queue("r-1", "h", "/p/", "s", 2, 3, 1.6, 0.06),))
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[]", b'{"version":"x","routes":[]}'])
+def test_what_is_no_configuration_is_refused(data):
+    """Guards against a process that ends over a value that it cannot read."""
+    with pytest.raises(msgspec.DecodeError):
+        decode_routing(data)
+
+
+def test_routing_never_goes_back():
+    """Guards against a configuration that reverts."""
+    replica = RoutingReplica()
+    assert replica.offer(Routing(5))
+    assert not replica.offer(Routing(4))
+    assert replica.current.version == 5
--- /dev/null
+++ b/tests/platform/test_target.py
@@ -0,0 +1,108 @@
+"""Calls to the target beside an agent."""
+
+import pytest
+
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.platform.target import HttpTargetDriver
+from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.runner.target import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    StartAnswer,
+    TargetIncarnation,
+    TargetReplaced,
+    TargetSilent,
+    TargetState,
+    TargetUnreached,
+)
+from hornbeamshore.wire.messages import Resources
+
+from .standin_http import StandIn, serving
+
+TARGET = TargetIncarnation("i-1", 5, 1, "s", (), Resources(1, 1, 0), False, 5000)
+CFG = RunnerSettings(call_timeout=Duration(0.2))
+
+
+def open_channel(address):
+    driver = HttpTargetDriver(address, CFG)
+    driver.observe_clock(TARGET.clock_ms)
+    return driver.open_channel(TARGET, 77)
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        ((200, {"clockMs": 5001}), StartAnswer.STARTED),
+        ((409, {"clockMs": 5001, "reason": "fence"}), StartAnswer.FENCED),
+        ((409, {"clockMs": 5001, "reason": "old"}), StartAnswer.STALE_RUN),
+        ((409, {"clockMs": 5001, "reason": "late"}), StartAnswer.EXPIRED),
+        ((409, {"clockMs": 5001, "reason": "room"}), StartAnswer.NO_ROOM),
+        ((400, {"clockMs": 5001}), StartAnswer.MALFORMED),
+        ((429, {}), StartAnswer.UNHEALTHY),
+        ((503, {}), StartAnswer.UNHEALTHY),
+        ((421, {}), TargetReplaced),
+        ((None, None), TargetSilent),
+        ((409, [1]), TargetSilent),
+    ],
+)
+async def test_answers_to_a_start(answer, expected):
+    """Guards against a start taken for refused that was executed."""
+    app = StandIn(answer)
+    async with serving(app) as address:
+        channel = open_channel(address)
+        if isinstance(expected, type):
+            with pytest.raises(expected):
+                await channel.start("t", 2, "spec")
+        else:
+            assert await channel.start("t", 2, "spec") is expected
+    method, path, headers, body = app.requests[0]
+    assert (method, path) == ("POST", "/hornbeamshore/run-start")
+    assert headers[b"hornbeamshore-expect-instance"] == b"i-1"
+    # The lease is a time on the target's clock, one second ahead.
+    assert 5900 <= body.pop("expiresAtMs") <= 7000
+    assert body == {"task": "t", "runId": 2, "taskSpec": "spec", "fencingToken": 77}
+
+
+async def test_a_target_that_is_not_there_was_not_called():
+    """Guards against waiting for a run whose start was never sent."""
+    channel = open_channel("127.0.0.1:1")
+    with pytest.raises(TargetUnreached):
+        await channel.start("t", 2, "spec")
+
+
+@pytest.mark.parametrize(
+    ("row", "kind"),
+    [
+        ("done", EndKind.DONE),
+        ("failed", EndKind.FAILED),
+        ("stopped", EndKind.STOPPED),
+        ("lapsed", EndKind.EXPIRED),
+        ("broken", EndKind.ABANDONED),
+        ("alone", EndKind.ABANDONED),
+    ],
+)
+async def test_a_poll_lists_runs_and_ends(row, kind):
+    """Guards against ends that are read as another kind."""
+    body = {
+        "clockMs": 5002,
+        "running": [["t", 1, "", 40, 0.5]],
+        "completions": [[8, "u", 2, row, ""]],
+    }
+    app = StandIn((200, body))
+    async with serving(app) as address:
+        state = await open_channel(address).poll(0.05, 7)
+    assert state == TargetState(
+        (RunningTask("t", 1, 40),), (EndedTask(8, "u", 2, kind),)
+    )
+    assert app.requests[0][3]["lastSeen"] == 7
+    assert app.requests[0][3]["waitMs"] == 50
+
+
+@pytest.mark.parametrize("renew", [True, False])
+async def test_a_poll_renews_the_lease_only_if_asked(renew):
+    """Guards against runs of an earlier agent that are kept alive."""
+    app = StandIn((200, {"clockMs": 1, "running": [], "completions": []}))
+    async with serving(app) as address:
+        await open_channel(address).poll(0.0, 0, renew=renew)
+    assert ("expiresAtMs" in app.requests[0][3]) is renew
--- /dev/null
+++ b/tests/runner/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agent side of direct dispatch."""
--- /dev/null
+++ b/tests/runner/conftest.py
@@ -0,0 +1,217 @@
+"""A target in memory and an entry's connection for the tests of the runner."""
+
+import contextlib
+from dataclasses import replace
+
+import pytest
+import trio
+
+from hornbeamshore.runner.runner import Runner
+from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.runner.target import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    StartAnswer,
+    TargetChannel,
+    TargetDriver,
+    TargetIncarnation,
+    TargetReplaced,
+    TargetSilent,
+    TargetState,
+)
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import (
+    AgentReport,
+    Resources,
+    RunOrder,
+    RunTasks,
+)
+
+TARGET = TargetIncarnation(
+    incarnation_id="t-1",
+    started_ms=1000,
+    sequence=1,
+    service="order-desk",
+    labels=("a", "r1-1"),
+    capacity=Resources(8000, 1024, 0),
+    leaving=False,
+    clock_ms=500,
+)
+TASK_CPU = 3000
+
+
+class FakeTarget(TargetDriver):
+    """Target whose runs end when the test says so, or when their lease does.
+
+    Attributes
+    ----------
+    present : dict
+        Runs that are present, by task and run.
+    lost_answers : int
+        Starts that are executed only when `apply_late` is called.
+    is_silent : bool
+        Whether no call is answered or executed.
+    """
+
+    def __init__(self):
+        self.incarnation_id = TARGET.incarnation_id
+        self.present = {}
+        self.refused = set()
+        self.ends = []
+        self.started = []
+        self.late = []
+        self.fence = 0
+        self.lease_end = 0.0
+        self.lost_answers = 0
+        self.answer = None
+        self.is_silent = False
+        self._changed = trio.Event()
+
+    def observe_clock(self, clock_ms):
+        pass
+
+    def open_channel(self, incarnation, fence):
+        return FakeChannel(self, incarnation.incarnation_id, fence)
+
+    def start(self, task, run, fence):
+        if fence < self.fence:
+            return StartAnswer.FENCED
+        if any(task == known and run <= number for known, number in self.refused):
+            return StartAnswer.STALE_RUN
+        self.present[task, run] = True
+        self.started.append((task, run))
+        return StartAnswer.STARTED
+
+    def end(self, task, kind=EndKind.DONE):
+        """End the run of a task that is present."""
+        key = next(key for key in self.present if key[0] == task)
+        del self.present[key]
+        self.refused.add(key)
+        self.ends.append(EndedTask(len(self.ends) + 1, *key, kind))
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def apply_late(self):
+        """Execute the starts whose answers were lost; return their answers."""
+        late, self.late = self.late, []
+        return [self.start(*args) for args in late]
+
+    async def wait_changed(self, wait_s):
+        with trio.move_on_after(wait_s):
+            await self._changed.wait()
+
+    def expire(self):
+        if trio.current_time() > self.lease_end:
+            for task, _run in list(self.present):
+                self.end(task, EndKind.EXPIRED)
+
+
+class FakeChannel(TargetChannel):
+    def __init__(self, target, incarnation_id, fence):
+        self._target = target
+        self._incarnation_id = incarnation_id
+        self._fence = fence
+
+    async def _called(self):
+        await trio.sleep(0.001)
+        if self._target.is_silent:
+            await trio.sleep(0.15)
+            raise TargetSilent("no answer")
+        if self._target.incarnation_id != self._incarnation_id:
+            raise TargetReplaced("421")
+        self._target.expire()
+
+    async def start(self, task, run, spec):
+        await self._called()
+        target = self._target
+        if target.lost_answers:
+            target.lost_answers -= 1
+            target.late.append((task, run, self._fence))
+            raise TargetSilent("answer lost")
+        target.lease_end = trio.current_time() + 1.0
+        return target.answer or target.start(task, run, self._fence)
+
+    async def stop(self, task, run):
+        await self._called()
+        self._target.refused.add((task, run))
+        if (task, run) in self._target.present:
+            self._target.end(task, EndKind.STOPPED)
+
+    async def poll(self, wait_s, acknowledged, *, renew=True):
+        await self._called()
+        target = self._target
+        target.fence = max(target.fence, self._fence)
+        if renew:
+            target.lease_end = trio.current_time() + 1.0
+        if wait_s and not any(end.number > acknowledged for end in target.ends):
+            await target.wait_changed(wait_s)
+        return TargetState(
+            tuple(RunningTask(task, run, 0) for task, run in target.present),
+            tuple(end for end in target.ends if end.number > acknowledged),
+        )
+
+    async def aclose(self):
+        pass
+
+
+class FakeConnection:
+    """An entry's end of a connection: keeps the reports that it is sent."""
+
+    def __init__(self, entry_id="entry-1", incarnation=1):
+        self.peer = Identity("test", "entry", entry_id, incarnation, "glasgow")
+        self.reports = []
+        self.ended_by_peer = False
+        self.hears = True
+        self._last_heard = trio.current_time()
+
+    @property
+    def last_heard(self):
+        if self.hears:
+            self._last_heard = trio.current_time()
+        return self._last_heard
+
+    def try_send(self, body):
+        assert isinstance(body, AgentReport)
+        self.reports.append(body)
+        return True
+
+    @property
+    def ends(self):
+        return {end.run_id: end for report in self.reports for end in report.ends}
+
+
+def order_tasks(*run_ids, job_id="j1", index=None, cpu=TASK_CPU):
+    """Return an order of tasks whose index is their run id, if none is given."""
+    needs = Resources(cpu, 64, 0)
+    orders = [
+        RunOrder(run_id, 0, run_id if index is None else index, 1, needs)
+        for run_id in run_ids
+    ]
+    return RunTasks(job_id, "content", tuple(orders))
+
+
+@pytest.fixture
+def target():
+    return FakeTarget()
+
+
+@pytest.fixture
+async def runner(autojump_clock, nursery, target):
+    runner = Runner(RunnerSettings(), target, trio.current_time)
+    nursery.start_soon(runner.run)
+    runner.announced(TARGET)
+    await trio.sleep(0.2)
+    assert runner.is_adopted
+    return runner
+
+
+@contextlib.contextmanager
+def attached(runner, conn):
+    session = runner.attach(conn)
+    yield session
+    session.detach(conn)
+
+
+def announcement(**changes):
+    return replace(TARGET, **changes)
--- /dev/null
+++ b/tests/runner/test_runner.py
@@ -0,0 +1,264 @@
+"""Runs on one target: capacity, leases, lost answers and replaced targets."""
+
+import pytest
+import trio
+
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.runner.runner import Runner
+from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.runner.target import EndKind, StartAnswer
+
+from .conftest import FakeConnection, announcement, attached, order_tasks
+
+
+async def test_runs_beyond_the_capacity_wait(autojump_clock, runner, target):
+    """Guards against a target that is given more than its capacity."""
+    with attached(runner, FakeConnection()) as session:
+        runner.order(session, 1, order_tasks(1, 2))
+        runner.order(session, 2, order_tasks(3, cpu=1500))
+        runner.order(session, 3, order_tasks(4, cpu=1500))
+        await trio.sleep(0.1)
+        assert len(target.present) == 3
+        target.end("j1.0.0.1")
+        await trio.sleep(0.1)
+        assert ("j1.0.0.4", 1) in target.started
+        assert len(target.present) == 3
+
+
+async def test_more_than_the_queue_holds_is_refused_as_not_run(autojump_clock, runner):
+    """Guards against a long queue at one target while others are free."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1, 2, 3, 4))
+        await trio.sleep(0.1)
+        assert {run_id: end.code for run_id, end in conn.ends.items()} == {
+            3: ResultCode.NO_FREE_SLOT,
+            4: ResultCode.NO_FREE_SLOT,
+        }
+        assert all(end.run_state == RunState.NOT_RUN for end in conn.ends.values())
+
+
+@pytest.mark.parametrize(
+    ("kind", "code"),
+    [
+        (EndKind.DONE, ResultCode.OK),
+        (EndKind.FAILED, ResultCode.TASK_FAILED),
+        (EndKind.EXPIRED, ResultCode.OUTCOME_UNKNOWN),
+    ],
+)
+async def test_ends_are_reported_until_acknowledged(
+    autojump_clock, runner, target, kind, code
+):
+    """Guards against an end that is lost with the connection that carried it."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        target.end("j1.0.0.1", kind)
+        await trio.sleep(0.1)
+        assert conn.ends[1].code == code
+    again = FakeConnection()
+    with attached(runner, again) as session:
+        assert again.ends[1].code == code
+        session.acknowledge([1])
+    last = FakeConnection()
+    with attached(runner, last):
+        assert last.ends == {}
+
+
+@pytest.mark.parametrize("silence", ["disconnected", "silent"])
+async def test_runs_of_a_silent_entry_are_stopped(
+    autojump_clock, runner, target, silence
+):
+    """Guards against a copy of a job that overlaps with one of a lost entry."""
+    conn = FakeConnection()
+    session = runner.attach(conn)
+    runner.order(session, 1, order_tasks(1))
+    await trio.sleep(0.1)
+    if silence == "disconnected":
+        session.detach(conn)
+    conn.hears = False
+    await trio.sleep(0.5)
+    assert target.present
+    # The platform sends a copy 1.3 s after the answer was lost.
+    await trio.sleep(0.7)
+    assert not target.present
+
+
+async def test_a_restarted_entry_stops_the_runs_of_its_earlier_life(
+    autojump_clock, runner, target
+):
+    """Guards against runs that go on for an entry that forgot them."""
+    session = runner.attach(FakeConnection(incarnation=1))
+    runner.order(session, 1, order_tasks(1))
+    await trio.sleep(0.1)
+    runner.attach(FakeConnection(incarnation=2))
+    await trio.sleep(0.1)
+    assert not target.present
+
+
+async def test_an_entry_that_reconnects_keeps_its_runs(autojump_clock, runner, target):
+    """Guards against work thrown away when one connection breaks."""
+    with attached(runner, FakeConnection()) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+    await trio.sleep(0.3)
+    conn = FakeConnection()
+    with attached(runner, conn):
+        await trio.sleep(2.0)
+        assert target.present
+        assert conn.reports[0].complete
+        assert conn.reports[0].held == (1,)
+
+
+async def test_a_start_that_is_executed_late_is_refused_by_the_target(
+    autojump_clock, runner, target
+):
+    """Guards against two runs of a task after the answer to a start was lost."""
+    target.lost_answers = 1
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(1.0)
+        assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
+        assert conn.ends[1].run_state == RunState.NOT_RUN
+        assert target.apply_late() == [StartAnswer.STALE_RUN]
+
+
+async def test_a_stop_of_a_start_without_answer_still_ends_it(
+    autojump_clock, runner, target
+):
+    """Guards against capacity that stays taken by a run stopped while starting."""
+    target.lost_answers = 1
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.0005)
+        runner.stop(session, [1])
+        await trio.sleep(1.0)
+        assert 1 in conn.ends
+        assert conn.reports[-1].free == conn.reports[-1].capacity
+
+
+async def test_a_task_that_returns_gets_a_higher_run(autojump_clock, runner, target):
+    """Guards against starts refused as stale when a job is submitted again."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        for run_id in (1, 2):
+            runner.order(session, run_id, order_tasks(run_id, index=0))
+            await trio.sleep(0.1)
+            target.end("j1.0.0.0")
+            await trio.sleep(0.1)
+    assert [run for _, run in target.started] == [1, 2]
+
+
+async def test_a_run_unknown_to_this_agent_is_numbered_anew(
+    autojump_clock, runner, target
+):
+    """Guards against a task that an agent restarted meanwhile cannot start."""
+    target.refused.add(("j1.0.0.1", 5))
+    with attached(runner, FakeConnection()) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.2)
+        assert len(target.present) == 1
+
+
+async def test_runs_are_over_when_the_target_is_replaced(
+    autojump_clock, runner, target
+):
+    """Guards against waiting for runs that ended with their target."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        target.present.clear()
+        target.incarnation_id = "t-2"
+        runner.announced(announcement(incarnation_id="t-2", started_ms=2000))
+        await trio.sleep(0.2)
+        assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
+        assert conn.reports[-1].accepting
+
+
+async def test_a_silent_target_has_ended_its_runs_when_its_lease_has(
+    autojump_clock, runner, target
+):
+    """Guards against runs that are given up while they may still go on."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        target.is_silent = True
+        await trio.sleep(0.9)
+        assert conn.ends == {}
+        await trio.sleep(1.0)
+        assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
+
+
+async def test_a_delayed_announcement_is_ignored(autojump_clock, runner):
+    """Guards against calls to a target that ended before the present one began."""
+    runner.announced(announcement(incarnation_id="t-0", started_ms=500))
+    assert runner.target.incarnation_id == "t-1"
+
+
+async def test_a_leaving_target_gets_no_work(autojump_clock, runner, target):
+    """Guards against work for a target that has said that it leaves."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.announced(announcement(sequence=2, leaving=True))
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        assert conn.ends[1].code == ResultCode.AGENT_LEAVING
+        assert not conn.reports[-1].accepting
+        assert target.started == []
+
+
+async def test_a_new_agent_clears_the_target_before_it_takes_work(
+    autojump_clock, nursery, target
+):
+    """Guards against capacity counted without what an earlier agent started."""
+    target.present["old.0.0.0", 1] = True
+    target.lease_end = 100.0
+    runner = Runner(RunnerSettings(), target, trio.current_time)
+    nursery.start_soon(runner.run)
+    runner.announced(announcement())
+    assert not runner.state().accepting
+    await trio.sleep(0.3)
+    assert target.present == {}
+    assert runner.state().accepting
+    # Late starts of the earlier agent are below the new fence.
+    assert target.start("old.0.0.1", 1, 1) is StartAnswer.FENCED
+
+
+@pytest.mark.parametrize("how", ["failed", "unhealthy"])
+async def test_a_target_that_fails_different_jobs_is_ejected(
+    autojump_clock, runner, target, how
+):
+    """Guards against a target that fails all work and looks idle for it."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        if how == "unhealthy":
+            target.answer = StartAnswer.UNHEALTHY
+        for number in (1, 2):
+            runner.order(session, number, order_tasks(number, job_id=f"j{number}"))
+            await trio.sleep(0.05)
+            if how == "failed":
+                target.end(f"j{number}.0.0.{number}", EndKind.FAILED)
+                await trio.sleep(0.05)
+        assert not conn.reports[-1].accepting
+        await trio.sleep(1.0)
+        # It is tried again after a pause, with one run.
+        assert conn.reports[-1].accepting
+
+
+async def test_one_job_that_fails_everywhere_ejects_nothing(
+    autojump_clock, runner, target
+):
+    """Guards against hopeless jobs that take all targets out of service."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        for number in (1, 2, 3):
+            runner.order(session, number, order_tasks(number))
+            await trio.sleep(0.05)
+            target.end(f"j1.0.0.{number}", EndKind.FAILED)
+            await trio.sleep(0.05)
+        assert conn.reports[-1].accepting
