--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -21,6 +21,9 @@
         Time over which the queues' use of capacity is compared.
     overhead : Duration
         Time between submission and answer that no target works.
+    estimate_margin : float
+        Run times are expected to be this many times their estimate where a job
+        might be late; declared times are off by up to 40%.
     speed_tolerance : float
         Ratio of run times up to which targets count as equally fast.
     retry_after : Duration
@@ -46,6 +49,7 @@
     )
     fairness_window: Duration = Duration(5.0)
     overhead: Duration = Duration(0.02)
+    estimate_margin: float = 1.25
     speed_tolerance: float = 1.15
     retry_after: Duration = Duration(1.0)
     tick: Duration = Duration(0.02)
