--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -168,12 +168,15 @@
         if not job.runs:
             del self.jobs[job.spec.job_id]
         log.info(
-            "job answered id=%s queue=%s code=%d state=%r ms=%.0f runs=%s",
+            "job answered id=%s queue=%s code=%d state=%r ms=%.0f aim_ms=%.0f"
+            " estimate_ms=%.0f runs=%s",
             job.spec.job_id,
             job.queue.name,
             job.outcome.code,
             job.outcome.run_state.label,
             (trio.current_time() - job.received_at) * 1000,
+            (job.on_time_at - job.received_at) * 1000,
+            job.longest_estimate_s * 1000,
             ",".join(job.history) or "-",
         )
 
@@ -337,7 +340,10 @@
         job.has_run |= end.run_state != RunState.NOT_RUN
         del view.runs[run.run_id]
         del job.runs[run.run_id]
-        job.history.append(f"{task.step}.{task.index}@{view.agent_id}:{int(code)}")
+        run_ms = end.run_time_us // 1000
+        job.history.append(
+            f"{task.step}.{task.index}@{view.agent_id}:{int(code)}:{run_ms}"
+        )
         if job.finished.is_set():
             job.check_drained()
             if job.drained.is_set() and self.jobs.get(job.spec.job_id) is job:
--- a/packages/dispatch/src/hornbeamshore/dispatch/placement.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/placement.py
@@ -50,7 +50,7 @@
         margin = self._cfg.estimate_margin
         if now + self.expected_s(task, best) * margin <= limit:
             return best
-        fastest = min(self.expected_s(task, view) for view in agents) * margin
+        fastest = min(self.expected_s(task, view) for view in agents)
         return None if now + fastest <= limit else best
 
     def has_room(self, task, agents, now):
@@ -58,11 +58,10 @@
         return any(self._may_run(task, view, now) for view in agents)
 
     def fastest_s(self, job, agents):
-        """Return a cautious run time of a whole job on the fastest of some agents."""
+        """Return the run time of a whole job on the fastest of some agents."""
         base = self._run_times.base(job.queue.name)
         slowness = [self._run_times.slowness(view.agent_id) for view in agents]
-        margin = self._cfg.estimate_margin
-        return job.longest_estimate_s * base * min(slowness, default=1.0) * margin
+        return job.longest_estimate_s * base * min(slowness, default=1.0)
 
     def expected_s(self, task, view):
         """Return the expected run time of a task at an agent."""
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -22,8 +22,8 @@
     overhead : Duration
         Time between submission and answer that no target works.
     estimate_margin : float
-        Run times are expected to be this many times their estimate where a job
-        might be late; declared times are off by up to 40%.
+        A task goes to a slower target than the fastest only if it ends in time even
+        when it takes this many times its estimate; declared times are off by 40%.
     speed_tolerance : float
         Ratio of run times up to which targets count as equally fast.
     retry_after : Duration
