Serve metrics, and bound the entries that an agent connects to

Cause: on-call engineers had only logs, and each agent connected to each entry, which at the target size of some hundred entries would be a mesh.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -41,12 +41,15 @@
     ----------
     cfg : DispatchSettings
         Settings.
+    metrics : DispatchMetrics
+        Counts answers and runs.
     clock : callable
         Returns the seconds in which leases are measured.
     """
 
-    def __init__(self, cfg, clock=boot_time_s):
+    def __init__(self, cfg, metrics, clock=boot_time_s):
         self.cfg = cfg
+        self.metrics = metrics
         self._clock = clock
         self.fleet = Fleet()
         self.jobs = {}
@@ -167,6 +170,13 @@
             self.stops += len(run_ids)
         if not job.runs:
             del self.jobs[job.spec.job_id]
+        now = trio.current_time()
+        self.metrics.job_answered(
+            job.queue.name,
+            job.outcome.code,
+            now - job.received_at,
+            in_time=now <= job.on_time_at + self.cfg.overhead,
+        )
         log.info(
             "job answered id=%s queue=%s code=%d state=%r ms=%.0f aim_ms=%.0f"
             " estimate_ms=%.0f runs=%s",
@@ -174,7 +184,7 @@
             job.queue.name,
             job.outcome.code,
             job.outcome.run_state.label,
-            (trio.current_time() - job.received_at) * 1000,
+            (now - job.received_at) * 1000,
             (job.on_time_at - job.received_at) * 1000,
             job.longest_estimate_s * 1000,
             ",".join(job.history) or "-",
@@ -337,6 +347,7 @@
     def _end_run(self, view, run, end):
         task, job = run.task, run.task.job
         code = ResultCode(end.code)
+        self.metrics.run_ended(code)
         job.has_run |= end.run_state != RunState.NOT_RUN
         del view.runs[run.run_id]
         del job.runs[run.run_id]
--- /dev/null
+++ b/packages/dispatch/src/hornbeamshore/dispatch/metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of the entry side of direct dispatch."""
+
+import prometheus_client
+from prometheus_client.core import GaugeMetricFamily
+
+# Jobs last from tens of milliseconds to some ten seconds.
+SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0, 13.0)
+
+
+class DispatchMetrics:
+    """Counters and histograms of jobs and runs.
+
+    Attributes
+    ----------
+    registry : prometheus_client.CollectorRegistry
+        Where the metrics are registered.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._jobs = prometheus_client.Counter(
+            "hornbeamshore_entry_jobs",
+            "Jobs answered, by queue, result code and whether in time",
+            ["queue", "code", "in_time"],
+            registry=self.registry,
+        )
+        self._job_seconds = prometheus_client.Histogram(
+            "hornbeamshore_entry_job_seconds",
+            "Time from submission to answer of jobs that succeeded",
+            ["queue"],
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self._runs = prometheus_client.Counter(
+            "hornbeamshore_entry_runs",
+            "Runs that ended, by result code",
+            ["code"],
+            registry=self.registry,
+        )
+
+    def watch(self, coordinator, routing):
+        """Read the gauges of a coordinator and its routing when they are asked for."""
+        self.registry.register(_Gauges(coordinator, routing))
+
+    def job_answered(self, queue_name, code, seconds, *, in_time):
+        """Count an answer."""
+        self._jobs.labels(queue_name, code.name, str(in_time).lower()).inc()
+        if code == 0:
+            self._job_seconds.labels(queue_name).observe(seconds)
+
+    def run_ended(self, code):
+        """Count the end of a run."""
+        self._runs.labels(code.name).inc()
+
+
+class _Gauges:
+    def __init__(self, coordinator, routing):
+        self._coordinator = coordinator
+        self._routing = routing
+
+    def collect(self):
+        """Yield the present values."""
+        agents = self._coordinator.fleet.agents.values()
+        current = self._routing.current
+        for name, text, value in (
+            ("agents", "Agents known", len(agents)),
+            ("agents_usable", "Agents that take runs", _usable(agents)),
+            ("jobs_open", "Jobs in progress", len(self._coordinator.jobs)),
+            ("routing_version", "Version in force", current.version if current else 0),
+        ):
+            yield GaugeMetricFamily(f"hornbeamshore_entry_{name}", text, value)
+
+
+def _usable(agents):
+    return sum(view.is_usable for view in agents)
--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hornbeamshore.base.hashing import rendezvous_order
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.wire.connection import (
     ConnectionLost,
@@ -64,15 +65,17 @@
         self._scopes = {}
 
     def use(self, nursery, addresses):
-        """Connect to exactly these addresses from now on."""
-        for address in addresses - self._scopes.keys():
+        """Connect to these addresses from now on, or to a share of many."""
+        order = rendezvous_order(self._identity.process_id, addresses)
+        chosen = set(order[: self._runner.cfg.max_entries])
+        for address in chosen - self._scopes.keys():
             self._scopes[address] = trio.CancelScope()
-            nursery.start_soon(self._keep_connected, address)
-        for address in self._scopes.keys() - addresses:
+            nursery.start_soon(self._keep_connected, address, self._scopes[address])
+        for address in self._scopes.keys() - chosen:
             self._scopes.pop(address).cancel()
 
-    async def _keep_connected(self, address):
-        with self._scopes[address]:
+    async def _keep_connected(self, address, scope):
+        with scope:
             while True:
                 await self._connect_once(address)
                 await trio.sleep(self._runner.cfg.wire.redial_after)
--- /dev/null
+++ b/packages/runner/src/hornbeamshore/runner/metrics.py
@@ -0,0 +1,66 @@
+"""Metrics of the agent side of direct dispatch."""
+
+import prometheus_client
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+# Tasks last from tens of milliseconds to some seconds.
+SECONDS_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0)
+
+
+class RunnerMetrics:
+    """Counters and histograms of runs on the target.
+
+    Attributes
+    ----------
+    registry : prometheus_client.CollectorRegistry
+        Where the metrics are registered.
+    """
+
+    def __init__(self):
+        self.registry = prometheus_client.CollectorRegistry()
+        self._ends = prometheus_client.Counter(
+            "hornbeamshore_agent_runs",
+            "Runs that ended, by result code",
+            ["code"],
+            registry=self.registry,
+        )
+        self._seconds = prometheus_client.Histogram(
+            "hornbeamshore_agent_run_seconds",
+            "Run time of tasks that succeeded",
+            buckets=SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+
+    def watch(self, runner):
+        """Read the gauges of a runner when they are asked for."""
+        self.registry.register(_Gauges(runner))
+
+    def run_ended(self, code, seconds):
+        """Count the end of a run."""
+        self._ends.labels(code.name).inc()
+        if code == 0:
+            self._seconds.observe(seconds)
+
+
+class _Gauges:
+    def __init__(self, runner):
+        self._runner = runner
+
+    def collect(self):
+        """Yield the present values."""
+        runner = self._runner
+        state = runner.state() if runner.target is not None else None
+        accepting = state is not None and state.accepting
+        free = state.free.cpu_millis if state is not None else 0
+        for name, text, value in (
+            ("accepting", "Whether the target takes runs", int(accepting)),
+            ("free_cpu_millis", "Free processor time in thousandths of a core", free),
+            ("entries", "Entries with a session", len(runner.sessions)),
+        ):
+            yield GaugeMetricFamily(f"hornbeamshore_agent_{name}", text, value)
+        yield CounterMetricFamily(
+            "hornbeamshore_agent_starts", "Starts sent", runner.runs_started
+        )
+        yield CounterMetricFamily(
+            "hornbeamshore_agent_refusals", "Orders refused", runner.runs_refused
+        )
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -68,6 +68,8 @@
         Settings.
     driver : TargetDriver
         Opens channels to the target.
+    metrics : RunnerMetrics
+        Counts runs.
     clock : callable
         Returns the seconds in which leases are measured.
 
@@ -81,8 +83,9 @@
         By entry id.
     """
 
-    def __init__(self, cfg, driver, clock=boot_time_s):
+    def __init__(self, cfg, driver, metrics, clock=boot_time_s):
         self.cfg = cfg
+        self.metrics = metrics
         self._clock = clock
         self.driver = driver
         self.target = None
@@ -461,6 +464,7 @@
         self._table.release(run)
         run_time_s = self._clock() - run.started_at if run.started_at else 0.0
         run.session.end(run.run_id, code, run_state, run_time_s, detail)
+        self.metrics.run_ended(code, run_time_s)
         self._changed()
 
     def _lose_target(self, reason):
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -38,6 +38,9 @@
         Time in which a target must have answered a call.
     call_lanes : int
         Connections for starts and stops.
+    max_entries : int
+        Entries that an agent connects to; of more, rendezvous hashing chooses, so
+        that links grow with the hosts and not with their square.
     max_queued_share : float
         Share of the capacity that may wait at the agent, so that the next run
         starts without a round trip to an entry.
@@ -59,6 +62,7 @@
     poll_wait: Duration = Duration(0.4)
     call_timeout: Duration = Duration(0.15)
     call_lanes: int = 3
+    max_entries: int = 16
     max_queued_share: float = 0.2
     end_retention: Duration = Duration(20.0)
     report_pause: Duration = Duration(0.02)
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -7,6 +7,7 @@
 
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.dispatch.coordinator import Coordinator
+from hornbeamshore.dispatch.metrics import DispatchMetrics
 from hornbeamshore.dispatch.model import JobSpec, Queue, Step
 from hornbeamshore.dispatch.settings import DispatchSettings
 from hornbeamshore.wire.handshake import Identity
@@ -113,7 +114,9 @@
 
 @pytest.fixture
 async def coordinator(autojump_clock, nursery):
-    coordinator = Coordinator(DispatchSettings("perth"), trio.current_time)
+    coordinator = Coordinator(
+        DispatchSettings("perth"), DispatchMetrics(), trio.current_time
+    )
     nursery.start_soon(coordinator.run)
     return coordinator
 
--- /dev/null
+++ b/tests/platform/test_metrics.py
@@ -0,0 +1,67 @@
+"""Metrics of both roles as text."""
+
+import httpcore
+import pytest
+import trio
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.dispatch.coordinator import Coordinator
+from hornbeamshore.dispatch.metrics import DispatchMetrics
+from hornbeamshore.dispatch.routing import RoutingReplica
+from hornbeamshore.dispatch.settings import DispatchSettings
+from hornbeamshore.platform.asgi import MetricsApi
+from hornbeamshore.runner.metrics import RunnerMetrics
+from hornbeamshore.runner.runner import Runner
+from hornbeamshore.runner.settings import RunnerSettings
+
+from .standin_http import serving
+
+
+def entry_metrics():
+    metrics = DispatchMetrics()
+    coordinator = Coordinator(DispatchSettings(), metrics, trio.current_time)
+    metrics.watch(coordinator, RoutingReplica())
+    metrics.job_answered("check", ResultCode.OK, 0.25, in_time=True)
+    metrics.run_ended(ResultCode.TASK_FAILED)
+    return metrics
+
+
+def agent_metrics():
+    metrics = RunnerMetrics()
+    metrics.watch(Runner(RunnerSettings(), None, metrics, trio.current_time))
+    metrics.run_ended(ResultCode.OK, 0.25)
+    return metrics
+
+
+@pytest.mark.parametrize(
+    ("make", "lines"),
+    [
+        (
+            entry_metrics,
+            [
+                'hornbeamshore_entry_jobs_total{code="OK",in_time="true",'
+                'queue="check"} 1.0',
+                'hornbeamshore_entry_job_seconds_bucket{le="0.3",queue="check"} 1.0',
+                'hornbeamshore_entry_runs_total{code="TASK_FAILED"} 1.0',
+                "hornbeamshore_entry_agents_usable 0.0",
+            ],
+        ),
+        (
+            agent_metrics,
+            [
+                'hornbeamshore_agent_runs_total{code="OK"} 1.0',
+                'hornbeamshore_agent_run_seconds_bucket{le="0.3"} 1.0',
+                "hornbeamshore_agent_accepting 0.0",
+            ],
+        ),
+    ],
+)
+async def test_metrics_are_served_as_text(make, lines):
+    """Guards against dashboards without the figures that OPERATIONS names."""
+    async with (
+        serving(MetricsApi(make().registry)) as address,
+        httpcore.AsyncConnectionPool() as pool,
+    ):
+        response = await pool.request("GET", f"http://{address}/metrics")
+    text = response.content.decode()
+    assert [line for line in lines if line not in text] == []
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from hornbeamshore.runner.metrics import RunnerMetrics
 from hornbeamshore.runner.runner import Runner
 from hornbeamshore.runner.settings import RunnerSettings
 from hornbeamshore.runner.target import (
@@ -198,7 +199,7 @@
 
 @pytest.fixture
 async def runner(autojump_clock, nursery, target):
-    runner = Runner(RunnerSettings(), target, trio.current_time)
+    runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
     nursery.start_soon(runner.run)
     runner.announced(TARGET)
     await trio.sleep(0.2)
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -4,6 +4,7 @@
 import trio
 
 from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.runner.metrics import RunnerMetrics
 from hornbeamshore.runner.runner import Runner
 from hornbeamshore.runner.settings import RunnerSettings
 from hornbeamshore.runner.target import EndKind, StartAnswer
@@ -218,7 +219,7 @@
     """Guards against capacity counted without what an earlier agent started."""
     target.present["old.0.0.0", 1] = True
     target.lease_end = 100.0
-    runner = Runner(RunnerSettings(), target, trio.current_time)
+    runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
     nursery.start_soon(runner.run)
     runner.announced(announcement())
     assert not runner.state().accepting
