Split the runner, and tell true ends of runs in three more cases

Cause: found by reading. A lost answer to a poll may have renewed the lease of a target, but its runs were given up by the last answered one. A late 421 of an earlier connection ended the runs of the new target. A suspended agent measured the silence of entries with a clock that stands still. A task ordered from an agent that restarted was reported as not run, and runs at a connected agent whose target never announced itself were waited for without end.

Change: supervisor (taking over, polling) and lanes (starts, stops) are modules of their own; a suspect target is polled without renewing and gets no starts; calls belong to a takeover; silence is noted at looks with the boot-time clock; inherited runs end as unknown and unlisted ones after the lease.

Measured: tests only; each case has one that failed before.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -274,7 +274,7 @@
         view, replaced = self.fleet.connect(conn)
         self._views[view.agent_id] = view
         if replaced is not None:
-            view.runs = replaced.runs
+            view.inherit(replaced, self._clock())
             self.run_times.forget_target(view.agent_id)
         log.info("agent connected id=%s runs=%d", view.agent_id, len(view.runs))
 
@@ -282,8 +282,7 @@
         """Keep the runs of a lost agent until it certainly has stopped them."""
         view = self._views.get(conn.peer.process_id)
         if view is not None and view.conn is conn:
-            view.conn = view.report = None
-            view.lost_at = self._clock()
+            view.disconnected(self._clock())
             log.warning("agent lost id=%s runs=%d", view.agent_id, len(view.runs))
 
     def handle(self, conn, message):
@@ -309,8 +308,12 @@
         for run_id in list(view.runs):
             run = view.runs[run_id]
             if run_id not in held and not view.is_on_the_way(run_id):
-                not_run = RunEnd(run_id, ResultCode.OUTCOME_UNKNOWN, RunState.NOT_RUN)
-                self._end_run(view, run, not_run)
+                # An agent that restarted knows nothing of what it had started.
+                state = RunState.NOT_RUN
+                if run_id in view.inherited:
+                    state = RunState.UNKNOWN
+                end = RunEnd(run_id, ResultCode.OUTCOME_UNKNOWN, state)
+                self._end_run(view, run, end)
             elif run.task.job.finished.is_set():
                 unwanted.add(run_id)
         if unwanted:
@@ -319,7 +322,7 @@
     def _give_up_lost_agents(self, now):
         limit = self.cfg.lease.agent_silence_s
         for view in list(self._views.values()):
-            if view.conn is not None or now - view.lost_at <= limit:
+            if view.is_reconciled or now - view.lost_at <= limit:
                 continue
             if view.runs:
                 log.warning(
@@ -328,9 +331,10 @@
             for run in list(view.runs.values()):
                 lost = RunEnd(run.run_id, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN)
                 self._end_run(view, run, lost)
-            del self._views[view.agent_id]
-            del self.fleet.agents[view.agent_id]
-            self.run_times.forget_target(view.agent_id)
+            if view.conn is None:
+                del self._views[view.agent_id]
+                del self.fleet.agents[view.agent_id]
+                self.run_times.forget_target(view.agent_id)
 
     # Ends of runs.
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
@@ -18,6 +18,8 @@
         Whether the agent has listed its runs on the present connection.
     runs : dict of int to Run
         Runs ordered from this agent that have not ended.
+    inherited : set of int
+        Runs that were ordered from an earlier life of the agent.
     lost_at : float
         Boot time at which the last connection ended.
     """
@@ -29,6 +31,7 @@
         self.conn = None
         self.report = None
         self.runs = {}
+        self.inherited = set()
         self.lost_at = 0.0
         self.is_reconciled = False
         self._unreported = deque()
@@ -58,6 +61,18 @@
         self._unreported.clear()
         self._reserved = Resources()
 
+    def disconnected(self, now):
+        """Note that the connection ended."""
+        self.conn = self.report = None
+        self.is_reconciled = False
+        self.lost_at = now
+
+    def inherit(self, earlier, now):
+        """Take over the runs of an earlier life of the agent."""
+        self.runs = earlier.runs
+        self.inherited = set(earlier.runs)
+        self.lost_at = now if earlier.conn is not None else earlier.lost_at
+
     def reserve(self, needs):
         """Count resources that are about to be ordered."""
         self._reserved += needs
--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -42,7 +42,7 @@
         elif isinstance(body, StopRuns):
             self._runner.stop(self._session, body.run_ids)
         elif isinstance(body, AckRuns):
-            self._session.acknowledge(body.run_ids)
+            self._runner.acknowledge(self._session, body.run_ids)
 
 
 class EntryLinks:
--- a/packages/runner/src/hornbeamshore/runner/metrics.py
+++ b/packages/runner/src/hornbeamshore/runner/metrics.py
@@ -49,7 +49,8 @@
     def collect(self):
         """Yield the present values."""
         runner = self._runner
-        state = runner.state() if runner.target is not None else None
+        target = runner.supervisor.target
+        state = runner.state() if target is not None else None
         accepting = state is not None and state.accepting
         free = state.free.cpu_millis if state is not None else 0
         for name, text, value in (
@@ -59,7 +60,7 @@
         ):
             yield GaugeMetricFamily(f"hornbeamshore_agent_{name}", text, value)
         yield CounterMetricFamily(
-            "hornbeamshore_agent_starts", "Starts sent", runner.runs_started
+            "hornbeamshore_agent_starts", "Starts sent", runner.lanes.starts
         )
         yield CounterMetricFamily(
             "hornbeamshore_agent_refusals", "Orders refused", runner.runs_refused
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -46,8 +46,6 @@
         "stop_reason",
         "stop_answered",
         "started_at",
-        "percent",
-        "percent_at",
     )
 
     def __init__(self, session, job_id, spec, order):
@@ -62,8 +60,6 @@
         self.stop_reason = None
         self.stop_answered = False
         self.started_at = 0.0
-        self.percent = None
-        self.percent_at = 0.0
 
     @property
     def key(self):
@@ -91,6 +87,11 @@
         """Return the capacity that no run takes."""
         return self.capacity - self._used
 
+    @property
+    def is_busy(self):
+        """Return whether any run is active or queued."""
+        return bool(self.active) or bool(self.queue)
+
     @property
     def queued(self):
         """Return the resources that queued runs wait for."""
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -17,6 +17,8 @@
         Ends that the entry has not acknowledged.
     last_heard : float
         Boot time of the last message of the entry.
+    is_listed : bool
+        Whether the entry was sent the list of its runs on the present connection.
     """
 
     def __init__(self, entry_id, incarnation, clock):
@@ -28,6 +30,8 @@
         self.ends = {}
         self.last_heard = self._clock()
         self.received = 0
+        self.is_listed = False
+        self._conn_heard = 0.0
         self._unsent = set()
 
     def attach(self, conn):
@@ -35,12 +39,24 @@
         self.conn = conn
         self.received = 0
         self.last_heard = self._clock()
+        self.is_listed = False
         self._unsent = set(self.ends)
 
+    def note_heard(self, now):
+        """Renew the lease of the entry if a message came since the last look.
+
+        A look, not the time that the connection noted: that clock stands still while
+        the host is suspended.
+        """
+        if self.conn is not None and self.conn.last_heard != self._conn_heard:
+            self._conn_heard = self.conn.last_heard
+            self.last_heard = now
+
     def detach(self, conn):
         """Forget a connection that ended."""
         if self.conn is conn:
             self.conn = None
+            self.is_listed = False
 
     def end(self, run_id, code, run_state, run_time_s=0.0, detail=""):
         """Record the end of a run."""
@@ -56,6 +72,11 @@
             self.ends.pop(run_id, None)
             self._unsent.discard(run_id)
 
+    @property
+    def is_busy(self):
+        """Return whether a run is present, or an end not taken by a connected entry."""
+        return bool(self.runs) or (self.conn is not None and bool(self.ends))
+
     @property
     def has_news(self):
         """Return whether an end was not sent on the present connection."""
@@ -73,6 +94,7 @@
         """
         ends = tuple(self.ends[run_id] for run_id in sorted(self._unsent))
         self._unsent.clear()
+        self.is_listed |= complete
         self.conn.try_send(
             AgentReport(
                 state.target,
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -202,6 +202,39 @@
     assert len(again.orders) == (again_within_s is not None)
 
 
+@pytest.mark.parametrize(
+    ("incarnation", "expected"),
+    [(1, RunState.NOT_RUN), (2, RunState.UNKNOWN)],
+    ids=["never received", "agent restarted"],
+)
+async def test_a_refusal_after_a_lost_order_is_true(
+    autojump_clock, nursery, coordinator, agent, incarnation, expected
+):
+    """Guards against `not run` for a task that an agent started before it died."""
+    submission = Submission(nursery, coordinator, job_of(1), deadline_s=1.0)
+    await trio.sleep(0.02)
+    agent.disconnect()
+    again = FakeAgent(coordinator, "agent-1", incarnation)
+    again.is_accepting = False
+    again.report(held=())
+    await trio.sleep(2.0)
+    assert submission.outcome.run_state is expected
+
+
+async def test_an_agent_that_never_lists_its_runs_is_given_up(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against tasks that wait for an agent whose target is gone."""
+    Submission(nursery, coordinator, job_of(1, estimate_s=5.0))
+    await trio.sleep(0.02)
+    agent.disconnect()
+    FakeAgent(coordinator, "agent-1", 2)
+    other = FakeAgent(coordinator, "agent-2")
+    other.report(held=())
+    await trio.sleep(coordinator.cfg.lease.agent_silence_s + 0.3)
+    assert len(other.orders) == 1
+
+
 async def test_tasks_of_a_lost_agent_run_elsewhere_once_they_have_stopped(
     autojump_clock, nursery, coordinator, agent
 ):
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -53,6 +53,8 @@
         Starts that are executed only when `apply_late` is called.
     is_silent : bool
         Whether no call is answered or executed.
+    is_mute : bool
+        Whether polls are executed but not answered.
     """
 
     def __init__(self):
@@ -67,6 +69,7 @@
         self.lost_answers = 0
         self.answer = None
         self.is_silent = False
+        self.is_mute = False
         self._changed = trio.Event()
 
     def observe_clock(self, clock_ms):
@@ -145,6 +148,9 @@
         target.fence = max(target.fence, self._fence)
         if renew:
             target.lease_end = trio.current_time() + 1.0
+        if target.is_mute:
+            await trio.sleep(0.15)
+            raise TargetSilent("answer lost")
         if wait_s and not any(end.number > acknowledged for end in target.ends):
             await target.wait_changed(wait_s)
         return TargetState(
@@ -201,9 +207,9 @@
 async def runner(autojump_clock, nursery, target):
     runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
     nursery.start_soon(runner.run)
-    runner.announced(TARGET)
+    runner.supervisor.announced(TARGET)
     await trio.sleep(0.2)
-    assert runner.is_adopted
+    assert runner.supervisor.takeover is not None
     return runner
 
 
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -61,7 +61,7 @@
     again = FakeConnection()
     with attached(runner, again) as session:
         assert again.ends[1].code == code
-        session.acknowledge([1])
+        runner.acknowledge(session, [1])
     last = FakeConnection()
     with attached(runner, last):
         assert last.ends == {}
@@ -174,7 +174,7 @@
         await trio.sleep(0.1)
         target.present.clear()
         target.incarnation_id = "t-2"
-        runner.announced(announcement(incarnation_id="t-2", started_ms=2000))
+        runner.supervisor.announced(announcement(incarnation_id="t-2", started_ms=2000))
         await trio.sleep(0.2)
         assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
         assert conn.reports[-1].accepting
@@ -195,17 +195,62 @@
         assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
 
 
+async def test_runs_are_not_given_up_while_lost_answers_may_renew_them(
+    autojump_clock, runner, target
+):
+    """Guards against a second run beside one that polls without answer keep alive."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        target.is_mute = True
+        for _ in range(500):
+            await trio.sleep(0.01)
+            if 1 in conn.ends:
+                break
+        target.expire()
+        assert target.present == {}
+
+
+async def test_an_answer_of_the_old_target_says_nothing_of_the_new_one(
+    autojump_clock, runner, target
+):
+    """Guards against runs of a new target that are given up while they go on."""
+    with attached(runner, FakeConnection()) as session:
+        old = runner.supervisor.takeover
+        target.incarnation_id = "t-2"
+        runner.supervisor.announced(announcement(incarnation_id="t-2", started_ms=2000))
+        await trio.sleep(0.2)
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        runner.supervisor.replaced(old)
+        assert runner.supervisor.takeover is not None
+        assert list(session.runs) == [1]
+
+
+async def test_a_suspension_ends_the_lease_of_entries(autojump_clock, runner, target):
+    """Guards against runs that go on after their entry has placed them elsewhere."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        conn.hears = False
+        runner.clock = lambda: trio.current_time() + 5.0
+        await trio.sleep(0.2)
+        assert target.present == {}
+
+
 async def test_a_delayed_announcement_is_ignored(autojump_clock, runner):
     """Guards against calls to a target that ended before the present one began."""
-    runner.announced(announcement(incarnation_id="t-0", started_ms=500))
-    assert runner.target.incarnation_id == "t-1"
+    runner.supervisor.announced(announcement(incarnation_id="t-0", started_ms=500))
+    assert runner.supervisor.target.incarnation_id == "t-1"
 
 
 async def test_a_leaving_target_gets_no_work(autojump_clock, runner, target):
     """Guards against work for a target that has said that it leaves."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.announced(announcement(sequence=2, leaving=True))
+        runner.supervisor.announced(announcement(sequence=2, leaving=True))
         runner.order(session, 1, order_tasks(1))
         await trio.sleep(0.1)
         assert conn.ends[1].code == ResultCode.AGENT_LEAVING
@@ -221,7 +266,7 @@
     target.lease_end = 100.0
     runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
     nursery.start_soon(runner.run)
-    runner.announced(announcement())
+    runner.supervisor.announced(announcement())
     assert not runner.state().accepting
     await trio.sleep(0.3)
     assert target.present == {}
