Move the wiring of both roles out of the adapter

Change: dispatch.daemon and runner.daemon wire the roles; the adapter implements CallerInterface and TargetInterface. The HTTP server, metrics and signals that daemons share are the package serving.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := base wire store config policy entry agent dispatch runner cli bench
+PACKAGES := base wire store config policy serving entry agent dispatch runner cli bench
 SOURCES := packages platform tests spec
 
 .PHONY: setup demo test lint format model measure slopes thrift clean
--- a/packages/bench/src/hornbeamshore/bench/baseline.py
+++ b/packages/bench/src/hornbeamshore/bench/baseline.py
@@ -14,8 +14,8 @@
 import trio
 
 from hornbeamshore.base.codes import ResultCode
-from hornbeamshore.entry.http_server import open_http_listeners, serve_http
-from hornbeamshore.entry.http_settings import HttpSettings
+from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
 
 COUNTERS_PATH = "/counters"
 
--- /dev/null
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -0,0 +1,167 @@
+"""Entry process of direct dispatch: wiring of its parts, and graceful shutdown."""
+
+import abc
+import contextlib
+from dataclasses import dataclass
+
+import trio
+
+from hornbeamshore.base.clock import new_incarnation
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.dispatch.coordinator import Coordinator
+from hornbeamshore.dispatch.metrics import DispatchMetrics
+from hornbeamshore.dispatch.routing import RoutingReplica
+from hornbeamshore.dispatch.settings import DispatchSettings
+from hornbeamshore.serving.http_server import serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.lifecycle import (
+    listen,
+    listen_for_scrapes,
+    serve_for_good,
+    take_signals,
+)
+from hornbeamshore.serving.metrics_api import MetricsApi
+from hornbeamshore.store.base import deployment_key
+from hornbeamshore.store.directory import Registration
+from hornbeamshore.wire.connection import WireSettings, serve_connections
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import ProcessKind
+
+ENTRIES = "entries/"
+
+log = PartLogger("entry")
+
+
+@dataclass(frozen=True, slots=True)
+class EntryProcessSettings:
+    """Settings of an entry process.
+
+    Attributes
+    ----------
+    deployment, entry_id : str
+        Names of the deployment and of this process.
+    secret : bytes
+        Shared by all processes of the deployment.
+    caller_address, ready_address, inner_address, metrics_address : str
+        Where it serves callers, the readiness check, agents and scrapes.
+    stop_grace : Duration
+        Time from the signal to stop until the process is killed.
+    ready_misses : Duration
+        Time after which callers stop to be sent to an entry that is not ready.
+    exit_margin : Duration
+        Left of the grace period for the last answers, and again for the exit.
+    routing_retry : Duration
+        Pause after a failed read of the routing.
+    """
+
+    deployment: str
+    entry_id: str
+    secret: bytes
+    caller_address: str
+    ready_address: str
+    inner_address: str
+    metrics_address: str
+    dispatch: DispatchSettings
+    wire: WireSettings
+    stop_grace: Duration
+    ready_misses: Duration = Duration(2.3)
+    exit_margin: Duration = Duration(0.5)
+    routing_retry: Duration = Duration(0.2)
+
+
+class CallerInterface(abc.ABC):
+    """How callers, operators and the readiness check speak to an entry."""
+
+    @property
+    @abc.abstractmethod
+    def routing_key(self):
+        """Return the key of the store that holds the routing."""
+
+    @abc.abstractmethod
+    def decode_routing(self, data):
+        """Return the `Routing` in the value of the key; raise ValueError."""
+
+    @abc.abstractmethod
+    def caller_app(self, coordinator, routing):
+        """Return the ASGI application for callers."""
+
+    @abc.abstractmethod
+    def ready_app(self, is_ready):
+        """Return the ASGI application for the readiness check."""
+
+
+async def run_entry(cfg, store, interface, reload):
+    """Serve callers until a signal to stop, then end what is in flight.
+
+    Parameters
+    ----------
+    cfg : EntryProcessSettings
+        Settings.
+    store : Store
+        The platform's store.
+    interface : CallerInterface
+        Translates for callers and operators.
+    reload : callable
+        Called on SIGHUP; raises `SettingsError` for faulty settings.
+    """
+    stopping = trio.Event()
+    metrics = DispatchMetrics()
+    coordinator = Coordinator(cfg.dispatch, metrics)
+    routing = RoutingReplica()
+    metrics.watch(coordinator, routing)
+    identity = Identity(
+        cfg.deployment,
+        ProcessKind.ENTRY,
+        cfg.entry_id,
+        new_incarnation(),
+        cfg.dispatch.data_centre,
+    )
+    key = deployment_key(cfg.deployment, ENTRIES + cfg.entry_id)
+    registration = Registration(store, key, cfg.inner_address)
+
+    def is_ready():
+        known = routing.current is not None and coordinator.is_connected
+        return known and not stopping.is_set()
+
+    async with contextlib.AsyncExitStack() as stack:
+        callers = await listen(stack, cfg.caller_address)
+        ready = await listen(stack, cfg.ready_address)
+        agents = await listen(stack, cfg.inner_address)
+        scrapes = await listen_for_scrapes(stack, cfg.metrics_address)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        nursery.start_soon(coordinator.run)
+        nursery.start_soon(
+            routing.follow,
+            store,
+            interface.routing_key,
+            interface.decode_routing,
+            cfg.routing_retry,
+        )
+        nursery.start_soon(registration.keep)
+        nursery.start_soon(
+            serve_connections, agents, identity, cfg.secret, cfg.wire, coordinator
+        )
+        nursery.start_soon(serve_for_good, interface.ready_app(is_ready), ready)
+        nursery.start_soon(serve_for_good, MetricsApi(metrics.registry), scrapes)
+        nursery.start_soon(take_signals, stopping, reload)
+        nursery.start_soon(_end_jobs, cfg, coordinator, stopping)
+        log.info("started id=%s", cfg.entry_id)
+        app = interface.caller_app(coordinator, routing)
+        await serve_http(app, callers, _http_settings(cfg), stopping)
+        with trio.move_on_after(cfg.exit_margin / 2):
+            await registration.withdraw()
+        nursery.cancel_scope.cancel()
+    log.info("stopped id=%s", cfg.entry_id)
+
+
+async def _end_jobs(cfg, coordinator, stopping):
+    """Answer what is still open when the grace period of a planned stop ends."""
+    await stopping.wait()
+    await trio.sleep(cfg.stop_grace - 2 * cfg.exit_margin)
+    coordinator.end_all()
+
+
+def _http_settings(cfg):
+    graceful = cfg.stop_grace - cfg.ready_misses - cfg.exit_margin
+    return HttpSettings(linger=cfg.ready_misses, graceful_timeout=Duration(graceful))
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -12,8 +12,6 @@
 from hornbeamshore.entry.front import Front
 from hornbeamshore.entry.handler import EntryHandler
 from hornbeamshore.entry.http_api import HttpApi
-from hornbeamshore.entry.http_server import open_http_listeners, serve_http
-from hornbeamshore.entry.http_settings import HttpSettings
 from hornbeamshore.entry.membership import EntryMembership, owners_key
 from hornbeamshore.entry.metrics import EntryMetrics
 from hornbeamshore.entry.objectives import BurnWindows
@@ -22,6 +20,8 @@
 from hornbeamshore.entry.reporting import keep_reporting
 from hornbeamshore.entry.state import EntryState
 from hornbeamshore.entry.table import TableError, decode_table
+from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
 from hornbeamshore.store.base import StoreError
 from hornbeamshore.store.etcd import EtcdStore
 from hornbeamshore.wire.connection import serve_connections
--- a/packages/entry/src/hornbeamshore/entry/http_api.py
+++ b/packages/entry/src/hornbeamshore/entry/http_api.py
@@ -22,7 +22,7 @@
 from hornbeamshore.entry.http_body import BodyBudget, RequestBody
 from hornbeamshore.entry.http_errors import RequestRefused
 from hornbeamshore.entry.http_requests import RequestHead
-from hornbeamshore.entry.http_settings import HttpSettings
+from hornbeamshore.serving.http_settings import HttpSettings
 
 JOBS_PATH = "/v1/jobs"
 SERVICES_PREFIX = "/v1/services/"
--- /dev/null
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -0,0 +1,144 @@
+"""Agent process of direct dispatch: wiring of its parts, and graceful shutdown."""
+
+import abc
+import contextlib
+from dataclasses import dataclass
+
+import trio
+
+from hornbeamshore.base.clock import new_incarnation
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.runner.links import EntryLinks
+from hornbeamshore.runner.metrics import RunnerMetrics
+from hornbeamshore.runner.runner import Runner
+from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.serving.lifecycle import (
+    listen,
+    listen_for_scrapes,
+    repeat,
+    serve_for_good,
+    take_signals,
+)
+from hornbeamshore.serving.metrics_api import MetricsApi
+from hornbeamshore.store.base import deployment_key
+from hornbeamshore.store.directory import Directory
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import ProcessKind
+
+log = PartLogger("agent")
+
+
+@dataclass(frozen=True, slots=True)
+class AgentProcessSettings:
+    """Settings of an agent process.
+
+    Attributes
+    ----------
+    deployment, agent_id, data_centre : str
+        Names of the deployment, of this process and of where it runs.
+    secret : bytes
+        Shared by all processes of the deployment.
+    announce_address, metrics_address : str
+        Where the target announces itself, and where scrapes are served.
+    entries_prefix : str
+        Name, in the deployment's part of the store, below which entries register.
+    forget_after : Duration
+        Time for which an entry whose key went is still dialled, since an outage of
+        the store may remove the keys of live ones.
+    directory_check : Duration
+        How often forgotten entries are looked for.
+    """
+
+    deployment: str
+    agent_id: str
+    data_centre: str
+    secret: bytes
+    announce_address: str
+    metrics_address: str
+    runner: RunnerSettings
+    entries_prefix: str = "entries/"
+    forget_after: Duration = Duration(60.0)
+    directory_check: Duration = Duration(1.0)
+
+
+class TargetInterface(abc.ABC):
+    """How a target and its agent speak to each other."""
+
+    @property
+    @abc.abstractmethod
+    def driver(self):
+        """Return the `TargetDriver` of the target beside this process."""
+
+    @abc.abstractmethod
+    def announcement_app(self, supervisor):
+        """Return the ASGI application at which the target announces itself."""
+
+
+async def run_agent(cfg, store, interface, load_seeds):
+    """Run tasks on the target beside this process until a signal to stop.
+
+    Parameters
+    ----------
+    cfg : AgentProcessSettings
+        Settings.
+    store : Store
+        The platform's store.
+    interface : TargetInterface
+        Translates for the target.
+    load_seeds : callable
+        Returns the addresses of entries that the settings name; called at the start
+        and on SIGHUP, and raises `SettingsError` for faulty settings.
+    """
+    stopping = trio.Event()
+    metrics = RunnerMetrics()
+    runner = Runner(cfg.runner, interface.driver, metrics)
+    metrics.watch(runner)
+    identity = Identity(
+        cfg.deployment,
+        ProcessKind.AGENT,
+        cfg.agent_id,
+        new_incarnation(),
+        cfg.data_centre,
+    )
+    links = EntryLinks(runner, identity, cfg.secret)
+    prefix = deployment_key(cfg.deployment, cfg.entries_prefix)
+    directory = Directory(store, prefix, cfg.forget_after)
+    async with contextlib.AsyncExitStack() as stack:
+        target = await listen(stack, cfg.announce_address)
+        scrapes = await listen_for_scrapes(stack, cfg.metrics_address)
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        seeds = set(load_seeds())
+
+        def connect():
+            links.use(nursery, directory.addresses | seeds)
+
+        def reload():
+            new = load_seeds()
+            seeds.clear()
+            seeds.update(new)
+            connect()
+
+        connect()
+        nursery.start_soon(runner.run)
+        nursery.start_soon(directory.follow, connect)
+        nursery.start_soon(repeat, connect, cfg.directory_check)
+        app = interface.announcement_app(runner.supervisor)
+        nursery.start_soon(serve_for_good, app, target)
+        nursery.start_soon(serve_for_good, MetricsApi(metrics.registry), scrapes)
+        nursery.start_soon(take_signals, stopping, reload)
+        log.info("started id=%s", cfg.agent_id)
+        await stopping.wait()
+        await _leave(runner)
+        nursery.cancel_scope.cancel()
+    log.info("stopped id=%s", cfg.agent_id)
+
+
+async def _leave(runner):
+    """Let the runs end, and stop those that take too long."""
+    runner.leave()
+    with trio.move_on_after(runner.cfg.leave_timeout):
+        await runner.wait_idle()
+    runner.stop_all()
+    with trio.move_on_after(runner.cfg.lease.stop_time):
+        await runner.wait_idle()
--- /dev/null
+++ b/packages/serving/src/hornbeamshore/serving/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server, metrics and signals of the daemons."""
--- /dev/null
+++ b/packages/serving/src/hornbeamshore/serving/lifecycle.py
@@ -0,0 +1,73 @@
+"""Listeners, servers and signals that the daemons have in common."""
+
+import signal
+
+import trio
+
+from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import SettingsError
+from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
+
+log = PartLogger("process")
+
+
+async def listen(stack, address):
+    """Return the listeners of ``host:port``; the exit stack closes them.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be bound.
+    """
+    host, _, port = address.rpartition(":")
+    listeners = await open_http_listeners(host, int(port))
+    for listener in listeners:
+        await stack.enter_async_context(listener)
+    return listeners
+
+
+async def listen_for_scrapes(stack, address):
+    """Return the listeners of the metrics, or none if the address is taken."""
+    try:
+        return await listen(stack, address)
+    except OSError as exc:
+        # Work goes on without metrics.
+        log.error("metrics not served address=%s: %s", address, exc)
+        return []
+
+
+async def serve_for_good(app, listeners):
+    """Serve an ASGI application until cancelled."""
+    if listeners:
+        await serve_http(app, listeners, HttpSettings(), trio.Event())
+
+
+async def repeat(function, every_s):
+    """Call a function again and again until cancelled."""
+    while True:
+        await trio.sleep(every_s)
+        function()
+
+
+async def take_signals(stopping, reload):
+    """Set `stopping` on SIGTERM and SIGINT; call `reload` on SIGHUP.
+
+    Parameters
+    ----------
+    reload : callable
+        Reads the settings again; may raise `SettingsError`.
+    """
+    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with trio.open_signal_receiver(*numbers) as signals:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                log.info("stopping signal=%d", number)
+                stopping.set()
+                continue
+            try:
+                reload()
+            except SettingsError as exc:
+                log.error("settings not reloaded: %s", exc)
+            else:
+                log.info("settings reloaded")
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -12,9 +12,9 @@
 from hornbeamshore.base.types import Header, JobAnswer, TaskResult
 from hornbeamshore.config.model import Deployment, Kind, Service, Team
 from hornbeamshore.entry.http_api import AnswerObserver, HttpApi
-from hornbeamshore.entry.http_server import open_http_listeners, serve_http
-from hornbeamshore.entry.http_settings import HttpSettings
 from hornbeamshore.entry.service import SubmissionService
+from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
 
 TOKEN = "order-desk"
 SETTINGS = HttpSettings(discard_timeout=0.05)
--- a/tests/entry/test_http_api.py
+++ b/tests/entry/test_http_api.py
@@ -14,7 +14,7 @@
 from hornbeamshore.base.types import Header, JobAnswer, JobKey
 from hornbeamshore.entry.http_body import BodyBudget
 from hornbeamshore.entry.http_errors import RequestRefused
-from hornbeamshore.entry.http_settings import HttpSettings
+from hornbeamshore.serving.http_settings import HttpSettings
 
 TOKEN = "order-desk"
 BODIES = [{"n": 1.10}, "text", None, [1, 2]]
--- a/tests/platform/standin_http.py
+++ b/tests/platform/standin_http.py
@@ -6,9 +6,9 @@
 import trio
 
 from hornbeamshore.base.settings import Duration
-from hornbeamshore.entry.http_server import open_http_listeners, serve_http
-from hornbeamshore.entry.http_settings import HttpSettings
 from hornbeamshore.platform.asgi import answer, read_body
+from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
 
 CFG = HttpSettings(linger=Duration(0.0), graceful_timeout=Duration(0.1))
 
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -9,10 +9,10 @@
 from hornbeamshore.dispatch.metrics import DispatchMetrics
 from hornbeamshore.dispatch.routing import RoutingReplica
 from hornbeamshore.dispatch.settings import DispatchSettings
-from hornbeamshore.platform.asgi import MetricsApi
 from hornbeamshore.runner.metrics import RunnerMetrics
 from hornbeamshore.runner.runner import Runner
 from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.serving.metrics_api import MetricsApi
 
 from .standin_http import serving
 
