Test both roles as processes against stand-ins of the platform

Change: stand-ins of the platform's store and of a target; a job from end to end, and SIGHUP and SIGTERM for each role.

--- /dev/null
+++ b/tests/platform/standin_platform.py
@@ -0,0 +1,158 @@
+"""Stand-ins of the platform: its store, and a target that announces itself."""
+
+import json
+import time
+from urllib.parse import parse_qs
+
+import httpcore
+import trio
+
+from hornbeamshore.platform.asgi import answer, read_body
+
+WATCH_S = 0.5
+
+
+class StandInStore:
+    """ASGI application with the store's calls that the processes make."""
+
+    def __init__(self):
+        self.items = {}
+        self.leases = 0
+        self.revision = 1
+
+    def put(self, key, value, lease=0):
+        """Write an item as the operator or a process does."""
+        self.revision += 1
+        self.items[key] = {
+            "key": key,
+            "value": value,
+            "revision": self.revision,
+            "created": self.revision,
+            "lease": lease,
+        }
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        data = await read_body(receive, 1 << 20)
+        call = scope["path"].split("/")[2]
+        query = parse_qs(scope["query_string"].decode())
+        method = getattr(self, "_" + call.replace("-", "_"))
+        status, body = await method(
+            {name: values[0] for name, values in query.items()},
+            json.loads(data) if data else {},
+        )
+        await answer(send, status, body)
+
+    async def _kv_key(self, query, body):
+        item = self.items.get(query["key"])
+        if item is None:
+            return 404, {"currentRev": self.revision}
+        return 200, {**item, "currentRev": self.revision}
+
+    async def _kv_range(self, query, body):
+        items = [i for k, i in self.items.items() if k.startswith(query["prefix"])]
+        return 200, {"items": items, "hasMore": False, "currentRev": self.revision}
+
+    async def _kv_watch(self, query, body):
+        after, end = int(query["after"]), trio.current_time() + WATCH_S
+        while True:
+            events = [
+                item
+                for key, item in self.items.items()
+                if key.startswith(query["prefix"]) and item["revision"] > after
+            ]
+            if events or trio.current_time() > end:
+                return 200, {"events": events, "currentRev": self.revision}
+            await trio.sleep(0.02)
+
+    async def _kv_txn(self, query, body):
+        for row in body["expectedRev"]:
+            item = self.items.get(row["key"])
+            if (item["revision"] if item else 0) != row["revision"]:
+                return 412, {"items": [item]}
+        for put in body["puts"]:
+            self.put(put["key"], put["value"], put.get("lease", 0))
+        return 200, {"revision": self.revision}
+
+    async def _kv_lease(self, query, body):
+        self.leases += 1
+        return 200, {"lease": self.leases, "ttlMs": body["ttlMs"]}
+
+    async def _kv_keep(self, query, body):
+        return 200, {"ttlMs": 15000}
+
+    async def _kv_lease_end(self, query, body):
+        return 200, {}
+
+
+class StandInTarget:
+    """ASGI application of a target whose tasks take 50 ms."""
+
+    RUN_S = 0.05
+
+    def __init__(self, incarnation_id="i-1"):
+        self.incarnation_id = incarnation_id
+        self.running = {}
+        self.ends = []
+        self.starts = []
+        self._born = time.monotonic()
+
+    @property
+    def clock_ms(self):
+        return round((time.monotonic() - self._born) * 1000) + 1000
+
+    async def announce(self, address):
+        """Announce the target to its agent, until cancelled."""
+        async with httpcore.AsyncConnectionPool() as pool:
+            sequence = 0
+            while True:
+                sequence += 1
+                body = {
+                    "service": "order-desk",
+                    "state": "ready",
+                    "seq": sequence,
+                    "capacity": {"cpu": 8000, "memMb": 4096, "gpu": 0},
+                    "labels": ["a", "r1"],
+                    "clockMs": self.clock_ms,
+                    "born": 1,
+                }
+                url = f"http://{address}/hornbeamshore/instances/{self.incarnation_id}"
+                try:
+                    await pool.request("PUT", url, content=json.dumps(body).encode())
+                except (httpcore.NetworkError, httpcore.ProtocolError):
+                    # The agent has not started yet.
+                    sequence -= 1
+                await trio.sleep(0.2)
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        body = json.loads(await read_body(receive, 1 << 20))
+        if scope["path"].endswith("run-start"):
+            key = body["task"], body["runId"]
+            self.starts.append(key)
+            self.running[key] = time.monotonic() + self.RUN_S
+            await answer(send, 200, {"clockMs": self.clock_ms})
+        elif scope["path"].endswith("run-stop"):
+            self._end((body["task"], body["runId"]), "stopped")
+            await answer(send, 200, {"clockMs": self.clock_ms})
+        else:
+            await answer(send, 200, await self._hold(body))
+
+    async def _hold(self, body):
+        until = time.monotonic() + body.get("waitMs", 0) / 1000
+        while True:
+            for key, ends_at in list(self.running.items()):
+                if ends_at <= time.monotonic():
+                    self._end(key, "done")
+            ends = [end for end in self.ends if end[0] > body["lastSeen"]]
+            if ends or time.monotonic() >= until:
+                break
+            await trio.sleep(0.005)
+        running = [[task, run, "", 50] for task, run in self.running]
+        return {"clockMs": self.clock_ms, "running": running, "completions": ends}
+
+    def _end(self, key, how):
+        if self.running.pop(key, None) is not None:
+            self.ends.append([len(self.ends) + 1, *key, how, ""])
--- /dev/null
+++ b/tests/platform/test_processes.py
@@ -0,0 +1,152 @@
+"""Both roles as real processes against stand-ins of the platform."""
+
+import base64
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from functools import partial
+
+import httpcore
+import pytest
+import trio
+
+from .standin_http import serving
+from .standin_platform import StandInStore, StandInTarget
+
+PATIENCE_S = 60.0
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "desk.example",
+            "prefix": "/q/",
+            "service": "order-desk",
+            "sloMs": 60,
+            "maxAttempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [],
+}
+JOB = {
+    "taskSpec": "text",
+    "bestEffort": True,
+    "steps": [{"count": 3, "cpu": 1000, "memMb": 64, "estimateMs": 50}],
+}
+HEADERS = {"Host": "desk.example", "Hornbeamshore-Deadline-Ms": "20000"}
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def write_settings(path, store, inner_port, **fields):
+    lines = {
+        "node": path.stem,
+        "ip": "127.0.0.1",
+        "zone": "perth",
+        "portRange": f"{inner_port},{inner_port}",
+        "seeds": "127.0.0.1:1",
+        "platform.address": store,
+        **fields,
+    }
+    path.write_text("".join(f"{name}={value}\n" for name, value in lines.items()))
+
+
+@contextlib.asynccontextmanager
+async def running(role, settings):
+    """Run a role until the block ends; yield its process."""
+    async with trio.open_nursery() as nursery:
+        command = [sys.executable, "-m", "hornbeamshore.platform.main", role]
+        environ = {**os.environ, "HORNBEAMSHORE_BOOT": str(settings)}
+        process = await nursery.start(
+            partial(trio.run_process, command, env=environ, check=False)
+        )
+        try:
+            yield process
+        finally:
+            if process.returncode is None:
+                process.kill()
+            nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def deployment(tmp_path):
+    """Run an entry, an agent and the stand-ins; yield what a test needs."""
+    store, target = StandInStore(), StandInTarget()
+    store.put("op/config", base64.b64encode(json.dumps(CONFIG).encode()).decode())
+    front, ready, inner, control = (free_port() for _ in range(4))
+    async with contextlib.AsyncExitStack() as stack:
+        store_address = await stack.enter_async_context(serving(store))
+        target_address = await stack.enter_async_context(serving(target))
+        nursery = await stack.enter_async_context(trio.open_nursery())
+        stack.callback(nursery.cancel_scope.cancel)
+        entry, agent = tmp_path / "entry.conf", tmp_path / "agent.conf"
+        write_settings(
+            entry,
+            store_address,
+            inner,
+            **{
+                "listen.front": f"127.0.0.1:{front}",
+                "listen.ready": f"127.0.0.1:{ready}",
+            },
+        )
+        write_settings(
+            agent,
+            store_address,
+            inner,
+            **{"listen.control": f"127.0.0.1:{control}", "app": target_address},
+        )
+        entry_process = await stack.enter_async_context(running("entry", entry))
+        agent_process = await stack.enter_async_context(running("agent", agent))
+        nursery.start_soon(target.announce, f"127.0.0.1:{control}")
+        pool = await stack.enter_async_context(httpcore.AsyncConnectionPool())
+        await wait_ready(pool, f"http://127.0.0.1:{ready}/hornbeamshore/ready")
+        yield target, pool, f"http://127.0.0.1:{front}", entry_process, agent_process
+
+
+async def wait_ready(pool, url):
+    with trio.fail_after(PATIENCE_S):
+        for _ in range(1000):
+            with contextlib.suppress(httpcore.NetworkError):
+                if (await pool.request("GET", url)).status == 200:
+                    return
+            await trio.sleep(0.1)
+
+
+async def submit(pool, url, job_id):
+    content = json.dumps(JOB).encode()
+    response = await pool.request(
+        "POST", f"{url}/q/{job_id}", headers=HEADERS, content=content
+    )
+    return response.status, json.loads(response.content)
+
+
+async def test_a_job_runs_from_end_to_end(tmp_path):
+    """Guards against parts that work alone and not together."""
+    async with deployment(tmp_path) as (target, pool, url, _, _):
+        with trio.fail_after(PATIENCE_S):
+            answer = await submit(pool, url, "5c0e7a21d94b36f8")
+    assert answer == (200, {"state": "completed"})
+    assert sorted(task for task, _ in target.starts) == [
+        f"5c0e7a21d94b36f8.0.0.{index}" for index in range(3)
+    ]
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+async def test_signals(tmp_path, role):
+    """Guards against SIGHUP that ends a process, and SIGTERM that does not."""
+    async with deployment(tmp_path) as (_, pool, url, entry, agent):
+        process = entry if role == "entry" else agent
+        with trio.fail_after(PATIENCE_S):
+            process.send_signal(signal.SIGHUP)
+            assert (await submit(pool, url, "0" * 16))[0] == 200
+            process.send_signal(signal.SIGTERM)
+            await process.wait()
+    assert process.returncode == 0
