Answer a job at its deadline as such, and poll once beside a start

Cause: found by reading. A deadline that passed closed the job as if its caller had left, so the answer was 410 and cancelled. While a start was on its way and nothing else ran, the target was polled without a wait, and each look is paid for.

Change: the deadline ends a job with its own code; a copy that gave up waiting is answered as unknown, since the first one may have run; polls wait while any run may be present.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -85,18 +85,25 @@
         deadline_s : float
             Seconds for which the caller waits.
         """
-        received_at = trio.current_time()
-        job = Job(spec, queue, received_at)
+        job = Job(spec, queue, trio.current_time())
         with trio.move_on_after(deadline_s):
             known = await self._join(spec.job_id)
             if known is not None:
                 return known
             self._open(job)
-            try:
+        if not job.is_open:
+            # A copy was waited for until the deadline, and its tasks may have run.
+            job.has_run = True
+            job.finish(ResultCode.DEADLINE_EXCEEDED)
+            return job.outcome
+        try:
+            remaining_s = deadline_s - (trio.current_time() - job.received_at)
+            with trio.move_on_after(remaining_s):
                 await job.finished.wait()
-            finally:
-                self._close(job)
-        job.finish(ResultCode.DEADLINE_EXCEEDED)
+            # The first outcome counts: this does nothing to a finished job.
+            self._finish(job, ResultCode.DEADLINE_EXCEEDED)
+        finally:
+            self._close(job)
         return job.outcome
 
     async def _join(self, job_id):
@@ -144,6 +151,7 @@
     def _open(self, job):
         queue = job.queue
         self.jobs[job.spec.job_id] = job
+        job.is_open = True
         # Declared times are the measure of objectives; faster targets leave slack.
         self.run_times.declare(queue.name, 1.0)
         chain = job.longest_estimate_s * max(1.0, self.run_times.base(queue.name))
--- a/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
@@ -66,6 +66,8 @@
         Trio times of the submission and of its objective.
     has_run : bool
         Whether a run ended that may have reached a target.
+    is_open : bool
+        Whether it was entered among the jobs in progress.
     is_abandoned : bool
         Whether its caller left before the answer.
     runs : dict of int to Run
@@ -82,7 +84,7 @@
         self.received_at = received_at
         self.on_time_at = float("inf")
         self.has_run = False
-        self.is_abandoned = False
+        self.is_open = self.is_abandoned = False
         self.outcome = None
         self.runs = {}
         self.history = []
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -158,7 +158,7 @@
 
     async def _poll_once(self, channel, takeover):
         expected = self._owner.expected_runs()
-        wait_s = self.cfg.poll_wait if expected else 0.0
+        wait_s = self.cfg.poll_wait if self._owner.has_runs() else 0.0
         # A suspect target must be able to lose its lease: the answers of calls that
         # renew it may be what is lost.
         renew = not self.is_suspect
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -8,7 +8,7 @@
 from hornbeamshore.dispatch.model import JobSpec, Step
 from hornbeamshore.wire.messages import Resources
 
-from .conftest import NEEDS, FakeAgent, Submission, job_of
+from .conftest import CAPACITY, NEEDS, FakeAgent, Submission, job_of
 
 
 async def test_a_job_is_answered_when_all_tasks_are_done(
@@ -82,6 +82,37 @@
     assert submission.outcome.run_state is expected
 
 
+@pytest.mark.parametrize(
+    ("free", "expected"),
+    [(CAPACITY, RunState.UNKNOWN), (Resources(), RunState.NOT_RUN)],
+    ids=["running", "waiting"],
+)
+async def test_a_job_ends_at_its_deadline(
+    autojump_clock, nursery, coordinator, agent, free, expected
+):
+    """Guards against a caller that is told of a cancellation at its deadline."""
+    agent.report(free=free)
+    spec = job_of(1, estimate_s=5.0)
+    submission = Submission(nursery, coordinator, spec, deadline_s=0.5)
+    await trio.sleep(1.0)
+    assert submission.outcome.code is ResultCode.DEADLINE_EXCEEDED
+    assert submission.outcome.run_state is expected
+    assert agent.stopped == list(agent.orders)
+
+
+async def test_a_copy_ends_at_its_own_deadline(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a copy that is held for as long as the first one."""
+    spec = job_of(1, estimate_s=5.0)
+    Submission(nursery, coordinator, spec)
+    copy = Submission(nursery, coordinator, spec, deadline_s=0.5)
+    await trio.sleep(1.0)
+    assert copy.outcome.code is ResultCode.DEADLINE_EXCEEDED
+    assert copy.outcome.run_state is RunState.UNKNOWN
+    assert agent.stopped == []
+
+
 async def test_a_job_without_room_is_refused_when_it_can_only_be_late(
     autojump_clock, nursery, coordinator, agent
 ):
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -53,6 +53,10 @@
         Starts that are executed only when `apply_late` is called.
     is_silent : bool
         Whether no call is answered or executed.
+    polls : int
+        Polls that were answered.
+    start_delay_s : float
+        Time until a start is answered.
     is_mute : bool
         Whether polls are executed but not answered.
     """
@@ -70,6 +74,8 @@
         self.answer = None
         self.is_silent = False
         self.is_mute = False
+        self.polls = 0
+        self.start_delay_s = 0.0
         self._changed = trio.Event()
 
     def observe_clock(self, clock_ms):
@@ -129,6 +135,7 @@
     async def start(self, task, run, spec):
         await self._called()
         target = self._target
+        await trio.sleep(target.start_delay_s)
         if target.lost_answers:
             target.lost_answers -= 1
             target.late.append((task, run, self._fence))
@@ -146,6 +153,7 @@
         await self._called()
         target = self._target
         target.fence = max(target.fence, self._fence)
+        target.polls += 1
         if renew:
             target.lease_end = trio.current_time() + 1.0
         if target.is_mute:
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -195,6 +195,20 @@
         assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
 
 
+async def test_a_slow_start_is_awaited_without_many_polls(
+    autojump_clock, runner, target
+):
+    """Guards against looks at the target, which are paid for, in a tight loop."""
+    target.start_delay_s = 0.1
+    polls = target.polls
+    with attached(runner, FakeConnection()) as session:
+        runner.order(session, 1, order_tasks(1))
+        await trio.sleep(0.3)
+        target.end("j1.0.0.1")
+        await trio.sleep(0.1)
+    assert target.polls - polls <= 3
+
+
 async def test_runs_are_not_given_up_while_lost_answers_may_renew_them(
     autojump_clock, runner, target
 ):
