Let a copy outlive the deadline of the first submission

Change: a job that ends by its own caller's deadline is abandoned like one whose caller left, and a copy that waits runs it anew, after the end of the stopped runs.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -100,9 +100,9 @@
             remaining_s = deadline_s - (trio.current_time() - job.received_at)
             with trio.move_on_after(remaining_s):
                 await job.finished.wait()
-            # The first outcome counts: this does nothing to a finished job.
-            self._finish(job, ResultCode.DEADLINE_EXCEEDED)
+            self._abandon(job, ResultCode.DEADLINE_EXCEEDED)
         finally:
+            self._abandon(job, ResultCode.CANCELLED)
             self._close(job)
         return job.outcome
 
@@ -114,7 +114,8 @@
             await known.finished.wait()
             if not known.is_abandoned:
                 return known.outcome
-            # A stopped job may still run for a moment; a copy must not overlap.
+            # Its own caller left or had an earlier deadline. A stopped job may still
+            # run for a moment; a copy must not overlap.
             await known.drained.wait()
         return None
 
@@ -166,10 +167,13 @@
         self.waiting.remove_job(job)
         job.finish(code, self.cfg.retry_after)
 
-    def _close(self, job):
+    def _abandon(self, job, code):
+        """Set the outcome of a job that is open still, for its own caller only."""
         if not job.finished.is_set():
             job.is_abandoned = True
-            self._finish(job, ResultCode.CANCELLED)
+            self._finish(job, code)
+
+    def _close(self, job):
         by_agent = defaultdict(list)
         for run in job.runs.values():
             by_agent[run.agent_id].append(run.run_id)
--- a/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
@@ -69,7 +69,7 @@
     is_open : bool
         Whether it was entered among the jobs in progress.
     is_abandoned : bool
-        Whether its caller left before the answer.
+        Whether its caller left, or its deadline passed, before the job had ended.
     runs : dict of int to Run
         Runs that have not ended.
     finished : trio.Event
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -106,6 +106,7 @@
     """Guards against a copy that is held for as long as the first one."""
     spec = job_of(1, estimate_s=5.0)
     Submission(nursery, coordinator, spec)
+    await trio.sleep(0.05)
     copy = Submission(nursery, coordinator, spec, deadline_s=0.5)
     await trio.sleep(1.0)
     assert copy.outcome.code is ResultCode.DEADLINE_EXCEEDED
@@ -113,6 +114,23 @@
     assert agent.stopped == []
 
 
+async def test_a_copy_outlives_the_deadline_of_the_first(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a caller that is answered at the deadline of another."""
+    Submission(nursery, coordinator, job_of(1, estimate_s=5.0), deadline_s=0.5)
+    await trio.sleep(0.05)
+    copy = Submission(nursery, coordinator, job_of(1, estimate_s=5.0))
+    await trio.sleep(0.6)
+    assert copy.outcome is None
+    agent.end(ResultCode.CANCELLED)
+    await trio.sleep(0.2)
+    assert len(agent.orders) == 1
+    agent.end()
+    await trio.sleep(0.05)
+    assert copy.outcome.code is ResultCode.OK
+
+
 async def test_a_job_without_room_is_refused_when_it_can_only_be_late(
     autojump_clock, nursery, coordinator, agent
 ):
