Reject unexpected statuses, deadlines and submissions without an id

Cause, found by reading: the store client accepted 404, 410 and 412 for each request. A 410 to a write counted as written, and a 404, 410 or 412 to a prefix read as an empty page, which removes all addresses. A stop that the target refused with 400 or 409 counted as done, so a run could be reported as ended while it went on. The deadline header accepted nan, inf and negative numbers, and jobs submitted without an id shared the empty id and one outcome.

Change: each request names the statuses that mean something for it. Only 200 answers a stop. Invalid deadlines are replaced by the default, and a submission without an id gets 400.

--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -12,6 +12,7 @@
 from hornbeamshore.dispatch.model import JobOutcome, Queue, Routing
 from hornbeamshore.dispatch.routing import RoutingReplica
 from hornbeamshore.platform.ingress import (
+    DEFAULT_DEADLINE_S,
     IngressApi,
     ReadinessApi,
     UnsupportedJob,
@@ -62,8 +63,8 @@
         httpcore.AsyncConnectionPool() as pool,
     ):
 
-        async def call(method, path, body=None, host="desk.example"):
-            headers = {"Host": host, "Hornbeamshore-Deadline-Ms": "2500"}
+        async def call(method, path, body=None, host="desk.example", deadline="2500"):
+            headers = {"Host": host, "Hornbeamshore-Deadline-Ms": deadline}
             content = b"" if body is None else json.dumps(body).encode()
             url = f"http://{address}{path}"
             return await pool.request(method, url, headers=headers, content=content)
@@ -235,3 +236,23 @@
     assert replica.update(Routing(5))
     assert not replica.update(Routing(4))
     assert replica.current.version == 5
+
+
+@pytest.mark.parametrize("deadline", ["nan", "inf", "-5", "0", "1e300", "soon", ""])
+async def test_invalid_deadlines_are_replaced_by_the_default(deadline):
+    """Guards against jobs that never end or end at once for an invalid header."""
+    coordinator = FakeCoordinator()
+    coordinator.outcome = JobOutcome.of(ResultCode.OK)
+    async with ingress(coordinator) as call:
+        response = await call("POST", "/p/5c0e7a21d94b36f8", JOB, deadline=deadline)
+    assert response.status == 200
+    assert coordinator.submitted[0][2] == DEFAULT_DEADLINE_S
+
+
+async def test_a_submission_without_an_id_is_malformed():
+    """Guards against different jobs that share the empty id, and so one outcome."""
+    coordinator = FakeCoordinator()
+    async with ingress(coordinator) as call:
+        response = await call("POST", "/p/", JOB)
+    assert response.status == 400
+    assert coordinator.submitted == []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -38,6 +38,12 @@
         (("get", "a/1"), (429, {}), StoreUnavailable),
         (("get", "a/1"), (200, []), StoreUnavailable),
         (("compare_and_swap", "op/x", b"x", 0), (403, {}), StoreRejected),
+        (("compare_and_swap", "a/1", b"x", 0), (410, {}), StoreRejected),
+        (("get_prefix", "a/"), (404, {}), StoreRejected),
+        (("get_prefix", "a/"), (410, {}), StoreRejected),
+        (("get_prefix", "a/"), (412, {}), StoreRejected),
+        (("get", "a/1"), (410, {}), StoreRejected),
+        (("keep_alive", 3), (412, {}), StoreRejected),
     ],
 )
 async def test_store_responses(call, response, expected):
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -124,3 +124,14 @@
     async with serving(app) as address:
         await open_channel(address).poll(0.0, 0, renew=renew)
     assert ("expiresAtMs" in app.requests[0][3]) is renew
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [(400, {}), (409, {"clockMs": 5001, "reason": "fence"}), (429, {}), (503, {})],
+)
+async def test_a_stop_that_the_target_refused_is_not_answered(status, body):
+    """Guards against taking a run for stopped while the target continues it."""
+    async with serving(ScriptedApp((status, body))) as address:
+        with pytest.raises(TargetUnresponsive):
+            await open_channel(address).stop("t", 2)
