--- a/packages/base/src/hornbeamshore/base/logs.py
+++ b/packages/base/src/hornbeamshore/base/logs.py
@@ -41,10 +41,14 @@
         """Log a failure of this process."""
         self._log(logging.ERROR, message, args)
 
-    def _log(self, level, message, args):
+    def exception(self, message, *args):
+        """Log an unexpected exception that is being handled, with its traceback."""
+        self._log(logging.ERROR, message, args, exc_info=True)
+
+    def _log(self, level, message, args, **options):
         if not logging.vlog_is_on(level) or not self._is_within_rate_limit():
             return
-        logging.log(level, self._prefix + message, *args)
+        logging.log(level, self._prefix + message, *args, **options)
 
     def _is_within_rate_limit(self):
         # Limits the output while many requests are refused.
@@ -141,5 +145,5 @@
 
 
 # Skipped frames, so that a record has the source location of the logging call.
-for _method in ("debug", "info", "warning", "error", "_log"):
+for _method in ("debug", "info", "warning", "error", "exception", "_log"):
     logging.skip_log_prefix(getattr(PartLogger, _method))
--- a/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
@@ -30,7 +30,12 @@
         self._fleet = fleet
         self._waiting = FairShareOrder(cfg)
         self._headroom = Headroom(cfg)
-        self._placement = FastestEligible(cfg, self.run_times)
+        self._placement = FastestEligible(cfg, self.run_times, fleet.index.rng)
+
+    @property
+    def has_waiting_tasks(self):
+        """Whether any task waits for an agent."""
+        return not self._waiting.is_empty
 
     def add_job(self, job):
         """Set the objective of a job and enqueue the tasks of its first steps."""
@@ -73,6 +78,8 @@
         expected_run_time_s : float
             Expected run time in seconds.
         """
+        if not self.has_waiting_tasks:
+            return
         now = trio.current_time()
         for include_late in (False, True):
             yield from self._assign_pass(now, include_late=include_late)
@@ -86,7 +93,6 @@
             False to place only tasks of jobs that can meet their objective or that
             have tasks placed already; True to place tasks of late jobs too.
         """
-        agents = {}
         skipped = set()
         while True:
             queue_names = self._waiting.queue_order(now)
@@ -94,10 +100,8 @@
             if name is None:
                 return
             task = self._waiting.next_task(name, now, include_late=include_late)
-            service = task.job.queue.service
-            if service not in agents:
-                agents[service] = self._fleet.usable_agents(service)
-            view = self._choose(task, agents[service], now, include_late=include_late)
+            agents = self._fleet.usable_agents(task.job.queue.service)
+            view = self._choose(task, agents, now, include_late=include_late)
             if view is None:
                 skipped.add(name)
                 continue
@@ -130,12 +134,16 @@
         """
         now = trio.current_time()
         agents = self._fleet.usable_agents(job.queue.service)
-        fastest_run_time_s = self._placement.fastest_run_time_s(job, agents)
-        can_place = self._placement.can_place(job.tasks[0][0], agents, now)
-        if now + fastest_run_time_s <= job.due_at or can_place:
+        fastest_run_time_s = self._placement.fastest_run_time_s(job, agents, now)
+        if now + fastest_run_time_s <= job.due_at:
+            return None
+        if self._placement.can_place(job.tasks[0][0], agents, now):
             return None
-        free = ",".join(f"{view.agent_id}:{view.free.cpu_millis}" for view in agents)
-        return f"fastest_ms={fastest_run_time_s * 1000:.0f} free={free}"
+        free = [view.free.cpu_millis for view in agents.views.values()]
+        return (
+            f"fastest_ms={fastest_run_time_s * 1000:.0f} agents={len(free)}"
+            f" max_free={max(free, default=0)} sum_free={sum(free)}"
+        )
 
     def record_run_time(self, run, run_time_s):
         """Update the estimates with the run time of a run.
--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -60,32 +60,38 @@
         self.cfg = cfg
         self.metrics = metrics
         self._clock = clock
-        self.fleet = Fleet()
+        self.fleet = Fleet(cfg.data_centre)
         self.jobs = {}
         self.assigner = Assigner(cfg, self.fleet)
         self._cancelled = OrderedDict()
-        self._views = {}
         self._run_ids = itertools.count(1)
+        self._last_tick = clock()
         self._placement_resumes_at = 0.0
         self._pending_orders = defaultdict(list)
 
     async def run(self):
         """Check waiting jobs and lost agents at each tick until cancelled."""
-        last_tick = self._clock()
+        agents_due_at = 0.0
         while True:
-            await trio.sleep(self.cfg.tick)
+            is_waiting = self.assigner.has_waiting_tasks
+            await trio.sleep(self.cfg.tick if is_waiting else self.cfg.idle_tick)
             now = self._clock()
-            if now - last_tick > self.cfg.suspension_threshold:
-                log.warning("suspended gap=%.3f", now - last_tick)
-                self._placement_resumes_at = (
-                    trio.current_time() + self.cfg.placement_pause
-                )
-            last_tick = now
-            self._expire_lost_agents(now)
-            self._record_overdue_runs()
+            self._check_suspension(now)
+            self._last_tick = now
+            if now >= agents_due_at:
+                agents_due_at = now + self.cfg.idle_tick
+                self._expire_lost_agents(now)
+                self._record_overdue_runs()
             self.place_tasks()
             self._reject_late_jobs()
 
+    def _check_suspension(self, now):
+        """Pause placement if the process was suspended since the last tick."""
+        if now - self._last_tick > self.cfg.suspension_threshold:
+            log.warning("suspended gap=%.3f", now - self._last_tick)
+            self._last_tick = now
+            self._placement_resumes_at = trio.current_time() + self.cfg.placement_pause
+
     async def submit(self, spec, queue, deadline_s):
         """Run a job until it ends or its deadline passes.
 
@@ -172,7 +178,7 @@
     @property
     def is_connected(self):
         """Whether runs can be ordered from any agent."""
-        return any(view.is_usable for view in self.fleet.agents.values())
+        return not self.fleet.index.is_empty
 
     # Jobs.
 
@@ -181,6 +187,7 @@
         job.is_registered = True
         self.assigner.add_job(job)
         self.place_tasks()
+        self._reject_if_late(job)
 
     def _finish(self, job, code):
         """Set the outcome of a job and remove its waiting tasks."""
@@ -202,9 +209,8 @@
         for run in job.runs.values():
             run_ids_by_agent[run.agent_id].append(run.run_id)
         for agent_id, run_ids in run_ids_by_agent.items():
-            self._send(self._views.get(agent_id), StopRuns(tuple(run_ids)))
-        if not job.runs:
-            del self.jobs[job.spec.job_id]
+            self._send(self.fleet.agents.get(agent_id), StopRuns(tuple(run_ids)))
+        self._forget_drained(job)
         now = trio.current_time()
         self.metrics.job_answered(
             job.queue.name,
@@ -225,6 +231,11 @@
             ",".join((*job.ended_runs, *self._unfinished_runs(job, now))) or "-",
         )
 
+    def _forget_drained(self, job):
+        """Remove a finished job once none of its runs is left."""
+        if not job.runs and self.jobs.get(job.spec.job_id) is job:
+            del self.jobs[job.spec.job_id]
+
     def _unfinished_runs(self, job, now):
         """Yield the unfinished runs of a job in the format of `Job.ended_runs`."""
         for run in job.runs.values():
@@ -233,24 +244,30 @@
 
     def _reject_late_jobs(self):
         """Reject unstarted jobs that cannot be placed and can no longer end in time."""
-        for job in list(self.jobs.values()):
-            if job.may_have_started or job.finished.is_set():
-                continue
-            reason = self.assigner.rejection_reason(job)
-            if reason is not None:
-                self._finish(job, ResultCode.OVERLOADED)
-                log.info(
-                    "job refused id=%s queue=%s waited_ms=%.0f %s",
-                    job.spec.job_id,
-                    job.queue.name,
-                    (trio.current_time() - job.received_at) * 1000,
-                    reason,
-                )
+        if self.assigner.has_waiting_tasks:
+            for job in list(self.jobs.values()):
+                self._reject_if_late(job)
+
+    def _reject_if_late(self, job):
+        if job.may_have_started or job.finished.is_set():
+            return
+        reason = self.assigner.rejection_reason(job)
+        if reason is not None:
+            self._finish(job, ResultCode.OVERLOADED)
+            log.info(
+                "job refused id=%s queue=%s waited_ms=%.0f %s",
+                job.spec.job_id,
+                job.queue.name,
+                (trio.current_time() - job.received_at) * 1000,
+                reason,
+            )
 
     # Placement.
 
     def place_tasks(self):
         """Place waiting tasks on agents with free capacity and order their runs."""
+        # A message may be handled before the first tick after a suspension.
+        self._check_suspension(self._clock())
         if trio.current_time() < self._placement_resumes_at:
             return
         for task, view, expected_run_time_s in self.assigner.assign():
@@ -265,8 +282,7 @@
         overdue_at = now + expected_run_time_s * self.cfg.overdue_factor
         run = Run(next(self._run_ids), task, view.agent_id, now, overdue_at)
         task.job.runs[run.run_id] = run
-        view.runs[run.run_id] = run
-        view.reserve(task.step_spec.needs)
+        view.add_run(run)
         order = RunOrder(
             run.run_id, task.step_index, task.index, task.attempts, task.step_spec.needs
         )
@@ -275,7 +291,7 @@
     def _flush_orders(self):
         pending_orders, self._pending_orders = self._pending_orders, defaultdict(list)
         for (agent_id, job_id), orders in pending_orders.items():
-            view = self._views[agent_id]
+            view = self.fleet.agents[agent_id]
             job = self.jobs[job_id]
             body = RunTasks(job_id, job.spec.content, tuple(orders))
             total = sum((order.needs for order in orders), Resources())
@@ -298,7 +314,6 @@
         with the runs ordered earlier.
         """
         view, replaced = self.fleet.connect(conn)
-        self._views[view.agent_id] = view
         if replaced is not None:
             view.inherit_runs(replaced, self._clock())
             self.assigner.remove_agent(view.agent_id)
@@ -309,24 +324,32 @@
 
         Its runs are kept until its lease has expired, since they may still execute.
         """
-        view = self._views.get(conn.peer.process_id)
+        view = self.fleet.agents.get(conn.peer.process_id)
         if view is not None and view.conn is conn:
             view.detach_connection(self._clock())
             log.warning("agent lost id=%s runs=%d", view.agent_id, len(view.runs))
 
     def handle(self, conn, message):
         """Process a report from an agent; other messages are ignored."""
-        view = self._views.get(conn.peer.process_id)
+        view = self.fleet.agents.get(conn.peer.process_id)
         if isinstance(message.body, AgentReport) and view.conn is conn:
             self._apply_report(view, message.body)
 
+    def before_write(self, conn):
+        """Acknowledge the results received since the last write to an agent."""
+        view = self.fleet.agents.get(conn.peer.process_id)
+        if view is None or view.conn is not conn or not view.unacknowledged_run_ids:
+            return
+        run_ids, view.unacknowledged_run_ids = view.unacknowledged_run_ids, []
+        self._send(view, AckRuns(tuple(run_ids)))
+        view.update_activity()
+
     def _apply_report(self, view, report):
         view.apply_report(report)
         for end in report.ends:
             self._handle_run_end(view, end)
-        if report.ends:
-            run_ids = tuple(end.run_id for end in report.ends)
-            self._send(view, AckRuns(run_ids))
+        view.unacknowledged_run_ids += [end.run_id for end in report.ends]
+        view.update_activity()
         if report.complete:
             self._reconcile(view, set(report.held))
         self.place_tasks()
@@ -362,7 +385,7 @@
         An agent is lost if it sends no complete report before its lease expires.
         """
         silence_limit_s = self.cfg.lease.agent_stop_bound_s
-        for view in list(self._views.values()):
+        for view in list(self.fleet.agents.values()):
             if view.is_reconciled or now - view.disconnected_at <= silence_limit_s:
                 continue
             if view.runs:
@@ -375,14 +398,13 @@
                 )
                 self._end_run(view, run, lost_end)
             if view.conn is None:
-                del self._views[view.agent_id]
                 del self.fleet.agents[view.agent_id]
                 self.assigner.remove_agent(view.agent_id)
 
     def _record_overdue_runs(self):
         """Update the estimates for slow targets before their overdue runs end."""
         now = trio.current_time()
-        for view in self._views.values():
+        for view in self.fleet.agents.values():
             for run in view.runs.values():
                 if now > run.overdue_at and view.is_reconciled:
                     run.overdue_at = math.inf
@@ -411,8 +433,7 @@
         )
         if job.finished.is_set():
             job.update_drained()
-            if job.drained.is_set() and self.jobs.get(job.spec.job_id) is job:
-                del self.jobs[job.spec.job_id]
+            self._forget_drained(job)
         elif code is ResultCode.OK:
             self._complete_task(task)
         else:
--- a/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
@@ -2,12 +2,20 @@
 
 from collections import deque
 
+from hornbeamshore.dispatch.capacity import CapacityIndex
 from hornbeamshore.wire.messages import Resources
 
 
 class AgentView:
     """State of one agent, as known to this entry.
 
+    Parameters
+    ----------
+    peer : Identity
+        Identity of the agent process.
+    index : CapacityIndex
+        Index that is updated when the agent changes.
+
     Attributes
     ----------
     agent_id : str
@@ -18,12 +26,18 @@
         Data centre of the agent.
     conn : Connection or None
         Current connection; None while the agent is disconnected.
-    report : AgentReport or None
-        Last report on the current connection; None until the first one.
+    description : TargetDescription or None
+        Properties of the target; None until the first report on the connection.
+    accepting : bool
+        Whether the agent accepted runs in its last report.
+    free : Resources
+        Free capacity in the last report less the runs that it does not count yet.
     runs : dict of int to Run
         Runs ordered from this agent that have not ended, by run id.
     inherited_run_ids : set of int
         Ids of runs that were ordered from an earlier incarnation of the agent.
+    unacknowledged_run_ids : list of int
+        Ids of ended runs whose results are to be acknowledged with the next write.
     disconnected_at : float
         Time on the coordinator's clock at which the last connection closed.
     is_reconciled : bool
@@ -31,48 +45,54 @@
         connection.
     """
 
-    def __init__(self, agent_id, incarnation, data_centre):
-        self.agent_id = agent_id
-        self.incarnation = incarnation
-        self.data_centre = data_centre
+    def __init__(self, peer, index):
+        self.agent_id = peer.process_id
+        self.incarnation = peer.incarnation
+        self.data_centre = peer.data_centre
         self.conn = None
-        self.report = None
         self.runs = {}
         self.inherited_run_ids = set()
         self.disconnected_at = 0.0
-        self.is_reconciled = False
+        self._index = index
         self._unconfirmed = deque()
-        self._reserved = Resources()
+        self._clear_connection_state()
+
+    def _clear_connection_state(self):
+        self.description = None
+        self.accepting = self.is_reconciled = False
+        self.free = self._reported_free = self._reserved = Resources()
+        self.unacknowledged_run_ids = []
 
     @property
     def is_usable(self):
         """Whether runs can be ordered from the agent."""
-        return self.conn is not None and self.is_reconciled and self.report.accepting
-
-    @property
-    def free(self):
-        """Free capacity in the last report less the runs that it does not count yet."""
-        return self.report.free - self._reserved
+        return (
+            self.is_reconciled
+            and self.accepting
+            and self.description is not None
+            and self.conn is not None
+        )
 
     @property
     def load(self):
         """Fraction of the processor capacity in use, from 0 to 1."""
-        capacity = self.report.capacity.cpu_millis
+        capacity = self.description.capacity.cpu_millis
         return 1.0 - self.free.cpu_millis / capacity if capacity else 1.0
 
     def attach_connection(self, conn):
         """Replace the connection by a new one, on which no report was received yet."""
         self.conn = conn
-        self.report = None
-        self.is_reconciled = False
+        self._clear_connection_state()
         self._unconfirmed.clear()
-        self._reserved = Resources()
+        self._index.update(self)
+        self.update_activity()
 
     def detach_connection(self, now):
         """Clear the state of the connection after it has closed at time `now`."""
-        self.conn = self.report = None
-        self.is_reconciled = False
+        self.conn = None
+        self._clear_connection_state()
         self.disconnected_at = now
+        self._index.update(self)
 
     def inherit_runs(self, earlier, now):
         """Take over the runs of an earlier incarnation of the agent.
@@ -89,10 +109,21 @@
         self.disconnected_at = (
             now if earlier.conn is not None else earlier.disconnected_at
         )
-
-    def reserve(self, needs):
-        """Reserve the resources of a run that is about to be ordered."""
-        self._reserved += needs
+        earlier.conn = None
+        self._index.update(earlier)
+        self.update_activity()
+
+    def add_run(self, run):
+        """Add a run that is about to be ordered and reserve its resources."""
+        self.runs[run.run_id] = run
+        self._reserved += run.task.step_spec.needs
+        self._update_free()
+        self.update_activity()
+
+    def update_activity(self):
+        """Detect the loss of the connection quickly while runs or acks depend on it."""
+        if self.conn is not None:
+            self.conn.set_active(bool(self.runs or self.unacknowledged_run_ids))
 
     def record_order(self, message_id, needs, run_ids):
         """Record the message that ordered runs, to match it with later reports.
@@ -102,7 +133,7 @@
         message_id : int
             Id of the message.
         needs : Resources
-            Total resources of the runs, which `reserve` has reserved.
+            Total resources of the runs, which `add_run` has reserved.
         run_ids : set of int
             Ids of the runs.
         """
@@ -117,23 +148,39 @@
 
         A report includes the orders up to the message id in its field `received`.
         """
-        self.report = report
+        if report.description is not None:
+            self.description = report.description
+        self.accepting = report.accepting
+        self._reported_free = report.free
         self.is_reconciled |= report.complete
         while self._unconfirmed and self._unconfirmed[0][0] <= report.received:
             self._reserved -= self._unconfirmed.popleft()[1]
+        self._update_free()
+
+    def _update_free(self):
+        self.free = self._reported_free - self._reserved
+        self._index.update(self)
 
 
 class Fleet:
     """Agents of all services.
 
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this entry.
+
     Attributes
     ----------
     agents : dict of str to AgentView
         Views of the agents, by agent id.
+    index : CapacityIndex
+        Agents from which runs can be ordered.
     """
 
-    def __init__(self):
+    def __init__(self, data_centre=""):
         self.agents = {}
+        self.index = CapacityIndex(data_centre)
 
     def connect(self, conn):
         """Attach a new connection to the view of its agent.
@@ -150,15 +197,11 @@
         if previous is not None and previous.incarnation == peer.incarnation:
             previous.attach_connection(conn)
             return previous, None
-        view = AgentView(peer.process_id, peer.incarnation, peer.data_centre)
+        view = AgentView(peer, self.index)
         view.attach_connection(conn)
         self.agents[peer.process_id] = view
         return view, previous
 
     def usable_agents(self, service):
-        """Return the agents of a service from which runs can be ordered."""
-        return [
-            view
-            for view in self.agents.values()
-            if view.is_usable and view.report.service == service
-        ]
+        """Return the `ServiceAgents` from which runs can be ordered."""
+        return self.index.service(service)
--- a/packages/dispatch/src/hornbeamshore/dispatch/headroom.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/headroom.py
@@ -56,7 +56,7 @@
         ----------
         task : Task
             Task to be placed.
-        agents : list of AgentView
+        agents : ServiceAgents
             Usable agents of the service.
         now : float
             Trio clock time.
@@ -76,14 +76,9 @@
 
     def _leaves_headroom(self, task, typical, agents):
         cpu_per_slot = max(typical.needs.cpu_millis, 1)
-        capacity = sum(view.report.capacity.cpu_millis for view in agents)
         reserved_slots = min(
-            typical.mean_tasks, self._cfg.max_headroom_share * capacity / cpu_per_slot
+            typical.mean_tasks,
+            self._cfg.max_headroom_share * agents.total_cpu_millis / cpu_per_slot,
         )
         required_slots = reserved_slots + task.step_spec.needs.cpu_millis / cpu_per_slot
-        free_slots = 0
-        for view in agents:
-            free_slots += max(view.free.cpu_millis, 0) // cpu_per_slot
-            if free_slots >= required_slots:
-                return True
-        return False
+        return agents.has_slots(cpu_per_slot, required_slots)
--- a/packages/dispatch/src/hornbeamshore/dispatch/placement.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/placement.py
@@ -1,8 +1,18 @@
 """Placement: selection of the agent for a task."""
 
 import abc
+import itertools
 import math
 import statistics
+from dataclasses import dataclass
+
+# Candidates compared for one task. With a few random ones, the choice takes the same
+# time for any number of agents, and entries whose views of an agent are out of date do
+# not all choose the same one.
+MAX_CANDIDATES = 12
+# Part of the candidates that is drawn from the data centre of the entry, if it has as
+# many; the other data centres take the rest.
+NEAR_CANDIDATES = 8
 
 
 class Placement(abc.ABC):
@@ -16,19 +26,37 @@
         ----------
         task : Task
             Waiting task.
-        agents : list of AgentView
+        agents : ServiceAgents
             Usable agents of the service.
         now : float
             Trio clock time.
         """
 
 
+@dataclass(frozen=True, slots=True)
+class _Speeds:
+    """Slowness of the agents of a service, valid for a short time.
+
+    Attributes
+    ----------
+    least, median : float
+        Slowness of the fastest and of the median agent.
+    valid_until : float
+        Trio clock time.
+    """
+
+    least: float
+    median: float
+    valid_until: float
+
+
 class FastestEligible(Placement):
     """Selects the fastest eligible agent, and the least loaded of equally fast ones.
 
-    An agent is eligible if it has enough free capacity and meets the constraints of the
-    step. A task does not wait for a faster agent, which would use up the slack of its
-    job. Only a degraded agent, one far slower than the median, is avoided while an
+    The choice is among a few agents drawn at random from those with enough free
+    capacity. An agent is eligible if it has that capacity and meets the constraints of
+    the step. A task does not wait for a faster agent, which would use up the slack of
+    its job. Only a degraded agent, one far slower than the median, is avoided while an
     agent of median speed could still finish the job in time.
 
     Parameters
@@ -37,22 +65,24 @@
         Scheduling settings.
     run_times : RunTimes
         Estimates of the ratio of actual to declared run time by queue and agent.
+    rng : random.Random
+        Source of the random choice of candidates.
     """
 
-    def __init__(self, cfg, run_times):
+    def __init__(self, cfg, run_times, rng):
         self._cfg = cfg
         self._run_times = run_times
+        self._rng = rng
         self._log_tolerance = math.log(cfg.speed_tolerance)
+        self._speeds = {}
 
     def choose(self, task, agents, now):
         """Return the agent on which to place a task, or None to keep it waiting."""
-        eligible = [view for view in agents if self._is_eligible(task, view, now)]
+        eligible = self._eligible_candidates(task, agents, now)
         if not eligible:
             return None
-        best = min(eligible, key=lambda view: self._sort_key(task, view))
-        median_slowness = statistics.median_low(
-            self._run_times.slowness(view.agent_id) for view in agents
-        )
+        best = min(eligible, key=lambda view: self._sort_key(task, view, now))
+        median_slowness = self._speeds_of(task.job.queue.service, agents, now).median
         slowness = self._run_times.slowness(best.agent_id)
         if slowness <= median_slowness * self._cfg.degraded_factor:
             return best
@@ -63,13 +93,13 @@
 
     def can_place(self, task, agents, now):
         """Return whether any agent is eligible for a task, even if it would be late."""
-        return any(self._is_eligible(task, view, now) for view in agents)
+        return bool(self._eligible_candidates(task, agents, now))
 
-    def fastest_run_time_s(self, job, agents):
+    def fastest_run_time_s(self, job, agents, now):
         """Return the expected run time of a job on the fastest agent, in seconds."""
         base = self._run_times.mean_run_time(job.queue.name)
-        slowness = [self._run_times.slowness(view.agent_id) for view in agents]
-        return job.critical_path_s * base * min(slowness, default=1.0)
+        least = self._speeds_of(job.queue.service, agents, now).least
+        return job.critical_path_s * base * least
 
     def expected_run_time_s(self, task, view):
         """Return the expected run time of a task on an agent, in seconds."""
@@ -78,14 +108,63 @@
             queue, view.agent_id
         )
 
-    def _sort_key(self, task, view):
+    def _eligible_candidates(self, task, agents, now):
+        """Return eligible agents, at most about `MAX_CANDIDATES`.
+
+        Returns an empty list only if no agent of the service is eligible.
+        """
+        cpu = task.step_spec.needs.cpu_millis
+        pools = self._pools(task.step_spec, agents)
+        *preferred, (last, last_count) = pools
+        drawn = []
+        for pool, count in preferred:
+            drawn += pool.draw(cpu, count, self._rng)
+        last_count = max(last_count, MAX_CANDIDATES - len(drawn))
+        drawn += last.draw(cpu, last_count, self._rng)
+        eligible = [view for view in drawn if self._is_eligible(task, view, now)]
+        if eligible:
+            return eligible
+        # The drawn agents were excluded, or have a little less free than is needed.
+        others = itertools.chain.from_iterable(pool.all_with(cpu) for pool, _ in pools)
+        fitting = (view for view in others if self._is_eligible(task, view, now))
+        return list(itertools.islice(fitting, MAX_CANDIDATES))
+
+    def _pools(self, step, agents):
+        """Return the groups of agents to draw from, each with a number of draws."""
+        if step.required_label:
+            return ((agents.labelled(step.required_label), MAX_CANDIDATES),)
+        far_count = MAX_CANDIDATES - NEAR_CANDIDATES
+        pools = ((agents.near, NEAR_CANDIDATES), (agents.far, far_count))
+        if not step.preferred_rack:
+            return pools
+        return ((agents.labelled(step.preferred_rack), far_count), *pools)
+
+    def _speeds_of(self, service, agents, now):
+        speeds = self._speeds.get(service)
+        if speeds is None or now >= speeds.valid_until:
+            slowness = [self._run_times.slowness(name) for name in agents.views] or [
+                1.0
+            ]
+            speeds = self._speeds[service] = _Speeds(
+                min(slowness),
+                statistics.median_low(slowness),
+                now + self._cfg.speeds_validity,
+            )
+        return speeds
+
+    def _sort_key(self, task, view, now):
         slowness = self._run_times.slowness(view.agent_id)
         rack = task.step_spec.preferred_rack
+        silence_s = now - view.conn.last_received_at
+        load = view.load
+        if view.data_centre != self._cfg.data_centre:
+            load += self._cfg.far_load_penalty
         return (
-            bool(rack) and rack not in view.report.labels,
+            # The connection may be lost without a sign of it.
+            silence_s > self._cfg.max_silence,
+            bool(rack) and rack not in view.description.labels,
             round(math.log(slowness) / self._log_tolerance),
-            # An agent of another data centre must be less loaded by 5% of its capacity.
-            view.load + 0.05 * (view.data_centre != self._cfg.data_centre),
+            load,
         )
 
     def _is_eligible(self, task, view, now):
@@ -95,7 +174,8 @@
             or task.excluded_until.get(view.agent_id, now) > now
         ):
             return False
-        if step.required_label and step.required_label not in view.report.labels:
+        labels = view.description.labels
+        if step.required_label and step.required_label not in labels:
             return False
         if not step.max_per_target:
             return True
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -49,10 +49,21 @@
     speed_tolerance : float
         Ratio between the slowness of successive speed classes; targets of one class
         count as equally fast.
+    speeds_validity : Duration
+        Time for which the least and the median slowness of a service are used before
+        they are worked out again.
+    far_load_penalty : float
+        Fraction of its capacity by which an agent of another data centre must be less
+        loaded than one in the same data centre to be preferred.
+    max_silence : Duration
+        Silence of an agent above which others are preferred, since its connection may
+        be lost; longer than the interval of idle heartbeats.
     retry_after : Duration
         Delay that a caller rejected for overload is asked to wait.
     tick : Duration
-        Interval at which waiting jobs and lost agents are checked.
+        Interval at which waiting jobs are checked.
+    idle_tick : Duration
+        Interval at which lost agents and overdue runs are checked.
     suspension_threshold : Duration
         Gap between two ticks above which the process is taken to have been
         suspended. The platform allows suspensions of up to 300 ms to go undetected.
@@ -80,8 +91,12 @@
     degraded_factor: float = 3.0
     overdue_factor: float = 2.5
     speed_tolerance: float = 1.15
+    speeds_validity: Duration = Duration(0.5)
+    far_load_penalty: float = 0.05
+    max_silence: Duration = Duration(1.5)
     retry_after: Duration = Duration(1.0)
     tick: Duration = Duration(0.02)
+    idle_tick: Duration = Duration(0.1)
     suspension_threshold: Duration = Duration(0.3)
     placement_pause: Duration = Duration(0.1)
     avoid_time: Duration = Duration(0.1)
--- a/packages/dispatch/src/hornbeamshore/dispatch/waiting.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/waiting.py
@@ -19,6 +19,11 @@
     def remove_job(self, job):
         """Remove the waiting tasks of a job."""
 
+    @property
+    @abc.abstractmethod
+    def is_empty(self):
+        """Whether no task waits."""
+
     @abc.abstractmethod
     def queue_order(self, now):
         """Return the names of queues with waiting tasks in scheduling order."""
@@ -108,6 +113,13 @@
                 task for task in queue.in_progress if task.job is not job
             )
 
+    @property
+    def is_empty(self):
+        """Whether no task waits."""
+        return not any(
+            queue.in_progress or queue.new_jobs for queue in self._queues.values()
+        )
+
     def queue_order(self, now):
         """Return the names of queues with waiting tasks in scheduling order."""
         self._decay(now)
--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -67,7 +67,7 @@
         self._call_sender.send_nowait((self._send_stop, run))
 
     async def _send_calls(self):
-        channels = ChannelCache(self._driver, self._supervisor)
+        channels = ChannelCache(self._driver)
         async for call, run in self._call_receiver:
             takeover = self._supervisor.takeover
             if takeover is not None and self._runner.is_active(run):
--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -34,8 +34,18 @@
             "entry detached id=%s by_peer=%s", conn.peer.process_id, conn.closed_by_peer
         )
 
+    def before_write(self, conn):
+        """Send the results and changes since the last write as one report."""
+        if self._session is not None and self._session.conn is conn:
+            self._runner.send_pending_report(self._session)
+
+    def heartbeat(self):
+        """Return a report with the current free capacity, or a plain heartbeat."""
+        return self._runner.heartbeat(self._session) or super().heartbeat()
+
     def handle(self, conn, message):
         """Handle an order, a stop or an acknowledgement; ignore other messages."""
+        self._runner.renew_lease(self._session)
         body = message.body
         if isinstance(body, RunTasks):
             self._runner.order_runs(self._session, message.id, body)
--- a/packages/runner/src/hornbeamshore/runner/reports.py
+++ b/packages/runner/src/hornbeamshore/runner/reports.py
@@ -1,71 +1,72 @@
-"""Reports of an agent to its connected entries."""
+"""Reports of an agent to its connected entries.
 
-from dataclasses import dataclass
+An entry gets a report when a run of its own ends, when the agent starts or stops
+accepting runs, and in place of heartbeats. The free capacity changes with each run of
+each entry; sending it to all of them at once would cost a message for each run and
+entry. An entry that orders by outdated figures is refused and told the current ones.
+"""
 
-import trio
+from dataclasses import dataclass
 
-from hornbeamshore.wire.messages import Resources
+from hornbeamshore.wire.messages import Resources, TargetDescription
 
 
 @dataclass(frozen=True, slots=True)
 class RunnerState:
     """State of the agent and its target that is reported to all entries."""
 
-    target: str
-    service: str
-    labels: tuple[str, ...]
+    description: TargetDescription
     accepting: bool
-    capacity: Resources
     free: Resources
 
 
 class Reporter:
-    """Sends results to entries at once, and changes of the state at a limited rate.
+    """Sends reports to the entries.
 
     Parameters
     ----------
-    min_interval_s : float
-        Shortest time, in seconds, between reports of a changed state.
     sessions : dict of str to Session
         Sessions of entries, by entry id.
     state : callable
         Returns the current `RunnerState`, or None while no target is announced.
     """
 
-    def __init__(self, min_interval_s, sessions, state):
-        self._min_interval_s = min_interval_s
+    def __init__(self, sessions, state):
         self._sessions = sessions
         self._get_state = state
-        self._change_event = trio.Event()
-
-    def notify_changed(self):
-        """Schedule a report, because a run has ended or the state may have changed."""
-        self._change_event.set()
+        self._announced = None
 
     def send_run_list(self, session):
         """Send an entry all its runs; it treats those that are not listed as ended."""
         state = self._get_state()
         if state is None or session.conn is None or session.run_list_sent:
             return
-        session.send_report(state, complete=True)
+        session.run_list_sent = True
+        session.conn.try_send(session.make_report(state, complete=True))
+
+    def announce_changes(self):
+        """Report to all entries if the target or the acceptance of runs has changed."""
+        state = self._get_state()
+        if state is None or (state.description, state.accepting) == self._announced:
+            return
+        is_redescribed = (
+            self._announced is not None and self._announced[0] != state.description
+        )
+        self._announced = state.description, state.accepting
+        for session in self._sessions.values():
+            if is_redescribed and session.run_list_sent:
+                session.run_list_sent = False
+                self.send_run_list(session)
+            else:
+                session.request_report()
+
+    def send_pending(self, session):
+        """Send an entry the report that was requested, if any."""
+        state = self._get_state() if session.needs_report else None
+        if state is not None and session.conn is not None:
+            session.conn.try_send(session.make_report(state))
 
-    async def run(self):
-        """Send reports until cancelled."""
-        reported = None
-        due_at = trio.current_time()
-        while True:
-            await self._change_event.wait()
-            self._change_event = trio.Event()
-            state = self._get_state()
-            if state is None:
-                continue
-            is_due = state != reported and trio.current_time() >= due_at
-            for session in self._sessions.values():
-                if session.run_list_sent and (session.has_unsent_ends or is_due):
-                    session.send_report(state)
-            if is_due:
-                reported, due_at = state, trio.current_time() + self._min_interval_s
-            elif state != reported:
-                with trio.move_on_at(due_at):
-                    await self._change_event.wait()
-                self._change_event.set()
+    def heartbeat(self, session):
+        """Return the report to send as a heartbeat, or None if there is none yet."""
+        state = self._get_state() if session.run_list_sent else None
+        return None if state is None else session.make_report(state)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -18,9 +18,10 @@
 from hornbeamshore.runner.sessions import Session
 from hornbeamshore.runner.supervisor import Supervisor, TargetEvents
 from hornbeamshore.runner.target import RunOutcome
-from hornbeamshore.wire.messages import Resources
+from hornbeamshore.wire.messages import Resources, TargetDescription
 
-SESSION_CHECK_INTERVAL_S = 0.05
+# Interval of the lease checks while runs are left or the target is unavailable.
+SESSION_CHECK_INTERVAL_S = 0.1
 
 _END_CODES = {
     RunOutcome.DONE: ResultCode.OK,
@@ -74,15 +75,15 @@
         self._table = RunTable()
         self._health = ConsecutiveFailures(cfg.health)
         self._probe_needs = Resources()
-        self._reporter = Reporter(cfg.report_pause, self.sessions, self.state)
+        self._reporter = Reporter(self.sessions, self.state)
         self._state_changed = trio.Event()
+        self._runs_ordered = trio.Event()
 
     async def run(self):
         """Run the background tasks of the runner until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.supervisor.run)
             nursery.start_soon(self.call_workers.run, self.cfg.call_connections)
-            nursery.start_soon(self._reporter.run)
             nursery.start_soon(self._check_sessions)
 
     # Sessions with entries.
@@ -94,8 +95,9 @@
         if session is None or session.incarnation != peer.incarnation:
             if session is not None:
                 self._stop_entry_runs(session, "entry restarted")
-            session = Session(peer.process_id, peer.incarnation, self.clock)
+            session = Session(peer.process_id, peer.incarnation, self.clock())
             self.sessions[peer.process_id] = session
+        self.renew_lease(session)
         session.attach(conn)
         log.info(
             "entry attached id=%s runs=%d ends=%d",
@@ -111,14 +113,33 @@
         if self.supervisor.has_adopted:
             self._reporter.send_run_list(session)
 
+    def renew_lease(self, session):
+        """Renew the lease of an entry after a message or connection from it.
+
+        A lease that has expired meanwhile is not extended: after a suspension, messages
+        that were sent long before may be received ahead of the next lease check.
+        """
+        now = self.clock()
+        self._expire_lease(session, now)
+        session.last_heard = now
+
+    def send_pending_report(self, session):
+        """Send an entry the results and changes that it was not sent yet."""
+        self._reporter.send_pending(session)
+
+    def heartbeat(self, session):
+        """Return the report to send to an entry as a heartbeat, or None."""
+        return self._reporter.heartbeat(session)
+
     def order_runs(self, session, message_id, body):
         """Queue or refuse the runs that an entry orders."""
         session.last_order_id = message_id
+        self._runs_ordered.set()
         for order in body.orders:
             if order.run_id in session.runs or order.run_id in session.ends:
                 continue
             run = Run(session, body.job_id, body.spec, order)
-            session.runs[order.run_id] = run
+            session.add_run(run)
             refusal = self._refusal_code(run)
             if refusal is None:
                 self._table.enqueue(run)
@@ -164,14 +185,10 @@
         free = self._table.free_capacity - self._table.queued_needs
         if self._health.is_probing(self.clock()):
             free = Resources() if self._table.is_busy else self._probe_needs
-        return RunnerState(
-            target.incarnation_id,
-            target.service,
-            target.labels,
-            self._unavailable_code() is None,
-            self._table.capacity,
-            free,
+        description = TargetDescription(
+            target.incarnation_id, target.service, target.labels, self._table.capacity
         )
+        return RunnerState(description, self._unavailable_code() is None, free)
 
     # Admission.
 
@@ -342,27 +359,30 @@
     # Leases of entries.
 
     async def _check_sessions(self):
-        was_available = None
         while True:
+            self._runs_ordered = trio.Event()
+            is_available = self._unavailable_code() is None
+            if is_available and not self._table.is_busy:
+                with trio.move_on_after(self.cfg.end_retention):
+                    await self._runs_ordered.wait()
             await trio.sleep(SESSION_CHECK_INTERVAL_S)
             now = self.clock()
             for session in list(self.sessions.values()):
                 self._check_session(session, now)
             # An ejection expires without any event that would trigger a report.
-            is_available = self._unavailable_code() is None
-            if is_available != was_available:
-                was_available = is_available
-                self._notify_changed()
+            self._reporter.announce_changes()
 
     def _check_session(self, session, now):
-        session.refresh_last_heard(now)
-        silence = now - session.last_heard
-        if session.runs and silence > self.cfg.lease.entry_lease:
-            self._stop_entry_runs(session, "entry lease expired")
-        is_expired = session.conn is None and silence > self.cfg.end_retention
-        if is_expired and not session.runs:
+        self._expire_lease(session, now)
+        is_expired = now - session.last_heard > self.cfg.end_retention
+        if session.conn is None and is_expired and not session.runs:
             del self.sessions[session.entry_id]
 
+    def _expire_lease(self, session, now):
+        """Stop the runs of an entry whose lease has expired."""
+        if session.runs and now - session.last_heard > self.cfg.lease.entry_lease:
+            self._stop_entry_runs(session, "entry lease expired")
+
     def _stop_entry_runs(self, session, reason):
         unstopped = [run for run in session.runs.values() if run.stop_reason is None]
         if unstopped:
@@ -376,5 +396,5 @@
             self._stop(run, ResultCode.CANCELLED)
 
     def _notify_changed(self):
-        self._reporter.notify_changed()
+        self._reporter.announce_changes()
         self._state_changed.set()
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -17,46 +17,33 @@
         Results that the entry has not acknowledged, by run id.
     last_heard : float
         Boot time, in seconds, at which the last message or connection of the entry was
-        detected.
+        processed.
     last_order_id : int
         Id of the last order received on the current connection.
     run_list_sent : bool
         Whether the entry was sent the list of its runs on the current connection.
+    report_requested : bool
+        Whether the entry is to be sent the state of the agent with the next write.
     """
 
-    def __init__(self, entry_id, incarnation, clock):
+    def __init__(self, entry_id, incarnation, now):
         self.entry_id = entry_id
-        self._clock = clock
         self.incarnation = incarnation
         self.conn = None
         self.runs = {}
         self.ends = {}
-        self.last_heard = self._clock()
+        self.last_heard = now
         self.last_order_id = 0
-        self.run_list_sent = False
-        self._conn_last_received_at = 0.0
+        self.run_list_sent = self.report_requested = False
         self._unsent_run_ids = set()
 
     def attach(self, conn):
         """Switch to a new connection and resend all unacknowledged results."""
         self.conn = conn
         self.last_order_id = 0
-        self.last_heard = self._clock()
-        self.run_list_sent = False
+        self.run_list_sent = self.report_requested = False
         self._unsent_run_ids = set(self.ends)
-
-    def refresh_last_heard(self, now):
-        """Renew the lease of the entry if a message arrived since the last call.
-
-        The lease starts at `now` rather than at the receive time of the message, since
-        the clock of the connection stops while the host is suspended.
-        """
-        if (
-            self.conn is not None
-            and self.conn.last_received_at != self._conn_last_received_at
-        ):
-            self._conn_last_received_at = self.conn.last_received_at
-            self.last_heard = now
+        self._update_activity()
 
     def detach(self, conn):
         """Drop a closed connection, unless a newer one has replaced it."""
@@ -64,6 +51,11 @@
             self.conn = None
             self.run_list_sent = False
 
+    def add_run(self, run):
+        """Add a run that the entry has ordered."""
+        self.runs[run.run_id] = run
+        self._update_activity()
+
     def record_end(self, run_id, code, run_state, run_time_s=0.0, detail=""):
         """Record the result of a run until the entry acknowledges it."""
         self.runs.pop(run_id, None)
@@ -71,12 +63,20 @@
             run_id, int(code), int(run_state), round(run_time_s * 1e6), detail
         )
         self._unsent_run_ids.add(run_id)
+        if self.conn is not None:
+            self.conn.request_write()
 
     def acknowledge(self, run_ids):
         """Discard the results that the entry has acknowledged."""
         for run_id in run_ids:
             self.ends.pop(run_id, None)
             self._unsent_run_ids.discard(run_id)
+        self._update_activity()
+
+    def _update_activity(self):
+        """Detect the loss of the connection quickly while runs or ends depend on it."""
+        if self.conn is not None:
+            self.conn.set_active(bool(self.runs or self.ends))
 
     @property
     def is_busy(self):
@@ -84,34 +84,37 @@
         return bool(self.runs) or (self.conn is not None and bool(self.ends))
 
     @property
-    def has_unsent_ends(self):
-        """Return whether any result was not yet sent on the current connection."""
-        return bool(self._unsent_run_ids)
+    def needs_report(self):
+        """Return whether a report is to be sent with the next write."""
+        return self.run_list_sent and (
+            self.report_requested or bool(self._unsent_run_ids)
+        )
+
+    def request_report(self):
+        """Send the state of the agent to the entry with the next write."""
+        if self.conn is not None and self.run_list_sent:
+            self.report_requested = True
+            self.conn.request_write()
 
-    def send_report(self, state, *, complete=False):
-        """Send the state of the agent and the unsent results.
+    def make_report(self, state, *, complete=False):
+        """Return a report with the state of the agent and the unsent results.
 
         Parameters
         ----------
         state : RunnerState
             State that is the same for all entries.
         complete : bool
-            Whether the report lists all runs of the session.
+            Whether the report lists all runs of the session and describes the target.
         """
         ends = tuple(self.ends[run_id] for run_id in sorted(self._unsent_run_ids))
         self._unsent_run_ids.clear()
-        self.run_list_sent |= complete
-        self.conn.try_send(
-            AgentReport(
-                state.target,
-                state.service,
-                state.labels,
-                state.accepting,
-                state.capacity,
-                state.free,
-                self.last_order_id,
-                ends,
-                complete,
-                tuple(self.runs) if complete else (),
-            )
+        self.report_requested = False
+        return AgentReport(
+            state.accepting,
+            state.free,
+            self.last_order_id,
+            ends,
+            complete,
+            tuple(self.runs) if complete else (),
+            state.description if complete else None,
         )
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -66,8 +66,6 @@
     end_retention : Duration
         Time for which results are kept for a disconnected entry; longer than the
         longest deadline of a job.
-    report_pause : Duration
-        Shortest time between reports that carry no results.
     takeover_retry : Duration
         Pause between attempts to take over a target.
     leave_timeout : Duration
@@ -84,6 +82,5 @@
     max_entries: int = 16
     max_queued_share: float = 0.2
     end_retention: Duration = Duration(20.0)
-    report_pause: Duration = Duration(0.02)
     takeover_retry: Duration = Duration(0.1)
     leave_timeout: Duration = Duration(4.5)
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -7,7 +7,11 @@
 import trio
 
 from hornbeamshore.base.logs import PartLogger
-from hornbeamshore.runner.target import TargetReplaced, TargetUnresponsive
+from hornbeamshore.runner.target import (
+    TargetIncarnation,
+    TargetReplaced,
+    TargetUnresponsive,
+)
 
 # Pause before the next call to a target that did not answer or is still stopping runs.
 TARGET_RETRY_PAUSE_S = 0.05
@@ -21,14 +25,14 @@
 
     Attributes
     ----------
-    incarnation_id : str
-        Id of the incarnation.
+    target : TargetIncarnation
+        Incarnation, as announced when it was taken over.
     fencing_token : int
         Fencing token; the target ignores calls with the lower token of an earlier
         takeover.
     """
 
-    incarnation_id: str
+    target: TargetIncarnation
     fencing_token: int
 
 
@@ -168,7 +172,7 @@
     # Polling.
 
     async def _poll_target(self):
-        channels = ChannelCache(self._driver, self)
+        channels = ChannelCache(self._driver)
         while True:
             takeover = self.takeover
             if takeover is None or not (
@@ -230,18 +234,27 @@
                 # The target's monotonic clock orders the fencing tokens of successive
                 # agents even if the wall clock is set back.
                 self._fencing_token = max(self._fencing_token + 1, target.clock_ms)
-                takeover = Takeover(target.incarnation_id, self._fencing_token)
+                takeover = Takeover(target, self._fencing_token)
                 async with contextlib.aclosing(
                     self._driver.open_channel(target, self._fencing_token)
                 ) as channel:
-                    is_idle = await self._stop_leftover_runs(channel)
-                if is_idle and self.target and self.target.identity == target.identity:
+                    acknowledged = await self._stop_leftover_runs(channel)
+                is_current = self.target and self.target.identity == target.identity
+                if acknowledged is not None and is_current:
+                    self._last_acknowledged = acknowledged
                     self._adopt(takeover)
                 else:
                     await trio.sleep(self.cfg.takeover_retry)
 
     async def _stop_leftover_runs(self, channel):
-        """Stop the runs of earlier agents; return whether the target runs nothing."""
+        """Stop the runs of earlier agents.
+
+        Returns
+        -------
+        int or None
+            Number of the last ended run that was acknowledged; None if the target may
+            still be running something.
+        """
         acknowledged = self._last_acknowledged
         try:
             while True:
@@ -250,8 +263,7 @@
                     [acknowledged, *(ended.number for ended in state.ended)]
                 )
                 if not state.running and not state.ended:
-                    self._last_acknowledged = acknowledged
-                    return True
+                    return acknowledged
                 for item in state.running:
                     await channel.stop(item.task, item.run)
                 await trio.sleep(TARGET_RETRY_PAUSE_S)
@@ -259,12 +271,12 @@
             log.warning("target not adopted: %s", exc)
         except TargetReplaced:
             log.info("target not adopted: another incarnation answered")
-        return False
+        return None
 
     def _adopt(self, takeover):
         log.info(
             "target adopted id=%s fence=%d",
-            takeover.incarnation_id,
+            takeover.target.incarnation_id,
             takeover.fencing_token,
         )
         self.record_renewal()
@@ -276,9 +288,8 @@
 class ChannelCache:
     """Caches one channel to the target of the current takeover."""
 
-    def __init__(self, driver, supervisor):
+    def __init__(self, driver):
         self._driver = driver
-        self._supervisor = supervisor
         self._takeover = None
         self._channel = None
 
@@ -287,7 +298,8 @@
         if takeover != self._takeover:
             if self._channel is not None:
                 await self._channel.aclose()
-            target = self._supervisor.target
-            self._channel = self._driver.open_channel(target, takeover.fencing_token)
+            self._channel = self._driver.open_channel(
+                takeover.target, takeover.fencing_token
+            )
             self._takeover = takeover
         return self._channel
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -111,10 +111,12 @@
 struct StopRuns { 1: list<i64> run_ids }
 struct AckRuns { 1: list<i64> run_ids }
 struct RunEnd { 1: i64 run_id, 2: i32 code, 3: i32 run_state, 4: i64 run_time_us, 5: string detail }
+struct TargetDescription {
+  1: string target, 2: string service_name, 3: list<string> labels, 4: Resources capacity
+}
 struct AgentReport {
-  1: string target, 2: string service_name, 3: list<string> labels, 4: bool accepting,
-  5: Resources capacity, 6: Resources free, 7: i64 received, 8: list<RunEnd> ends,
-  9: bool complete, 10: list<i64> held
+  4: bool accepting, 6: Resources free, 7: i64 received, 8: list<RunEnd> ends,
+  9: bool complete, 10: list<i64> held, 11: optional TargetDescription description
 }
 
 // Exactly one body field is set.
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -1,8 +1,10 @@
 """Connections between processes: messages, calls and heartbeats over one stream.
 
 One task runs each connection from the handshake to its end and reads messages. Its
-child task writes all messages queued since the previous write as one frame, and sends
-a heartbeat when no message was queued for `WireSettings.heartbeat_every`.
+child task writes all messages queued since the previous write as one frame, sends a
+heartbeat when no message was queued for a heartbeat interval, and closes the connection
+when the peer is silent for too long. Both times are longer while the connection is
+idle, that is, while nothing depends on the prompt detection of its loss.
 """
 
 import abc
@@ -46,9 +48,11 @@
     Attributes
     ----------
     heartbeat_every : Duration
-        Maximum interval between messages to a peer.
+        Maximum interval between messages to a peer on an active connection.
     suspect_after : Duration
-        Silence of a peer after which its connection is closed.
+        Silence of a peer after which an active connection is closed.
+    idle_heartbeat_every, idle_suspect_after : Duration or None
+        The same for an idle connection; None for the values of an active one.
     dead_after : Duration
         Time without a connection after which a peer is considered lost; also the
         timeout of one write.
@@ -64,6 +68,20 @@
     dead_after: Duration = Duration(6.0)
     redial_after: Duration = Duration(0.2)
     dial_timeout: Duration = Duration(handshake.HANDSHAKE_TIMEOUT_S)
+    idle_heartbeat_every: Duration | None = None
+    idle_suspect_after: Duration | None = None
+
+    def heartbeat_interval_s(self, *, is_active):
+        """Return the maximum interval between messages to a peer, in seconds."""
+        if is_active or self.idle_heartbeat_every is None:
+            return self.heartbeat_every
+        return self.idle_heartbeat_every
+
+    def silence_limit_s(self, *, is_active):
+        """Return the silence of a peer that closes its connection, in seconds."""
+        if is_active or self.idle_suspect_after is None:
+            return self.suspect_after
+        return self.idle_suspect_after
 
 
 class MessageHandler(abc.ABC):
@@ -87,6 +105,13 @@
         """Return the message body to send as a heartbeat."""
         return Heartbeat()
 
+    def before_write(self, conn):  # noqa: B027
+        """Send the messages that were deferred to the next write of a connection.
+
+        Called just before queued messages or a heartbeat are written, so that one
+        message can cover all changes since the previous write.
+        """
+
 
 class Connection:
     """Connection to one authenticated peer.
@@ -106,6 +131,8 @@
     ----------
     is_open : bool
         Whether messages can be sent.
+    is_active : bool
+        Whether the times for active connections apply; see `set_active`.
     messages_sent, messages_received, bytes_sent, bytes_received : int
         Totals since the connection opened; bytes exclude the length prefixes.
     last_received_at : float
@@ -118,9 +145,9 @@
     def __init__(self, stream, peer, cfg, reader=None):
         self.peer = peer
         self.cfg = cfg
-        self.is_open = True
+        self.is_open = self.is_active = True
         self.closed_by_peer = False
-        self.last_received_at = trio.current_time()
+        self.last_received_at = self._active_since = trio.current_time()
         self.messages_sent = self.messages_received = 0
         self.bytes_sent = self.bytes_received = 0
         self._stream = stream
@@ -130,6 +157,8 @@
         self._outbox = []
         self._write_requested = trio.Event()
         self._is_writing = False
+        self._write_expires_at = 0.0
+        self._write_scope = trio.CancelScope()
         self._flush_done = trio.Event()
         self._reply_channels = {}
         self._cancel_scope = trio.CancelScope()
@@ -165,6 +194,23 @@
             return False
         return True
 
+    def set_active(self, is_active):
+        """Set whether the connection is active, which it is when it opens.
+
+        The silence of the peer counts from the change to active at the earliest, since
+        an idle peer sends less often.
+        """
+        if is_active == self.is_active:
+            return
+        self.is_active = is_active
+        if is_active:
+            self._active_since = trio.current_time()
+            self._write_requested.set()
+
+    def request_write(self):
+        """Call `MessageHandler.before_write` in this turn and write its messages."""
+        self._write_requested.set()
+
     async def call(self, body, timeout_s):
         """Send a message and return the body of its reply.
 
@@ -211,6 +257,9 @@
     async def run(self, handler):
         """Process messages until the connection ends.
 
+        An error of the handler ends this connection only: the values of a well-formed
+        message may be invalid, and the process serves other peers.
+
         Parameters
         ----------
         handler : MessageHandler
@@ -223,6 +272,12 @@
                     nursery.start_soon(self._write_loop, handler)
                     await self._read_loop(handler)
                     nursery.cancel_scope.cancel()
+        except* Exception as exc_group:
+            log.exception(
+                "connection ended by an error peer=%s error=%r",
+                self.peer.process_id,
+                exc_group.exceptions[0],
+            )
         finally:
             self.is_open = False
             self._flush_done.set()
@@ -232,20 +287,18 @@
 
     async def _read_loop(self, handler):
         while True:
-            with trio.move_on_after(self.cfg.suspect_after) as timeout_scope:
-                payload = await self._read_frame()
-            if timeout_scope.cancelled_caught:
-                log.warning("peer timed out peer=%s", self.peer.process_id)
-                return
+            payload = await self._read_frame()
             if payload is None:
                 self.closed_by_peer = True
                 return
             self.last_received_at = trio.current_time()
             self.bytes_received += len(payload)
+            self._write_scope.deadline = self._write_deadline()
             if not self._handle_payload(payload, handler):
                 return
 
     async def _read_frame(self):
+        """Return the next payload, or None if the stream has ended or failed."""
         try:
             return await self._reader.read()
         except (framing.FramingError, trio.BrokenResourceError) as exc:
@@ -271,14 +324,43 @@
         return True
 
     async def _write_loop(self, handler):
+        written_at = trio.current_time()
         while self.is_open:
-            with trio.move_on_after(self.cfg.heartbeat_every):
+            silent_at = self._silence_deadline()
+            beat_at = written_at + self.cfg.heartbeat_interval_s(
+                is_active=self.is_active
+            )
+            with trio.move_on_at(min(beat_at, silent_at)):
                 await self._write_requested.wait()
             self._write_requested = trio.Event()
-            if not self._outbox:
+            now = trio.current_time()
+            if now >= self._silence_deadline():
+                log.warning("peer timed out peer=%s", self.peer.process_id)
+                self.close()
+                return
+            handler.before_write(self)
+            if not self._outbox and now >= beat_at:
                 self.send(handler.heartbeat())
-                self._write_requested = trio.Event()
-            await self._write_outbox()
+            self._write_requested = trio.Event()
+            if self._outbox:
+                await self._write_outbox()
+                written_at = now
+
+    def _write_deadline(self):
+        """Return the trio time at which the current write is given up.
+
+        A peer that stops reading must not block the task indefinitely, and one that is
+        silent is lost even while a write to it is in progress.
+        """
+        return min(self._write_expires_at, self._silence_deadline())
+
+    def _silence_deadline(self):
+        """Return the trio time at which the peer counts as lost if it stays silent."""
+        limit_s = self.cfg.silence_limit_s(is_active=self.is_active)
+        heard_at = self.last_received_at
+        if self.is_active:
+            heard_at = max(heard_at, self._active_since)
+        return heard_at + limit_s
 
     async def _write_outbox(self):
         while self._outbox:
@@ -286,15 +368,16 @@
             batch, self._outbox = self._outbox[:limit], self._outbox[limit:]
             payload = codec.encode_batch(batch)
             self._is_writing = True
+            self._write_expires_at = trio.current_time() + self.cfg.dead_after
+            self._write_scope = trio.CancelScope(deadline=self._write_deadline())
             try:
-                # A peer that stops reading must not block this task indefinitely.
-                with trio.fail_after(self.cfg.dead_after):
+                with self._write_scope:
                     await self._stream.send_all(framing.encode_frame(payload))
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self.closed_by_peer = True
                 self.close()
                 return
-            except trio.TooSlowError:
+            if self._write_scope.cancelled_caught:
                 log.warning("write timed out peer=%s", self.peer.process_id)
                 self.close()
                 return
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -5603,19 +5603,13 @@
         return not (self == other)
 
 
-class AgentReport(object):
+class TargetDescription(object):
     """
     Attributes:
      - target
      - service_name
      - labels
-     - accepting
      - capacity
-     - free
-     - received
-     - ends
-     - complete
-     - held
 
     """
 
@@ -5623,27 +5617,15 @@
         'target',
         'service_name',
         'labels',
-        'accepting',
         'capacity',
-        'free',
-        'received',
-        'ends',
-        'complete',
-        'held',
     )
 
 
-    def __init__(self, target=None, service_name=None, labels=None, accepting=None, capacity=None, free=None, received=None, ends=None, complete=None, held=None,):
+    def __init__(self, target=None, service_name=None, labels=None, capacity=None,):
         self.target = target
         self.service_name = service_name
         self.labels = labels
-        self.accepting = accepting
         self.capacity = capacity
-        self.free = free
-        self.received = received
-        self.ends = ends
-        self.complete = complete
-        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5675,16 +5657,112 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.accepting = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
                 if ftype == TType.STRUCT:
                     self.capacity = Resources()
                     self.capacity.read(iprot)
                 else:
                     iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetDescription')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.labels))
+            for iter160 in self.labels:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.capacity is not None:
+            oprot.writeFieldBegin('capacity', TType.STRUCT, 4)
+            self.capacity.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AgentReport(object):
+    """
+    Attributes:
+     - accepting
+     - free
+     - received
+     - ends
+     - complete
+     - held
+     - description
+
+    """
+
+    __slots__ = (
+        'accepting',
+        'free',
+        'received',
+        'ends',
+        'complete',
+        'held',
+        'description',
+    )
+
+
+    def __init__(self, accepting=None, free=None, received=None, ends=None, complete=None, held=None, description=None,):
+        self.accepting = accepting
+        self.free = free
+        self.received = received
+        self.ends = ends
+        self.complete = complete
+        self.held = held
+        self.description = description
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 4:
+                if ftype == TType.BOOL:
+                    self.accepting = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.STRUCT:
                     self.free = Resources()
@@ -5699,11 +5777,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype163, _size160) = iprot.readListBegin()
-                    for _i164 in range(_size160):
-                        _elem165 = RunEnd()
-                        _elem165.read(iprot)
-                        self.ends.append(_elem165)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = RunEnd()
+                        _elem166.read(iprot)
+                        self.ends.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5715,13 +5793,19 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype169, _size166) = iprot.readListBegin()
-                    for _i170 in range(_size166):
-                        _elem171 = iprot.readI64()
-                        self.held.append(_elem171)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = iprot.readI64()
+                        self.held.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.description = TargetDescription()
+                    self.description.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5732,29 +5816,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('AgentReport')
-        if self.target is not None:
-            oprot.writeFieldBegin('target', TType.STRING, 1)
-            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
-            oprot.writeFieldEnd()
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 2)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
-            oprot.writeFieldEnd()
-        if self.labels is not None:
-            oprot.writeFieldBegin('labels', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRING, len(self.labels))
-            for iter172 in self.labels:
-                oprot.writeString(iter172.encode('utf-8') if sys.version_info[0] == 2 else iter172)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
         if self.accepting is not None:
             oprot.writeFieldBegin('accepting', TType.BOOL, 4)
             oprot.writeBool(self.accepting)
             oprot.writeFieldEnd()
-        if self.capacity is not None:
-            oprot.writeFieldBegin('capacity', TType.STRUCT, 5)
-            self.capacity.write(oprot)
-            oprot.writeFieldEnd()
         if self.free is not None:
             oprot.writeFieldBegin('free', TType.STRUCT, 6)
             self.free.write(oprot)
@@ -5781,6 +5846,10 @@
                 oprot.writeI64(iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.description is not None:
+            oprot.writeFieldBegin('description', TType.STRUCT, 11)
+            self.description.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6892,19 +6961,28 @@
     (4, TType.I64, 'run_time_us', None, None, ),  # 4
     (5, TType.STRING, 'detail', 'UTF8', None, ),  # 5
 )
-all_structs.append(AgentReport)
-AgentReport.thrift_spec = (
+all_structs.append(TargetDescription)
+TargetDescription.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.STRUCT, 'capacity', [Resources, None], None, ),  # 4
+)
+all_structs.append(AgentReport)
+AgentReport.thrift_spec = (
+    None,  # 0
+    None,  # 1
+    None,  # 2
+    None,  # 3
     (4, TType.BOOL, 'accepting', None, None, ),  # 4
-    (5, TType.STRUCT, 'capacity', [Resources, None], None, ),  # 5
+    None,  # 5
     (6, TType.STRUCT, 'free', [Resources, None], None, ),  # 6
     (7, TType.I64, 'received', None, None, ),  # 7
     (8, TType.LIST, 'ends', (TType.STRUCT, [RunEnd, None], False), None, ),  # 8
     (9, TType.BOOL, 'complete', None, None, ),  # 9
     (10, TType.LIST, 'held', (TType.I64, None, False), None, ),  # 10
+    (11, TType.STRUCT, 'description', [TargetDescription, None], None, ),  # 11
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -554,18 +554,38 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AgentReport:
-    """State of an agent and its target, with the unacknowledged ends of runs.
+class TargetDescription:
+    """Properties of a target, which rarely change.
 
     Attributes
     ----------
     target : str
         Id of the target's incarnation.
+    service : str
+        Service whose tasks the target runs.
+    labels : tuple of str
+        Labels that tasks can require.
+    capacity : Resources
+        Total resources of the target.
+    """
+
+    target: str
+    service: str
+    labels: tuple[str, ...]
+    capacity: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class AgentReport:
+    """State of an agent, with the unacknowledged ends of runs.
+
+    Attributes
+    ----------
     accepting : bool
         Whether new runs are accepted.
-    capacity, free : Resources
-        Total and unallocated resources of the target. `free` is reduced by the runs
-        of all entries, and is negative if runs wait at the agent.
+    free : Resources
+        Unallocated resources of the target. It is reduced by the runs of all entries,
+        and is negative if runs wait at the agent.
     received : int
         Id of the last `RunTasks` message from the receiving entry that `free`
         accounts for.
@@ -576,18 +596,18 @@
         first report on a connection.
     held : tuple of int
         Ids of unfinished runs of the receiving entry.
+    description : TargetDescription or None
+        Properties of the target; None if they are as last sent on the connection. A
+        complete report has them.
     """
 
-    target: str
-    service: str
-    labels: tuple[str, ...]
     accepting: bool
-    capacity: Resources
     free: Resources
     received: int
     ends: tuple[RunEnd, ...] = ()
     complete: bool = False
     held: tuple[int, ...] = ()
+    description: TargetDescription | None = None
 
 
 # Field of the Thrift struct Message for each class that can be a message body.
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -18,6 +18,7 @@
     RunEnd,
     RunTasks,
     StopRuns,
+    TargetDescription,
 )
 
 CAPACITY = Resources(8000, 4096, 0)
@@ -38,7 +39,8 @@
 
     def __init__(self, coordinator, agent_id, incarnation=1, data_centre="perth"):
         self.peer = Identity("test", "agent", agent_id, incarnation, data_centre)
-        self.is_open = True
+        self.is_open = self.is_active = True
+        self.last_received_at = trio.current_time()
         self.sent = []
         self._ids = itertools.count(1)
         self._coordinator = coordinator
@@ -54,6 +56,9 @@
             self._last_message_id = message_id
         return message_id
 
+    def set_active(self, is_active):
+        self.is_active = is_active
+
     @property
     def orders(self):
         """Orders received since the last call of `end_runs`, by run id."""
@@ -83,17 +88,16 @@
             Ids of the runs that the agent holds, which makes the report complete; None
             for an incomplete report.
         """
+        self.last_received_at = trio.current_time()
+        description = TargetDescription("t-1", "order-desk", self.labels, CAPACITY)
         body = AgentReport(
-            "t-1",
-            "order-desk",
-            self.labels,
             self.is_accepting,
-            CAPACITY,
             free,
             self._last_message_id,
             ends,
             held is not None,
             held or (),
+            description if held is not None else None,
         )
         self._coordinator.handle(self, Message(1, 0, body))
 
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -1,5 +1,7 @@
 """Tests of jobs: outcomes, retries, lost agents, duplicates and rejections."""
 
+from dataclasses import replace
+
 import pytest
 import trio
 import trio.lowlevel
@@ -8,7 +10,7 @@
 from hornbeamshore.dispatch.model import JobSpec, Step
 from hornbeamshore.wire.messages import Resources
 
-from .conftest import CAPACITY, NEEDS, FakeAgent, Submission, make_job
+from .conftest import CAPACITY, NEEDS, QUEUE, FakeAgent, Submission, make_job
 
 
 async def test_job_is_answered_when_all_tasks_are_done(
@@ -348,7 +350,7 @@
 ):
     """Guards against tasks on targets that violate the constraints of their step."""
     agent.labels = labels
-    agent.report()
+    agent.report(held=())
     Submission(nursery, coordinator, make_job(3, estimate_s=5.0, **changes))
     await trio.sleep(0.05)
     assert len(agent.orders) == runs
@@ -361,3 +363,35 @@
     Submission(nursery, coordinator, make_job(10, estimate_s=5.0))
     await trio.sleep(0.05)
     assert len(agent.orders) == 4
+
+
+async def test_a_job_whose_tasks_fail_in_one_report_is_answered(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against an error for a job that drains before its caller is answered."""
+    queue = replace(QUEUE, max_failed_runs=1)
+    submission = Submission(nursery, coordinator, make_job(2), queue)
+    await trio.sleep(0.02)
+    agent.end_runs(ResultCode.TASK_FAILED)
+    await trio.sleep(0.02)
+    assert submission.outcome.code is ResultCode.TASK_FAILED
+    assert coordinator.jobs == {}
+
+
+async def test_an_invalid_report_does_not_change_the_runs(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a half-processed report with values that do not exist."""
+    submission = Submission(nursery, coordinator, make_job(1))
+    await trio.sleep(0.02)
+    with pytest.raises(ValueError, match="99999"):
+        agent.end_runs(code=99999)
+    agent.disconnect()
+    await trio.sleep(coordinator.cfg.lease.agent_stop_bound_s + 0.3)
+    assert submission.outcome is None
+    other = FakeAgent(coordinator, "agent-2")
+    other.report(held=())
+    await trio.sleep(0.1)
+    other.end_runs()
+    await trio.sleep(0.1)
+    assert submission.outcome.code is ResultCode.OK
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from dataclasses import replace
+from functools import partial
 
 import pytest
 import trio
@@ -182,20 +183,29 @@
 
 
 class FakeConnection:
-    """Connection to an entry that records the reports sent to it."""
+    """Connection to an entry that records the reports sent to it.
+
+    Attributes
+    ----------
+    is_receiving : bool
+        Whether heartbeats of the entry arrive.
+    on_write : callable or None
+        Called for a requested write, in place of `MessageHandler.before_write`.
+    """
 
     def __init__(self, entry_id="entry-1", incarnation=1):
         self.peer = Identity("test", "entry", entry_id, incarnation, "glasgow")
         self.reports = []
         self.closed_by_peer = False
-        self.is_receiving = True
-        self._last_received_at = trio.current_time()
+        self.is_receiving = self.is_active = True
+        self.on_write = None
 
-    @property
-    def last_received_at(self):
-        if self.is_receiving:
-            self._last_received_at = trio.current_time()
-        return self._last_received_at
+    def set_active(self, is_active):
+        self.is_active = is_active
+
+    def request_write(self):
+        if self.on_write is not None:
+            self.on_write()
 
     def try_send(self, body):
         assert isinstance(body, AgentReport)
@@ -224,10 +234,20 @@
     return FakeTarget()
 
 
+async def receive_heartbeats(runner):
+    """Renew the leases of the connected entries as their heartbeats do."""
+    while True:
+        await trio.sleep(0.1)
+        for session in runner.sessions.values():
+            if session.conn is not None and session.conn.is_receiving:
+                runner.renew_lease(session)
+
+
 @pytest.fixture
 async def runner(autojump_clock, nursery, target):
     runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
     nursery.start_soon(runner.run)
+    nursery.start_soon(receive_heartbeats, runner)
     runner.supervisor.handle_announcement(TARGET)
     await trio.sleep(0.2)
     assert runner.supervisor.takeover is not None
@@ -237,6 +257,7 @@
 @contextlib.contextmanager
 def attached(runner, conn):
     session = runner.attach(conn)
+    conn.on_write = partial(runner.send_pending_report, session)
     yield session
     session.detach(conn)
 
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -1,5 +1,7 @@
 """Tests of runs on one target: capacity, leases, lost answers, replaced targets."""
 
+import contextlib
+
 import pytest
 import trio
 
@@ -9,8 +11,17 @@
 from hornbeamshore.runner.runner import Runner
 from hornbeamshore.runner.settings import RunnerSettings
 from hornbeamshore.runner.target import RunOutcome, StartResult
-
-from .conftest import FakeConnection, announcement, attached, order_tasks
+from hornbeamshore.wire.messages import Resources
+
+from .conftest import (
+    TARGET,
+    FakeChannel,
+    FakeConnection,
+    FakeTarget,
+    announcement,
+    attached,
+    order_tasks,
+)
 
 
 async def test_runs_beyond_the_capacity_are_queued(autojump_clock, runner, target):
@@ -139,7 +150,7 @@
         runner.stop_runs(session, [1])
         await trio.sleep(1.0)
         assert 1 in conn.ends
-        assert conn.reports[-1].free == conn.reports[-1].capacity
+        assert conn.reports[-1].free == TARGET.capacity
 
 
 async def test_a_resubmitted_task_gets_a_higher_run_number(
@@ -246,19 +257,25 @@
         assert list(session.runs) == [1]
 
 
+@pytest.mark.parametrize("first_event", ["none", "message", "connection"])
 async def test_the_lease_of_an_entry_expires_during_suspension(
-    autojump_clock, runner, target
+    autojump_clock, runner, target, first_event
 ):
     """Guards against runs that resume after their entry has placed them elsewhere.
 
-    The lease must count the time for which the host was suspended.
+    The lease must count the time for which the host was suspended. A message that was
+    sent before, or a new connection, must not renew a lease that has expired.
     """
     conn = FakeConnection()
     with attached(runner, conn) as session:
         runner.order_runs(session, 1, order_tasks(1))
-        await trio.sleep(0.1)
+        await trio.sleep(0.15)
         conn.is_receiving = False
         runner.clock = lambda: trio.current_time() + 5.0
+        if first_event == "message":
+            runner.renew_lease(session)
+        elif first_event == "connection":
+            runner.attach(FakeConnection())
         await trio.sleep(0.2)
         assert target.running_runs == {}
 
@@ -391,3 +408,109 @@
     for reading in readings[1:]:
         progress.update(*reading)
     assert progress.is_stalled(clock_ms, 500) is stalled
+
+
+MAX_REPORTS_PER_RUN = 6
+
+
+@pytest.mark.parametrize("entry_count", [1, 16])
+async def test_reports_of_a_run_do_not_grow_with_the_entries(
+    autojump_clock, runner, target, entry_count
+):
+    """Guards against a message to each entry for each run of any of them."""
+    conns = [FakeConnection(f"entry-{number}") for number in range(entry_count)]
+    async with contextlib.AsyncExitStack() as stack:
+        sessions = [stack.enter_context(attached(runner, conn)) for conn in conns]
+        before = sum(len(conn.reports) for conn in conns)
+        for number in range(10):
+            runner.order_runs(sessions[0], number + 1, order_tasks(number + 1))
+            await trio.sleep(0.05)
+            target.end_run(f"j1.0.0.{number + 1}")
+            await trio.sleep(0.05)
+        reports = sum(len(conn.reports) for conn in conns) - before
+    assert len(conns[0].ends) == 10
+    assert reports <= 10 * MAX_REPORTS_PER_RUN
+
+
+async def test_all_entries_learn_when_the_target_stops_accepting_runs(
+    autojump_clock, runner, target
+):
+    """Guards against orders to a target that is about to leave."""
+    conns = [FakeConnection(f"entry-{number}") for number in range(3)]
+    async with contextlib.AsyncExitStack() as stack:
+        for conn in conns:
+            stack.enter_context(attached(runner, conn))
+        runner.supervisor.handle_announcement(announcement(sequence=2, leaving=True))
+        await trio.sleep(0.01)
+        assert [conn.reports[-1].accepting for conn in conns] == [False] * 3
+
+
+async def test_a_replaced_target_is_described_again(autojump_clock, runner, target):
+    """Guards against placing tasks by the capacity of a target that was replaced."""
+    conn = FakeConnection()
+    with attached(runner, conn):
+        target.incarnation_id = "t-2"
+        larger = Resources(16000, 2048, 0)
+        runner.supervisor.handle_announcement(
+            announcement(incarnation_id="t-2", started_ms=2000, capacity=larger)
+        )
+        await trio.sleep(0.3)
+        descriptions = [
+            report.description for report in conn.reports if report.description
+        ]
+        assert [item.target for item in descriptions] == ["t-1", "t-2"]
+        assert descriptions[-1].capacity == conn.reports[-1].free == larger
+
+
+async def test_a_connection_is_active_while_runs_or_results_depend_on_it(
+    autojump_clock, runner, target
+):
+    """Guards against detecting the loss of an entry late while it has runs here."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        assert not conn.is_active
+        runner.order_runs(session, 1, order_tasks(1))
+        assert conn.is_active
+        await trio.sleep(0.1)
+        target.end_run("j1.0.0.1")
+        await trio.sleep(0.1)
+        assert conn.is_active
+        runner.acknowledge_ends(session, [1])
+        assert not conn.is_active
+
+
+@pytest.mark.parametrize("event", ["departed", "replaced"])
+async def test_a_target_may_change_while_its_channels_are_closed(
+    autojump_clock, nursery, event
+):
+    """Guards against an agent that ends because its target left at a bad moment."""
+
+    class SlowlyClosingChannel(FakeChannel):
+        async def aclose(self):
+            await trio.sleep(0.1)
+
+    class SlowlyClosingTarget(FakeTarget):
+        def open_channel(self, incarnation, fencing_token):
+            return SlowlyClosingChannel(self, incarnation.incarnation_id, fencing_token)
+
+    target = SlowlyClosingTarget()
+    runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
+    nursery.start_soon(runner.run)
+    for number in (1, 2):
+        target.incarnation_id = f"t-{number}"
+        runner.supervisor.handle_announcement(
+            announcement(incarnation_id=f"t-{number}", started_ms=number * 1000)
+        )
+        await trio.sleep(0.3)
+        with attached(runner, FakeConnection(incarnation=number)) as session:
+            runner.order_runs(session, 1, order_tasks(1))
+            await trio.sleep(0.02)
+    if event == "departed":
+        runner.supervisor.handle_departure("t-2")
+    else:
+        runner.supervisor.handle_announcement(
+            announcement(incarnation_id="t-3", started_ms=9000)
+        )
+        target.incarnation_id = "t-3"
+    await trio.sleep(0.5)
+    assert (runner.supervisor.takeover is None) == (event == "departed")
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -137,3 +137,137 @@
         if self._direction == "received":
             await trio.sleep_forever()
         return await self._stream.receive_some(max_bytes)
+
+
+IDLE_CFG = connection.WireSettings(
+    heartbeat_every=Duration(0.2),
+    suspect_after=Duration(0.6),
+    idle_heartbeat_every=Duration(1.0),
+    idle_suspect_after=Duration(2.5),
+)
+
+
+class SilentStream:
+    """Stream of a peer that sends nothing and accepts all data."""
+
+    def __init__(self):
+        self.frames = 0
+
+    async def send_all(self, data):
+        self.frames += 1
+
+    async def receive_some(self, max_bytes):
+        await trio.sleep_forever()
+
+
+async def run_with_silent_peer(nursery, is_active):
+    stream = SilentStream()
+    conn = connection.Connection(stream, AGENT, IDLE_CFG)
+    conn.set_active(is_active)
+    nursery.start_soon(conn.run, StatusHandler())
+    return stream, conn
+
+
+@pytest.mark.parametrize(
+    ("is_active", "frames", "silence_s"), [(True, 2, 0.6), (False, 2, 2.5)]
+)
+async def test_idle_connections_beat_and_time_out_later(
+    autojump_clock, nursery, is_active, frames, silence_s
+):
+    """Guards against heartbeats that cost a large fleet more than its work."""
+    stream, conn = await run_with_silent_peer(nursery, is_active)
+    await trio.sleep(silence_s - 0.05)
+    assert conn.is_open
+    assert stream.frames == frames
+    await trio.sleep(0.1)
+    assert not conn.is_open
+
+
+async def test_silence_counts_from_the_change_to_active(autojump_clock, nursery):
+    """Guards against closing a connection for the silence that was allowed before."""
+    stream, conn = await run_with_silent_peer(nursery, is_active=False)
+    await trio.sleep(0.9)
+    conn.set_active(True)
+    await trio.sleep(0.55)
+    assert conn.is_open
+    # Heartbeats begin at once, without waiting for the interval of an idle connection.
+    assert stream.frames >= 2
+    await trio.sleep(0.1)
+    assert not conn.is_open
+
+
+async def test_deferred_messages_are_sent_with_one_write(autojump_clock, nursery):
+    """Guards against one message for each change within a turn of the event loop."""
+
+    class CountingHandler(StatusHandler):
+        writes = 0
+
+        def before_write(self, conn):
+            if self.changes:
+                self.writes += 1
+                conn.send(StatusQuery(str(self.changes)))
+                self.changes = 0
+
+        changes = 0
+
+    handler = CountingHandler()
+    stream = SilentStream()
+    conn = connection.Connection(stream, AGENT, IDLE_CFG)
+    nursery.start_soon(conn.run, handler)
+    await trio.sleep(0.01)
+    for _ in range(5):
+        handler.changes += 1
+        conn.request_write()
+    await trio.sleep(0.01)
+    assert (handler.writes, stream.frames) == (1, 1)
+
+
+async def test_blocked_write_does_not_hide_a_silent_peer(autojump_clock, nursery):
+    """Guards against waiting for the write timeout while the peer is lost."""
+
+    class BlockedStream(SilentStream):
+        async def send_all(self, data):
+            await trio.sleep_forever()
+
+    conn = connection.Connection(BlockedStream(), AGENT, IDLE_CFG)
+    nursery.start_soon(conn.run, StatusHandler())
+    conn.send(StatusQuery("status"))
+    await trio.sleep(0.65)
+    assert not conn.is_open
+
+
+class FailingHandler(StatusHandler):
+    """Fails with an unexpected error in one of its callbacks."""
+
+    def __init__(self, callback):
+        super().__init__()
+        self._callback = callback
+
+    def _fail_in(self, callback):
+        if callback == self._callback:
+            raise KeyError("unexpected")
+
+    def opened(self, conn):
+        self._fail_in("opened")
+        super().opened(conn)
+
+    def handle(self, conn, message):
+        self._fail_in("handle")
+
+    def before_write(self, conn):
+        self._fail_in("before_write")
+
+    def heartbeat(self):
+        self._fail_in("heartbeat")
+        return super().heartbeat()
+
+
+@pytest.mark.parametrize("callback", ["opened", "handle", "before_write", "heartbeat"])
+async def test_an_error_of_a_handler_ends_only_its_connection(callback):
+    """Guards against one message or unexpected error that ends the process."""
+    async with serving(FailingHandler(callback)) as address:
+        for _ in range(2):
+            async with connection.open_connection(address, AGENT, SECRET, CFG) as conn:
+                conn.try_send(StatusQuery("status"))
+                await conn.run(StatusHandler())
+                assert conn.closed_by_peer
