Connect agents to entries of their own data centre first

Cause: an agent connected to 16 random entries, so with 5 data centres four of five orders and results crossed data centres, whose bytes are dear, and an entry knew only a few agents near it.

Change: entries register their data centre with their address. An agent connects to up to 10 entries of its own data centre and to others up to 16, chosen by rendezvous hashing. tests/fleet plays 35 entries of uneven load against 160 agents in one process and checks what callers get.

--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -143,7 +143,9 @@
     routing = RoutingReplica()
     metrics.register_gauges(coordinator, routing)
     registration_key = deployment_key(cfg.deployment, ENTRY_KEY_PREFIX + cfg.entry_id)
-    registration = Registration(store, registration_key, cfg.inner_address)
+    registration = Registration(
+        store, registration_key, cfg.inner_address, cfg.dispatch.data_centre
+    )
 
     def is_ready():
         can_serve = routing.current is not None and coordinator.is_connected
--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -111,7 +111,7 @@
         seeds = set(load_seeds())
 
         def update_links():
-            links.set_addresses(nursery, directory.addresses | seeds)
+            links.set_addresses(nursery, dict.fromkeys(seeds, "") | directory.addresses)
 
         def reload():
             loaded = load_seeds()
--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -55,6 +55,37 @@
             self._runner.acknowledge_ends(self._session, body.run_ids)
 
 
+def select_entries(identity, data_centres, cfg):
+    """Return the addresses of the entries that an agent connects to.
+
+    Most are in the data centre of the agent, so that most orders and results stay in
+    it. The others let entries of other data centres use the agent when theirs are full
+    or lost. Rendezvous hashing gives each entry about the same number of agents.
+
+    Parameters
+    ----------
+    identity : Identity
+        Identity of the agent.
+    data_centres : dict of str to str
+        Data centres of the entries, by address.
+    cfg : RunnerSettings
+        Numbers of entries.
+
+    Returns
+    -------
+    list of str
+        Addresses.
+    """
+    preferred = rendezvous_order(identity.process_id, data_centres)
+    near = [
+        address
+        for address in preferred
+        if data_centres[address] == identity.data_centre
+    ][: min(cfg.max_near_entries, cfg.max_entries)]
+    others = [address for address in preferred if address not in near]
+    return near + others[: cfg.max_entries - len(near)]
+
+
 class EntryLinks:
     """Maintains a connection to each selected entry address.
 
@@ -74,10 +105,17 @@
         self._secret = secret
         self._cancel_scopes = {}
 
-    def set_addresses(self, nursery, addresses):
-        """Connect to up to `max_entries` of the addresses; close other connections."""
-        preferred = rendezvous_order(self._identity.process_id, addresses)
-        selected = set(preferred[: self._runner.cfg.max_entries])
+    def set_addresses(self, nursery, data_centres):
+        """Connect to the selected addresses and close other connections.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+            Runs the connections.
+        data_centres : dict of str to str
+            Data centres of the entries, by address.
+        """
+        selected = set(select_entries(self._identity, data_centres, self._runner.cfg))
         for address in selected - self._cancel_scopes.keys():
             self._cancel_scopes[address] = trio.CancelScope()
             nursery.start_soon(
--- a/packages/store/src/hornbeamshore/store/directory.py
+++ b/packages/store/src/hornbeamshore/store/directory.py
@@ -8,7 +8,7 @@
 # A process that ends without removing its key stays listed this long; readers have to
 # handle an address that does not respond.
 LEASE_TTL_S = 15
-RENEW_INTERVAL_S = 4.0
+RENEW_INTERVAL_S = 5.0
 RETRY_DELAY_S = 1.0
 
 log = PartLogger("store")
@@ -25,12 +25,15 @@
         Store key for this process.
     address : str
         Address for connections from peers.
+    data_centre : str
+        Data centre of this process; contains no white space.
     """
 
-    def __init__(self, store, key, address):
+    def __init__(self, store, key, address, data_centre):
         self._store = store
         self._key = key
         self._address = address
+        self._value = f"{address} {data_centre}".encode()
         self._lease = None
 
     async def maintain(self):
@@ -65,7 +68,7 @@
             current = await self._store.get(self._key)
             outcome = await self._store.compare_and_swap(
                 self._key,
-                self._address.encode(),
+                self._value,
                 current.mod_revision if current else 0,
                 lease.lease_id,
             )
@@ -106,12 +109,15 @@
 
     @property
     def addresses(self):
-        """Set of the known addresses; expired ones are removed first."""
+        """Data centres of the known addresses, by address.
+
+        Expired addresses are removed first.
+        """
         now = trio.current_time()
         for key, removed_at in list(self._removed_at.items()):
             if now - removed_at > self._forget_after:
                 del self._removed_at[key], self._addresses[key]
-        return set(self._addresses.values())
+        return dict(self._addresses.values())
 
     async def watch(self, on_change):
         """Watch the prefix until cancelled and call `on_change` after each change.
@@ -131,6 +137,8 @@
     def _apply_change(self, change):
         if change.item is not None:
             self._removed_at.pop(change.key, None)
-            self._addresses[change.key] = change.item.value.decode(errors="replace")
+            value = change.item.value.decode(errors="replace")
+            address, _, data_centre = value.partition(" ")
+            self._addresses[change.key] = address, data_centre
         elif change.key in self._addresses:
             self._removed_at.setdefault(change.key, trio.current_time())
--- /dev/null
+++ b/tests/fleet/conftest.py
@@ -0,0 +1,335 @@
+"""Fleet of coordinators and runners that are connected in memory.
+
+The decisions, the inner protocol and its connections are the real ones; the network is
+a pair of memory streams for each connection, and targets end their runs after the run
+time of the task. Time is that of a mock clock, so processor time counts as zero.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+import trio
+import trio.testing
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.dispatch.coordinator import Coordinator
+from hornbeamshore.dispatch.metrics import DispatchMetrics
+from hornbeamshore.dispatch.model import JobSpec, Queue, Step
+from hornbeamshore.dispatch.settings import DispatchSettings
+from hornbeamshore.platform.settings import WIRE_SETTINGS
+from hornbeamshore.runner.links import EntryHandler, EntryLinks
+from hornbeamshore.runner.metrics import RunnerMetrics
+from hornbeamshore.runner.runner import Runner
+from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.runner.target import (
+    ActiveRun,
+    EndedRun,
+    RunOutcome,
+    StartResult,
+    TargetChannel,
+    TargetDriver,
+    TargetIncarnation,
+    TargetState,
+)
+from hornbeamshore.wire.connection import Connection
+from hornbeamshore.wire.handshake import Identity
+from hornbeamshore.wire.messages import Resources
+
+SERVICE = "order-desk"
+CAPACITY = Resources(32000, 65536, 0)
+
+
+@dataclass(frozen=True, slots=True)
+class JobKind:
+    """Kind of job that callers submit.
+
+    Attributes
+    ----------
+    queue : Queue
+        Queue of the jobs.
+    tasks : int
+        Number of tasks of a job.
+    run_time_s : float
+        Run time of a task on a target of average speed.
+    cpu_millis : int
+        Processor request of a task.
+    share : float
+        Share of the submitted jobs.
+    """
+
+    queue: Queue
+    tasks: int
+    run_time_s: float
+    cpu_millis: int
+    share: float
+
+
+def make_kind(name, tasks, run_time_s, share, priority, cpu_millis=5000):
+    """Return a kind of job with the objectives of the large deployment."""
+    queue = Queue(name, "desk", f"/{name}/", SERVICE, priority, 2, 1.6, 0.06)
+    return JobKind(queue, tasks, run_time_s, cpu_millis, share)
+
+
+KINDS = (
+    make_kind("stock-check", 8, 0.12, 0.243, 0),
+    make_kind("slot-hold", 2, 0.4, 0.712, 1),
+    make_kind("cut-quote", 4, 1.8, 0.045, 2),
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Results:
+    """What callers got, by kind of job.
+
+    Attributes
+    ----------
+    in_time, late, refused, lost : dict of str to int
+        Numbers of jobs; a job that was neither answered with success nor refused as
+        not run is lost.
+    """
+
+    in_time: dict = field(default_factory=dict)
+    late: dict = field(default_factory=dict)
+    refused: dict = field(default_factory=dict)
+    lost: dict = field(default_factory=dict)
+
+    def share(self, counts, name=None):
+        """Return the share of jobs of one kind, or of all, that `counts` has."""
+        names = [name] if name else [kind.queue.name for kind in KINDS]
+        all_counts = (self.in_time, self.late, self.refused, self.lost)
+        total = sum(group.get(key, 0) for group in all_counts for key in names)
+        return sum(counts.get(key, 0) for key in names) / total
+
+
+class SimulatedTarget(TargetDriver):
+    """Target whose runs take the time in their content, divided by its speed."""
+
+    def __init__(self, speed, rng):
+        self.speed = speed
+        self.most_used_millis = 0
+        self._rng = rng
+        self._running = {}
+        self._ends = []
+        self._changed = trio.Event()
+
+    def observe_clock(self, clock_ms):
+        pass
+
+    def open_channel(self, incarnation, fencing_token):
+        return SimulatedChannel(self)
+
+    def start(self, task, run, content):
+        run_time_s, cpu_millis = map(float, content.split())
+        noise = self._rng.lognormvariate(0.0, 0.05)
+        ends_at = trio.current_time() + run_time_s * noise / self.speed
+        self._running[task, run] = ends_at, cpu_millis
+        used = sum(cpu for _, cpu in self._running.values())
+        self.most_used_millis = max(self.most_used_millis, used)
+        self._changed.set()
+
+    def end(self, key, outcome):
+        del self._running[key]
+        self._ends.append(EndedRun(len(self._ends) + 1, *key, outcome))
+
+    async def poll(self, wait_s, acknowledged):
+        deadline = trio.current_time() + wait_s
+        while True:
+            now = trio.current_time()
+            for key, (ends_at, _) in list(self._running.items()):
+                if ends_at <= now:
+                    self.end(key, RunOutcome.DONE)
+            ended = self._ends[acknowledged:]
+            if ended or now >= deadline:
+                running = tuple(ActiveRun(*key, now * 100) for key in self._running)
+                return TargetState(running, tuple(ended), now * 1000)
+            next_end = min((item[0] for item in self._running.values()), default=now)
+            self._changed = trio.Event()
+            with trio.move_on_at(min(deadline, max(next_end, now + 0.0005))):
+                await self._changed.wait()
+
+
+class SimulatedChannel(TargetChannel):
+    """Connection to a `SimulatedTarget` with a short delay."""
+
+    def __init__(self, target):
+        self._target = target
+
+    async def start(self, task, run, spec):
+        await trio.sleep(0.0005)
+        self._target.start(task, run, spec)
+        return StartResult.STARTED
+
+    async def stop(self, task, run):
+        await trio.sleep(0.0005)
+        if (task, run) in self._target._running:
+            self._target.end((task, run), RunOutcome.STOPPED)
+
+    async def poll(self, wait_s, acknowledged, *, renew=True):
+        await trio.sleep(0.0005)
+        return await self._target.poll(wait_s, acknowledged)
+
+    async def aclose(self):
+        pass
+
+
+class DelayedStream:
+    """Memory stream whose data arrive after the delay of the network."""
+
+    def __init__(self, stream, delay_s):
+        self._stream = stream
+        self._delay_s = delay_s
+
+    async def send_all(self, data):
+        await self._stream.send_all(data)
+
+    async def receive_some(self, max_bytes):
+        data = await self._stream.receive_some(max_bytes)
+        await trio.sleep(self._delay_s)
+        return data
+
+
+class Fleet:
+    """Entries and agents of one service, spread over data centres.
+
+    Attributes
+    ----------
+    entries : list of Coordinator
+        Coordinators of the entries.
+    runners : list of Runner
+        Runners of the agents.
+    targets : list of SimulatedTarget
+        Targets of the agents.
+    """
+
+    def __init__(
+        self,
+        nursery,
+        entry_count,
+        agent_count,
+        data_centre_count,
+        seed=1,
+        capacity=CAPACITY,
+    ):
+        self._capacity = capacity
+        self.rng = random.Random(seed)
+        self.nursery = nursery
+        self.entries, self.runners, self.targets = [], [], []
+        self._data_centres = [f"dc-{number}" for number in range(data_centre_count)]
+        self._entry_ids = {}
+        for number in range(entry_count):
+            self._add_entry(number)
+        for number in range(agent_count):
+            self._add_agent(number)
+
+    def _data_centre(self, number):
+        return self._data_centres[number % len(self._data_centres)]
+
+    def _add_entry(self, number):
+        data_centre = self._data_centre(number)
+        entry = Coordinator(
+            DispatchSettings(data_centre), DispatchMetrics(), trio.current_time
+        )
+        entry.fleet.index.rng.seed(self.rng.random())
+        self.entries.append(entry)
+        identity = Identity("test", "entry", f"entry-{number}", 1, data_centre)
+        self._entry_ids[f"entry-{number}:1"] = entry, identity
+        self.nursery.start_soon(entry.run)
+
+    def _add_agent(self, number):
+        target = SimulatedTarget(self.rng.choice([1.2, 1.2, 0.8]), self.rng)
+        runner = Runner(
+            RunnerSettings(wire=WIRE_SETTINGS),
+            target,
+            RunnerMetrics(),
+            trio.current_time,
+        )
+        self.nursery.start_soon(runner.run)
+        incarnation = TargetIncarnation(
+            f"t-{number}", 1, 1, SERVICE, ("a",), self._capacity, False, 500
+        )
+        runner.supervisor.handle_announcement(incarnation)
+        self.targets.append(target)
+        self.runners.append(runner)
+        identity = Identity(
+            "test", "agent", f"agent-{number}", 1, self._data_centre(number)
+        )
+        links = SimulatedLinks(self, runner, identity)
+        links.set_addresses(
+            self.nursery,
+            {
+                address: identity.data_centre
+                for address, (_, identity) in self._entry_ids.items()
+            },
+        )
+
+    async def connect(self, address, runner, agent_identity):
+        """Run a connection between an agent and an entry."""
+        entry, entry_identity = self._entry_ids[address]
+        agent_stream, entry_stream = trio.testing.memory_stream_pair()
+        is_near = entry_identity.data_centre == agent_identity.data_centre
+        delay_s = 0.0002 if is_near else 0.0007
+        agent_conn = Connection(
+            DelayedStream(agent_stream, delay_s), entry_identity, WIRE_SETTINGS
+        )
+        entry_conn = Connection(
+            DelayedStream(entry_stream, delay_s), agent_identity, WIRE_SETTINGS
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(entry_conn.run, entry)
+            await agent_conn.run(EntryHandler(runner))
+            nursery.cancel_scope.cancel()
+
+
+class SimulatedLinks(EntryLinks):
+    """Links of an agent over memory streams."""
+
+    def __init__(self, fleet, runner, identity):
+        super().__init__(runner, identity, b"")
+        self._fleet = fleet
+
+    async def _connect_once(self, address):
+        await self._fleet.connect(address, self._runner, self._identity)
+
+
+class Callers:
+    """Callers that submit jobs at random times, each to one entry.
+
+    A caller that is refused submits its job again after the time that it was told, as
+    long as the job can still be in time.
+    """
+
+    def __init__(self, fleet, jobs_per_s, weights):
+        self.results = Results()
+        self._fleet = fleet
+        self._jobs_per_s = jobs_per_s
+        self._weights = weights
+        self._rng = random.Random(7)
+
+    async def run(self, duration_s):
+        """Submit jobs for some seconds and wait until all are answered."""
+        ends_at = trio.current_time() + duration_s
+        async with trio.open_nursery() as nursery:
+            number = 0
+            while trio.current_time() < ends_at:
+                await trio.sleep(self._rng.expovariate(self._jobs_per_s))
+                number += 1
+                kind = self._rng.choices(KINDS, [kind.share for kind in KINDS])[0]
+                entry = self._rng.choices(self._fleet.entries, self._weights)[0]
+                nursery.start_soon(self._submit, entry, kind, f"{number:016x}")
+
+    async def _submit(self, entry, kind, job_id):
+        content = f"{kind.run_time_s} {kind.cpu_millis}"
+        needs = Resources(kind.cpu_millis, 64, 0)
+        spec = JobSpec(job_id, content, (Step(kind.tasks, needs, kind.run_time_s),))
+        sent_at = trio.current_time()
+        outcome = await entry.submit(spec, kind.queue, 10.0)
+        aim_s = kind.queue.stretch * kind.run_time_s + kind.queue.objective_s
+        if outcome.code is ResultCode.OK:
+            is_late = trio.current_time() - sent_at > aim_s
+            counts = self.results.late if is_late else self.results.in_time
+        elif outcome.code is ResultCode.OVERLOADED:
+            counts = self.results.refused
+        else:
+            counts = self.results.lost
+        name = kind.queue.name
+        counts[name] = counts.get(name, 0) + 1
--- a/tests/runner/test_links.py
+++ b/tests/runner/test_links.py
@@ -1,5 +1,7 @@
 """Tests of the connections of an agent to the entries."""
 
+import collections
+
 import pytest
 import trio
 import trio.testing
@@ -13,12 +15,16 @@
     cfg = RunnerSettings(max_entries=4)
 
 
+def entries(*names, data_centre="perth"):
+    return {f"{name}:1": data_centre for name in names}
+
+
 @pytest.mark.parametrize(
     ("address_sets", "expected"),
     [
-        ([{"a:1", "b:1"}], {"a:1", "b:1"}),
-        ([{"a:1", "b:1"}, {"b:1", "c:1"}], {"b:1", "c:1"}),
-        ([{f"{number}:1" for number in range(20)}], None),
+        ([entries("a", "b")], {"a:1", "b:1"}),
+        ([entries("a", "b"), entries("b", "c")], {"b:1", "c:1"}),
+        ([entries(*map(str, range(20)))], None),
     ],
     ids=["all addresses", "changed addresses", "more than max_entries"],
 )
@@ -43,3 +49,34 @@
         await trio.testing.wait_all_tasks_blocked()
     assert len(connected) == len(expected or range(4))
     assert expected is None or connected == expected
+
+
+@pytest.mark.parametrize(
+    ("near_count", "far_count", "expected_near", "expected_far"),
+    [(7, 28, 7, 9), (3, 8, 3, 8), (40, 160, 10, 6), (40, 0, 16, 0), (0, 30, 0, 16)],
+)
+def test_agents_prefer_entries_of_their_data_centre(
+    near_count, far_count, expected_near, expected_far
+):
+    """Guards against orders that cross data centres, and against isolated ones."""
+    data_centres = {
+        **entries(*(f"n{number}" for number in range(near_count))),
+        **entries(*(f"f{number}" for number in range(far_count)), data_centre="dundee"),
+    }
+    identity = Identity("test", "agent", "agent-1", 1, "perth")
+    selected = links.select_entries(identity, data_centres, RunnerSettings())
+    near = [address for address in selected if data_centres[address] == "perth"]
+    assert (len(near), len(selected) - len(near)) == (expected_near, expected_far)
+
+
+def test_entries_have_similar_numbers_of_agents():
+    """Guards against entries that reach only a small part of the fleet."""
+    names = ["perth", "dundee", "stirling", "inverness", "aberdeen"]
+    data_centres = {f"e{number}:1": names[number % 5] for number in range(35)}
+    agents = collections.Counter()
+    for number in range(160):
+        identity = Identity("test", "agent", f"side-{number}", 1, names[number % 5])
+        agents.update(links.select_entries(identity, data_centres, RunnerSettings()))
+    mean = agents.total() / 35
+    assert 0.7 * mean <= min(agents.values())
+    assert max(agents.values()) <= 1.3 * mean
