--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -93,7 +93,7 @@
     speed_tolerance: float = 1.15
     speeds_validity: Duration = Duration(0.5)
     far_load_penalty: float = 0.05
-    max_silence: Duration = Duration(1.5)
+    max_silence: Duration = Duration(1.2)
     retry_after: Duration = Duration(1.0)
     tick: Duration = Duration(0.02)
     idle_tick: Duration = Duration(0.1)
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -10,6 +10,8 @@
 import abc
 import contextlib
 import itertools
+import socket
+import struct
 from dataclasses import dataclass
 
 import trio
@@ -22,6 +24,9 @@
 MAX_OUTBOX_MESSAGES = 100_000
 MAX_ACCEPTED_CONNECTIONS = 4096
 
+# Value of SO_LINGER: a close resets the connection at once.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 log = PartLogger("wire")
 
 
@@ -254,6 +259,18 @@
         self._cancel_scope.cancel()
         self._write_requested.set()
 
+    def _abort(self):
+        """Close the connection and discard the messages that are not delivered yet.
+
+        Without this, the system would go on sending them and deliver them once a
+        partition ends, when their effect may have been given up.
+        """
+        if isinstance(self._stream, trio.SocketStream):
+            self._stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self.close()
+
     async def run(self, handler):
         """Process messages until the connection ends.
 
@@ -336,7 +353,7 @@
             now = trio.current_time()
             if now >= self._silence_deadline():
                 log.warning("peer timed out peer=%s", self.peer.process_id)
-                self.close()
+                self._abort()
                 return
             handler.before_write(self)
             if not self._outbox and now >= beat_at:
@@ -379,7 +396,7 @@
                 return
             if self._write_scope.cancelled_caught:
                 log.warning("write timed out peer=%s", self.peer.process_id)
-                self.close()
+                self._abort()
                 return
             self._is_writing = False
             self.messages_sent += len(batch)
--- a/spec/dispatching.py
+++ b/spec/dispatching.py
@@ -59,6 +59,9 @@
     entry_waits : bool
         An entry considers the run of an unreachable agent ended only after both leases
         have expired.
+    loss_counts_from_order : bool
+        An entry counts the silence of an agent from its order at the earliest: an idle
+        agent sends less often, and its earlier silence says nothing of its loss.
     agent_waits : bool
         An agent reports a run on an unreachable target as ended only after the target
         lease has expired.
@@ -83,6 +86,7 @@
     entry_lease: bool = True
     target_lease: bool = True
     entry_waits: bool = True
+    loss_counts_from_order: bool = True
     agent_waits: bool = True
     stop_refuses: bool = True
     clear_on_adoption: bool = True
@@ -171,7 +175,7 @@
             yield Stop(number)
         if run.tracked and not is_linked and not self._is_halted(state, run.entry):
             min_silence_ticks = AGENT_LOSS_TICKS if self.rules.entry_waits else 1
-            if agent.silence_ticks >= min_silence_ticks:
+            if agent.silence_ticks + agent.idle_ticks >= min_silence_ticks:
                 yield AbandonRun(number)
         if (
             run.known_to_agent
@@ -360,6 +364,12 @@
         silence_ticks = (
             0 if exchanges_messages else min(agent.silence_ticks + 1, MAX_TIMER_TICKS)
         )
+        has_run = any(
+            run.tracked and run.entry == 0 and run.agent == number for run in state.runs
+        )
+        idle_ticks = agent.idle_ticks
+        if not (has_run or self.rules.loss_counts_from_order):
+            idle_ticks = min(idle_ticks + 1, AGENT_LOSS_TICKS)
         renews_lease = agent.reaches_target and agent.adopted
         target_silence_ticks = (
             0 if renews_lease else min(agent.target_silence_ticks + 1, MAX_TIMER_TICKS)
@@ -368,6 +378,7 @@
             state,
             number,
             silence_ticks=silence_ticks,
+            idle_ticks=idle_ticks,
             target_silence_ticks=target_silence_ticks,
         )
         if (
@@ -422,6 +433,7 @@
     _broken("entry_lease"),
     _broken("target_lease"),
     _broken("entry_waits"),
+    _broken("loss_counts_from_order"),
     _broken("agent_waits"),
     _broken("stop_refuses"),
     _broken("clear_on_adoption"),
--- a/spec/dispatching_state.py
+++ b/spec/dispatching_state.py
@@ -163,7 +163,11 @@
     is_disconnected : bool
         Whether its connection to entry 0 is lost.
     silence_ticks : int
-        Ticks since the agent and entry 0 last exchanged messages.
+        Ticks since the agent and entry 0 last exchanged messages, or since the order of
+        a run.
+    idle_ticks : int
+        Ticks for which entry 0 had no run at the agent, whose messages are rarer then.
+        It counts only where the rule `loss_counts_from_order` is disabled.
     reaches_target : bool
         Whether the agent can reach its target.
     target_silence_ticks : int
@@ -173,6 +177,7 @@
     adopted: bool = True
     is_disconnected: bool = False
     silence_ticks: int = 0
+    idle_ticks: int = 0
     reaches_target: bool = True
     target_silence_ticks: int = 0
 
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -271,3 +271,41 @@
                 conn.try_send(StatusQuery("status"))
                 await conn.run(StatusHandler())
                 assert conn.closed_by_peer
+
+
+async def read_to_the_end(stream):
+    """Return how a stream ends."""
+    try:
+        while await stream.receive_some(4096):
+            pass
+    except trio.BrokenResourceError:
+        return "reset"
+    return "closed"
+
+
+@pytest.mark.parametrize(
+    ("suspect_after", "expected"),
+    [(0.1, "reset"), (60, "closed")],
+    ids=["silent peer", "closed by this process"],
+)
+async def test_a_lost_connection_discards_undelivered_messages(suspect_after, expected):
+    """Guards against an order that arrives after its run has been given up."""
+    cfg = connection.WireSettings(
+        heartbeat_every=Duration(0.05), suspect_after=Duration(suspect_after)
+    )
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = listeners[0].socket.getsockname()
+    async with (
+        listeners[0],
+        await trio.open_tcp_stream(*address) as stream,
+        await listeners[0].accept() as peer_stream,
+    ):
+        conn = connection.Connection(stream, AGENT, cfg)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(conn.run, StatusHandler())
+            await trio.lowlevel.checkpoint()
+            if expected == "closed":
+                conn.close()
+        await stream.aclose()
+        with trio.fail_after(30):
+            assert await read_to_the_end(peer_stream) == expected
