--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -387,10 +387,12 @@
         unstopped = [run for run in session.runs.values() if run.stop_reason is None]
         if unstopped:
             log.warning(
-                "runs stopped entry=%s reason=%r runs=%d",
+                "runs stopped entry=%s reason=%r runs=%d jobs=%s",
                 session.entry_id,
                 reason,
                 len(unstopped),
+                # The entry may have ended without a line about these jobs.
+                ",".join(sorted({run.job_id for run in unstopped})),
             )
         for run in unstopped:
             self._stop(run, ResultCode.CANCELLED)
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -49,9 +49,8 @@
     health : HealthSettings
         Rules for ejecting the target.
     poll_wait : Duration
-        Longest time for which a poll waits at the target for a run to end. Together
-        with `call_timeout` it is short enough to repeat a poll within the lease of
-        the target.
+        Longest time for which a poll waits at the target for a run to end. While the
+        answer to a poll is lost, the agent neither learns of ends nor starts runs.
     call_timeout : Duration
         Time within which a target must answer a call.
     call_connections : int
@@ -60,6 +59,8 @@
         Largest number of entries that an agent connects to. If there are more,
         rendezvous hashing selects them, so that the number of connections grows
         linearly with the number of hosts and not quadratically.
+    max_near_entries : int
+        Largest number of these that are chosen for being in the same data centre.
     max_queued_share : float
         Share of the capacity that queued runs may need. A short queue at the agent
         lets the next run start without a round trip to an entry.
@@ -76,10 +77,11 @@
     lease: LeaseSettings = field(default_factory=LeaseSettings)
     wire: WireSettings = field(default_factory=WireSettings)
     health: HealthSettings = field(default_factory=HealthSettings)
-    poll_wait: Duration = Duration(0.4)
-    call_timeout: Duration = Duration(0.15)
+    poll_wait: Duration = Duration(0.1)
+    call_timeout: Duration = Duration(0.08)
     call_connections: int = 3
     max_entries: int = 16
+    max_near_entries: int = 10
     max_queued_share: float = 0.2
     end_retention: Duration = Duration(20.0)
     takeover_retry: Duration = Duration(0.1)
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -107,6 +107,9 @@
         self._driver = driver
         self._owner = owner
         self._clock = clock
+        # Identity of the target that departed last; a delayed announcement of it must
+        # not bring it back.
+        self._departed = None
         self._fencing_token = 0
         self._last_acknowledged = 0
         self._has_unacknowledged_ends = False
@@ -123,6 +126,9 @@
     def handle_announcement(self, target):
         """Handle an announcement of the target; a delayed one is ignored."""
         current = self.target
+        if target.identity == self._departed:
+            log.info("announcement ignored departed=%s", target.incarnation_id)
+            return
         if current is not None and target.identity == current.identity:
             if target.sequence <= current.sequence:
                 return
@@ -145,6 +151,7 @@
         """Handle the departure of the target with this id."""
         if self.target is not None and self.target.incarnation_id == incarnation_id:
             log.info("target departed id=%s", incarnation_id)
+            self._departed = self.target.identity
             self._mark_lost("target departed")
             self.target = None
 
@@ -186,7 +193,11 @@
 
     async def _poll_once(self, channel, takeover):
         expected = self._owner.expected_runs()
-        wait_s = self.cfg.poll_wait if self._owner.has_runs() else 0.0
+        # A stop that prevented a start causes no end for which a poll could wait.
+        is_waiting_for_ends = self._owner.has_runs() and not any(
+            run.stop_answered for run in expected
+        )
+        wait_s = self.cfg.poll_wait if is_waiting_for_ends else 0.0
         # The lease of a suspect target is left to expire: the target may execute the
         # calls that renew it while only their answers are lost.
         renew = not self.is_suspect
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -13,6 +13,7 @@
 from hornbeamshore.dispatch.routing import RoutingReplica
 from hornbeamshore.platform.ingress import (
     DEFAULT_DEADLINE_S,
+    MAX_TASKS,
     IngressApi,
     ReadinessApi,
     UnsupportedJob,
@@ -178,6 +179,13 @@
         ({"steps": [{"count": 2, "longRunning": True}]}, UnsupportedJob),
         ({"steps": []}, ValueError),
         ({"steps": [{"count": 0}]}, ValueError),
+        ({"steps": [{"count": MAX_TASKS + 1}]}, ValueError),
+        ({"steps": [{"count": MAX_TASKS}, {"count": 1}]}, ValueError),
+        ({"steps": [{"count": 2, "cpu": -1}]}, ValueError),
+        ({"steps": [{"count": 2, "memMb": -1}]}, ValueError),
+        ({"steps": [{"count": 2, "gpu": -1}]}, ValueError),
+        ({"steps": [{"count": 2, "antiAffinity": -1}]}, ValueError),
+        ({"steps": [{"count": 2, "estimateMs": 1e300}]}, ValueError),
         ({"steps": [{"count": 1, "after": [0]}]}, ValueError),
         ({"taskSpec": 4}, ValueError),
     ],
