Refuse at the agent what its target cannot start at once

Cause: entries of a large fleet order by views up to a second old, so some orders reach a full target. The agent let runs wait for up to a fifth of its capacity. In the fleet test with a burst of long jobs, late jobs of 8 short tasks had their last task placed after 16 ms in the mean and their longest run took 151 ms, but they ended after 320 ms: a task waited at an agent behind a long run while other targets were free. Runs also waited while the target did not answer.

Change: an agent starts a run or refuses it; the queue at the agent, its setting and its phase are removed, with the test of its length. An agent of another data centre must be less loaded by 0.15 in place of 0.05.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -456,6 +456,11 @@
             if task.failures >= task.job.queue.max_failed_runs:
                 self._finish(task.job, ResultCode.TASK_FAILED)
                 return
+        needs = task.step_spec.needs
+        if code is ResultCode.NO_FREE_SLOT and not needs.fits_in(view.free):
+            # The view was out of date; the report that ended the run has corrected it.
+            self._requeue(task)
+            return
         log.info(
             "task placed again job=%s task=%d.%d agent=%s code=%d detail=%r",
             task.job.spec.job_id,
@@ -465,9 +470,12 @@
             code,
             detail,
         )
-        if code is ResultCode.NEVER_RUNNABLE:
-            task.excluded_until[view.agent_id] = float("inf")
-        else:
-            task.excluded_until[view.agent_id] = now + self.cfg.avoid_time
+        is_excluded_for_good = code is ResultCode.NEVER_RUNNABLE
+        task.excluded_until[view.agent_id] = (
+            math.inf if is_excluded_for_good else now + self.cfg.avoid_time
+        )
+        self._requeue(task)
+
+    def _requeue(self, task):
         task.phase = TaskPhase.WAITING
         self.assigner.requeue(task)
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -92,7 +92,7 @@
     overdue_factor: float = 2.5
     speed_tolerance: float = 1.15
     speeds_validity: Duration = Duration(0.5)
-    far_load_penalty: float = 0.05
+    far_load_penalty: float = 0.15
     max_silence: Duration = Duration(1.2)
     retry_after: Duration = Duration(1.0)
     tick: Duration = Duration(0.02)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -132,7 +132,10 @@
         return self._reporter.heartbeat(session)
 
     def order_runs(self, session, message_id, body):
-        """Queue or refuse the runs that an entry orders."""
+        """Start or refuse the runs that an entry orders.
+
+        No run waits here for capacity: the entry can place a refused one elsewhere.
+        """
         session.last_order_id = message_id
         self._runs_ordered.set()
         for order in body.orders:
@@ -142,8 +145,7 @@
             session.add_run(run)
             refusal = self._refusal_code(run)
             if refusal is None:
-                self._table.enqueue(run)
-                self._admit_queued_runs()
+                self._admit(run)
             else:
                 self._refuse(run, refusal)
         self._notify_changed()
@@ -161,9 +163,8 @@
         self._notify_changed()
 
     def leave(self):
-        """Refuse queued and new runs from now on."""
+        """Refuse new runs from now on."""
         self.leaving = True
-        self._refuse_queued_runs(ResultCode.AGENT_LEAVING)
         self._notify_changed()
 
     async def wait_idle(self):
@@ -182,7 +183,7 @@
         target = self.supervisor.target
         if target is None:
             return None
-        free = self._table.free_capacity - self._table.queued_needs
+        free = self._table.free_capacity
         if self._health.is_probing(self.clock()):
             free = Resources() if self._table.is_busy else self._probe_needs
         description = TargetDescription(
@@ -210,33 +211,23 @@
             return ResultCode.NO_FREE_SLOT
         if not run.needs.fits_in(self._table.capacity):
             return ResultCode.NEVER_RUNNABLE
-        queued_cpu = self._table.queued_needs.cpu_millis + run.needs.cpu_millis
-        max_queued_cpu = self.cfg.max_queued_share * self._table.capacity.cpu_millis
-        if (
-            not run.needs.fits_in(self._table.free_capacity)
-            and queued_cpu > max_queued_cpu
-        ):
+        if self.supervisor.is_suspect:
+            # The start would have to wait until the target answers again.
+            return ResultCode.TARGET_UNREACHABLE
+        if not run.needs.fits_in(self._table.free_capacity):
             return ResultCode.NO_FREE_SLOT
         return None
 
-    def _admit_queued_runs(self):
-        while self.supervisor.takeover is not None and not self.supervisor.is_suspect:
-            run = self._table.admit_next()
-            if run is None:
-                return
-            self._probe_needs = run.needs
-            self.call_workers.enqueue_start(run)
-            self.supervisor.request_poll()
+    def _admit(self, run):
+        self._table.admit(run)
+        self._probe_needs = run.needs
+        self.call_workers.enqueue_start(run)
+        self.supervisor.request_poll()
 
     def _refuse(self, run, code):
         self.runs_refused += 1
         run.session.record_end(run.run_id, code, RunState.NOT_RUN)
 
-    def _refuse_queued_runs(self, code):
-        for run in list(self._table.queue):
-            self._table.remove_queued(run)
-            self._refuse(run, code)
-
     # Runs.
 
     def is_active(self, run):
@@ -257,17 +248,12 @@
         run_time_s = self.clock() - run.started_at if run.started_at else 0.0
         run.session.record_end(run.run_id, code, run_state, run_time_s, detail)
         self.metrics.run_ended(code, run_time_s)
-        self._admit_queued_runs()
         self._notify_changed()
 
     def _stop(self, run, reason):
         if run.stop_reason is not None:
             return
-        if run.phase is RunPhase.QUEUED:
-            self._table.remove_queued(run)
-            self._refuse(run, reason)
-            self._notify_changed()
-        elif run.phase is RunPhase.RUNNING:
+        if run.phase is RunPhase.RUNNING:
             self.call_workers.enqueue_stop(run, reason)
         else:
             # The worker that sends the start stops the run after the answer.
@@ -301,20 +287,16 @@
             run = self._table.active.get(key)
             if run is not None and run.phase is RunPhase.RUNNING:
                 self._update_progress(run, percent, state.clock_ms)
-        self._admit_queued_runs()
 
     def target_changed(self):
         """Update the state after the target was announced, taken over or is leaving."""
         self._table.capacity = self.supervisor.target.capacity
-        if self.supervisor.target.leaving:
-            self._refuse_queued_runs(ResultCode.AGENT_LEAVING)
         for session in self.sessions.values():
             self._send_run_list(session)
         self._notify_changed()
 
     def target_lost(self, reason):
         """End all runs; none of them is running at the target any more."""
-        self._refuse_queued_runs(ResultCode.TARGET_UNREACHABLE)
         for run in list(self._table.active.values()):
             self.end_run(run, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, reason)
         self._notify_changed()
@@ -342,7 +324,6 @@
                 "run stalled task=%s run=%d percent=%d", run.task, run.number, percent
             )
             self._health.record_stall(self.clock())
-            self._refuse_queued_runs(ResultCode.TARGET_UNREACHABLE)
             self._stop(run, ResultCode.OUTCOME_UNKNOWN)
 
     def _handle_missing_run(self, run):
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -1,7 +1,7 @@
 """Runs on the target and the capacity that they use."""
 
 import enum
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 from hornbeamshore.wire.messages import Resources
 
@@ -14,7 +14,6 @@
 class RunPhase(enum.Enum):
     """Phase of a run that has not ended."""
 
-    QUEUED = "queued"
     STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
@@ -63,7 +62,7 @@
         self.number = self.attempt = order.attempt
         self.spec = spec
         self.needs = order.needs
-        self.phase = RunPhase.QUEUED
+        self.phase = RunPhase.STARTING
         self.stop_reason = None
         self.stop_answered = False
         self.started_at = 0.0
@@ -76,7 +75,7 @@
 
 
 class RunTable:
-    """Active and queued runs of a target, and the capacity that they use.
+    """Active runs of a target, and the capacity that they use.
 
     A run counts against the capacity from when its start may reach the target until
     it is certain to have ended.
@@ -84,10 +83,8 @@
 
     def __init__(self):
         self.capacity = Resources()
-        self.queue = deque()
         self.active = {}
         self._used = Resources()
-        self._queued_needs = Resources()
         self._last_numbers = OrderedDict()
 
     @property
@@ -97,35 +94,14 @@
 
     @property
     def is_busy(self):
-        """Return whether any run is active or queued."""
-        return bool(self.active) or bool(self.queue)
+        """Return whether any run is active."""
+        return bool(self.active)
 
-    @property
-    def queued_needs(self):
-        """Return the total resources that queued runs need."""
-        return self._queued_needs
-
-    def enqueue(self, run):
-        """Queue a run until there is enough free capacity."""
-        self.queue.append(run)
-        self._queued_needs += run.needs
-
-    def remove_queued(self, run):
-        """Remove a run from the queue."""
-        self.queue.remove(run)
-        self._queued_needs -= run.needs
-
-    def admit_next(self):
-        """Activate and return the first queued run; return None if it does not fit."""
-        if not self.queue or not self.queue[0].needs.fits_in(self.free_capacity):
-            return None
-        run = self.queue.popleft()
-        self._queued_needs -= run.needs
+    def admit(self, run):
+        """Activate a run, whose needs must fit in the free capacity."""
         self._assign_number(run)
-        run.phase = RunPhase.STARTING
         self._used += run.needs
         self.active[run.key] = run
-        return run
 
     def renumber(self, run):
         """Assign a much higher number to a run that the target refused as stale."""
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -61,9 +61,6 @@
         linearly with the number of hosts and not quadratically.
     max_near_entries : int
         Largest number of these that are chosen for being in the same data centre.
-    max_queued_share : float
-        Share of the capacity that queued runs may need. A short queue at the agent
-        lets the next run start without a round trip to an entry.
     end_retention : Duration
         Time for which results are kept for a disconnected entry; longer than the
         longest deadline of a job.
@@ -82,7 +79,6 @@
     call_connections: int = 3
     max_entries: int = 16
     max_near_entries: int = 10
-    max_queued_share: float = 0.2
     end_retention: Duration = Duration(20.0)
     takeover_retry: Duration = Duration(0.1)
     leave_timeout: Duration = Duration(4.5)
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -584,8 +584,7 @@
     accepting : bool
         Whether new runs are accepted.
     free : Resources
-        Unallocated resources of the target. It is reduced by the runs of all entries,
-        and is negative if runs wait at the agent.
+        Unallocated resources of the target; it is reduced by the runs of all entries.
     received : int
         Id of the last `RunTasks` message from the receiving entry that `free`
         accounts for.
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -8,7 +8,7 @@
 
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.dispatch.model import JobSpec, Step
-from hornbeamshore.wire.messages import Resources
+from hornbeamshore.wire.messages import Resources, RunEnd
 
 from .conftest import CAPACITY, NEEDS, QUEUE, FakeAgent, Submission, make_job
 
@@ -395,3 +395,27 @@
     other.end_runs()
     await trio.sleep(0.1)
     assert submission.outcome.code is ResultCode.OK
+
+
+@pytest.mark.parametrize(
+    ("free", "is_avoided"),
+    [(Resources(0, 4096, 0), False), (CAPACITY, True)],
+    ids=["outdated view", "refused with free capacity"],
+)
+async def test_an_agent_that_refused_for_capacity_is_used_once_it_has_some(
+    autojump_clock, nursery, coordinator, agent, free, is_avoided
+):
+    """Guards against avoiding a free agent, and against orders in a tight loop."""
+    Submission(nursery, coordinator, make_job(1, estimate_s=5.0))
+    await trio.sleep(0.02)
+    (run_id,) = agent.orders
+    agent.sent.clear()
+    agent.report(
+        RunEnd(run_id, int(ResultCode.NO_FREE_SLOT), int(RunState.NOT_RUN)), free=free
+    )
+    await trio.sleep(0.02)
+    assert agent.orders == {}
+    agent.report(free=CAPACITY)
+    assert (agent.orders == {}) == is_avoided
+    await trio.sleep(0.2)
+    assert len(agent.orders) == 1
