--- a/packages/agent/src/hornbeamshore/agent/uplink.py
+++ b/packages/agent/src/hornbeamshore/agent/uplink.py
@@ -4,11 +4,8 @@
 
 from hornbeamshore.base.hashing import rendezvous_order
 from hornbeamshore.base.logs import PartLogger
-from hornbeamshore.wire.connection import (
-    ConnectionLost,
-    ConnectionRefused,
-    open_connection,
-)
+from hornbeamshore.wire.connection import ConnectionLost, ConnectionRefused
+from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import HandshakeError
 
 log = PartLogger("agent")
--- a/packages/bench/src/hornbeamshore/bench/fleet_monitor.py
+++ b/packages/bench/src/hornbeamshore/bench/fleet_monitor.py
@@ -15,8 +15,8 @@
     ConnectionLost,
     MessageHandler,
     WireSettings,
-    open_connection,
 )
+from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import ProcessKind, StatusQuery
 
--- a/packages/bench/src/hornbeamshore/bench/slope_runs.py
+++ b/packages/bench/src/hornbeamshore/bench/slope_runs.py
@@ -33,11 +33,8 @@
 from hornbeamshore.config.apply import apply_deployment
 from hornbeamshore.config.model import Deployment, Kind, Service, Team, Urgency
 from hornbeamshore.store.etcd import EtcdSettings, EtcdStore
-from hornbeamshore.wire.connection import (
-    MessageHandler,
-    WireSettings,
-    serve_connections,
-)
+from hornbeamshore.wire.connection import MessageHandler, WireSettings
+from hornbeamshore.wire.establish import serve_connections
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import (
     CopyRecords,
--- a/packages/bench/src/hornbeamshore/bench/system_status.py
+++ b/packages/bench/src/hornbeamshore/bench/system_status.py
@@ -7,11 +7,8 @@
 import trio
 
 from hornbeamshore.base.clock import new_incarnation
-from hornbeamshore.wire.connection import (
-    MessageHandler,
-    WireSettings,
-    open_connection,
-)
+from hornbeamshore.wire.connection import MessageHandler, WireSettings
+from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import ProcessKind, StatusQuery
 
--- a/packages/cli/src/hornbeamshore/cli/operator.py
+++ b/packages/cli/src/hornbeamshore/cli/operator.py
@@ -20,8 +20,8 @@
     ConnectionLost,
     MessageHandler,
     WireSettings,
-    open_connection,
 )
+from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import HandshakeError, Identity
 from hornbeamshore.wire.messages import ProcessKind, StatusQuery
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -24,7 +24,8 @@
 from hornbeamshore.serving.metrics_api import MetricsApi
 from hornbeamshore.store.base import deployment_key
 from hornbeamshore.store.directory import Registration
-from hornbeamshore.wire.connection import WireSettings, serve_connections
+from hornbeamshore.wire.connection import WireSettings
+from hornbeamshore.wire.establish import serve_connections
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import ProcessKind
 
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -26,7 +26,7 @@
 from hornbeamshore.serving.sockets import PreboundSockets
 from hornbeamshore.store.base import StoreError
 from hornbeamshore.store.etcd import EtcdStore
-from hornbeamshore.wire.connection import serve_connections
+from hornbeamshore.wire.establish import serve_connections
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import ProcessKind, TableEntry
 
--- a/packages/entry/src/hornbeamshore/entry/peers.py
+++ b/packages/entry/src/hornbeamshore/entry/peers.py
@@ -11,7 +11,8 @@
 
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.entry.events import ChangeNotifier
-from hornbeamshore.wire.connection import ConnectionLost, open_connection
+from hornbeamshore.wire.connection import ConnectionLost
+from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import HandshakeError
 from hornbeamshore.wire.messages import ProcessKind
 
--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -4,11 +4,8 @@
 
 from hornbeamshore.base.hashing import rendezvous_order
 from hornbeamshore.base.logs import PartLogger
-from hornbeamshore.wire.connection import (
-    ConnectionLost,
-    MessageHandler,
-    open_connection,
-)
+from hornbeamshore.wire.connection import ConnectionLost, MessageHandler
+from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import HandshakeError
 from hornbeamshore.wire.messages import AckRuns, RunTasks, StopRuns
 
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -14,11 +14,8 @@
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.base.types import JobKey, TaskSpec
 from hornbeamshore.bench.standin_target import StandinTarget
-from hornbeamshore.wire.connection import (
-    MessageHandler,
-    WireSettings,
-    serve_connections,
-)
+from hornbeamshore.wire.connection import MessageHandler, WireSettings
+from hornbeamshore.wire.establish import serve_connections
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import (
     Announce,
--- a/tests/cli/conftest.py
+++ b/tests/cli/conftest.py
@@ -10,11 +10,8 @@
 
 from hornbeamshore.bench.standin_store import StandinStore
 from hornbeamshore.cli.main import main
-from hornbeamshore.wire.connection import (
-    MessageHandler,
-    WireSettings,
-    serve_connections,
-)
+from hornbeamshore.wire.connection import MessageHandler, WireSettings
+from hornbeamshore.wire.establish import serve_connections
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import StatusQuery, StatusReply
 
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -8,7 +8,7 @@
 import trio.lowlevel
 
 from hornbeamshore.base.settings import Duration
-from hornbeamshore.wire import connection, framing
+from hornbeamshore.wire import connection, establish, framing
 from hornbeamshore.wire.handshake import HandshakeError, Identity
 from hornbeamshore.wire.messages import StatusQuery, StatusReply
 
@@ -39,7 +39,7 @@
     async with trio.open_nursery() as nursery:
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(
-            connection.serve_connections, listeners, identity, secret, CFG, handler
+            establish.serve_connections, listeners, identity, secret, CFG, handler
         )
         port = listeners[0].socket.getsockname()[1]
         yield f"127.0.0.1:{port}"
@@ -50,7 +50,7 @@
     """Guards against replies delivered to another call on the same connection."""
     async with (
         serving(StatusHandler()) as address,
-        connection.open_connection(address, AGENT, SECRET, CFG) as conn,
+        establish.open_connection(address, AGENT, SECRET, CFG) as conn,
         trio.open_nursery() as nursery,
     ):
         nursery.start_soon(conn.run, StatusHandler())
@@ -80,7 +80,7 @@
     handler = StatusHandler()
     async with serving(handler) as address:
         with pytest.raises(HandshakeError):
-            async with connection.open_connection(address, identity, secret, CFG):
+            async with establish.open_connection(address, identity, secret, CFG):
                 pass
     assert handler.connections == []
 
@@ -100,7 +100,7 @@
             with trio.fail_after(30):
                 while await stream.receive_some(4096):
                     pass
-        async with connection.open_connection(address, AGENT, SECRET, CFG) as conn:
+        async with establish.open_connection(address, AGENT, SECRET, CFG) as conn:
             assert conn.peer.process_id == "entry-1"
     assert len(handler.connections) <= 1
 
@@ -110,7 +110,7 @@
     """Guards against a call that never ends because the peer became unreachable."""
     async with (
         serving(StatusHandler()) as address,
-        connection.open_connection(address, AGENT, SECRET, CFG) as conn,
+        establish.open_connection(address, AGENT, SECRET, CFG) as conn,
     ):
         lossy_stream = LossyStream(conn._stream, direction)
         unresponsive = connection.Connection(lossy_stream, conn.peer, CFG)
@@ -267,7 +267,7 @@
     """Guards against one message or unexpected error that ends the process."""
     async with serving(FailingHandler(callback)) as address:
         for _ in range(2):
-            async with connection.open_connection(address, AGENT, SECRET, CFG) as conn:
+            async with establish.open_connection(address, AGENT, SECRET, CFG) as conn:
                 conn.try_send(StatusQuery("status"))
                 await conn.run(StatusHandler())
                 assert conn.closed_by_peer
