Log the runs that are lost with a target, youngest first

The agent now writes one line at each loss, with the time from the start of each run to the last answer of the target, and counts losses by reason. No behaviour changes.

--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -98,6 +98,7 @@
                 self.enqueue_stop(run, ResultCode.OUTCOME_UNKNOWN)
         else:
             self._supervisor.record_renewal()
+            self._supervisor.record_answer()
             # A poll may report the end of a run before its start is answered.
             if self._runner.is_active(run):
                 self._handle_start_answer(run, answer)
--- a/packages/runner/src/hornbeamshore/runner/metrics.py
+++ b/packages/runner/src/hornbeamshore/runner/metrics.py
@@ -31,6 +31,17 @@
             registry=self.registry,
         )
 
+        self._targets_lost = prometheus_client.Counter(
+            "hornbeamshore_agent_targets_lost",
+            "Losses of the target during runs, by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+
+    def target_lost(self, reason):
+        """Count a loss of the target during runs."""
+        self._targets_lost.labels(reason).inc()
+
     def register_gauges(self, runner):
         """Export the state of a runner, read at each scrape."""
         self.registry.register(_RunnerCollector(runner))
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -297,10 +297,28 @@
 
     def target_lost(self, reason):
         """End all runs; none of them is running at the target any more."""
-        for run in list(self._table.active.values()):
+        runs = list(self._table.active.values())
+        if runs:
+            self.metrics.target_lost(reason)
+            self._log_lost_runs(runs, reason)
+        for run in runs:
             self.end_run(run, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, reason)
         self._notify_changed()
 
+    def _log_lost_runs(self, runs, reason):
+        """Log the runs lost with the target, those that were started last first."""
+        answered_at = self.supervisor.answered_at
+        ages_ms = {run.task: (answered_at - run.started_at) * 1000 for run in runs}
+        log.warning(
+            "runs lost reason=%r silence_ms=%.0f runs=%s",
+            reason,
+            (self.clock() - answered_at) * 1000,
+            ",".join(
+                f"{task}:{ages_ms[task]:.0f}"
+                for task in sorted(ages_ms, key=ages_ms.get)
+            ),
+        )
+
     def _handle_end(self, run, kind):
         if kind is RunOutcome.DONE:
             self._health.record_success()
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -97,6 +97,8 @@
         its predecessor started may still be running.
     is_suspect : bool
         Whether the last poll was unanswered; no run is started until one is answered.
+    answered_at : float
+        Time on the clock at which the target last answered a call.
     """
 
     def __init__(self, cfg, driver, owner, clock):
@@ -104,6 +106,7 @@
         self.target = None
         self.takeover = None
         self.is_suspect = self.has_adopted = False
+        self.answered_at = 0.0
         self._driver = driver
         self._owner = owner
         self._clock = clock
@@ -164,6 +167,10 @@
         """Record the end of a call that may have renewed the lease, answered or not."""
         self._renewed_at = self._clock()
 
+    def record_answer(self):
+        """Record that the target has just answered a call."""
+        self.answered_at = self._clock()
+
     def request_poll(self):
         """Request a poll of the target, unless one is in progress."""
         self._poll_requested.set()
@@ -215,6 +222,7 @@
             return
         if takeover != self.takeover:
             return
+        self.record_answer()
         self.is_suspect = False
         if renew:
             self.record_renewal()
@@ -291,6 +299,7 @@
             takeover.fencing_token,
         )
         self.record_renewal()
+        self.record_answer()
         self.takeover = takeover
         self.has_adopted = True
         self._owner.target_changed()
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -30,6 +30,7 @@
     metrics = RunnerMetrics()
     metrics.register_gauges(Runner(RunnerSettings(), None, metrics, trio.current_time))
     metrics.run_ended(ResultCode.OK, 0.25)
+    metrics.target_lost("target lease expired")
     return metrics
 
 
@@ -52,6 +53,8 @@
                 'hornbeamshore_agent_runs_total{code="OK"} 1.0',
                 'hornbeamshore_agent_run_seconds_bucket{le="0.3"} 1.0',
                 "hornbeamshore_agent_accepting 0.0",
+                "hornbeamshore_agent_targets_lost_total{"
+                'reason="target lease expired"} 1.0',
             ],
         ),
     ],
