Add failing tests of crashed targets and of deadly tasks

The channel to a target now tells a refused connection from one that could not be opened (`TargetGone`); no decision uses it yet.

--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -15,6 +15,10 @@
     """A call was not sent because the target could not be reached."""
 
 
+class TargetGone(TargetUnreachable):
+    """The host of the target refused the connection: no process listens there."""
+
+
 class TargetReplaced(Exception):  # noqa: N818
     """A different incarnation of the target answered; the expected one has ended."""
 
@@ -158,8 +162,8 @@
 class TargetChannel(abc.ABC):
     """Connection to one incarnation of the target, for one call at a time.
 
-    Each call raises `TargetUnresponsive` if it gets no valid answer and
-    `TargetReplaced` if the incarnation has ended. The call after a
+    Each call raises `TargetUnresponsive` if it gets no valid answer, `TargetGone` if the
+    connection was refused and `TargetReplaced` if another incarnation answered. The call after a
     `TargetUnresponsive` opens a new connection.
     """
 
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -28,8 +28,11 @@
     StartResult,
     TargetChannel,
     TargetDriver,
+    TargetGone,
     TargetIncarnation,
+    TargetReplaced,
     TargetState,
+    TargetUnresponsive,
 )
 from hornbeamshore.wire.connection import Connection
 from hornbeamshore.wire.handshake import Identity
@@ -37,6 +40,8 @@
 
 SERVICE = "order-desk"
 CAPACITY = Resources(32000, 65536, 0)
+# Mark in the content of a job whose first task crashes each target that starts it.
+DEADLY = "deadly"
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,45 +100,87 @@
 
     def share(self, counts, name=None):
         """Return the share of jobs of one kind, or of all, that `counts` has."""
-        names = [name] if name else [kind.queue.name for kind in KINDS]
         all_counts = (self.in_time, self.late, self.refused, self.lost)
+        names = [name] if name else set().union(*all_counts)
         total = sum(group.get(key, 0) for group in all_counts for key in names)
         return sum(counts.get(key, 0) for key in names) / total
 
 
 class SimulatedTarget(TargetDriver):
-    """Target whose runs take the time in their content, divided by its speed."""
+    """Target whose runs take the time in their content, divided by its speed.
+
+    The first task of a job with `DEADLY` in its content crashes the target. The target
+    is back some seconds later, as another incarnation that announces itself.
+
+    Attributes
+    ----------
+    on_restart : callable or None
+        Called with the number of the incarnation after a restart.
+    crashes : list of list of str
+        Tasks that were running at each crash, the one that caused it last.
+    """
 
     def __init__(self, speed, rng):
         self.speed = speed
         self.most_used_millis = 0
+        self.on_restart = None
+        self.crashes = []
+        self.incarnation = 1
+        self._up_at = 0.0
         self._rng = rng
         self._running = {}
         self._ends = []
         self._changed = trio.Event()
 
+    def crash(self):
+        """Lose all runs and go down for some seconds."""
+        self.crashes.append([task for task, _ in self._running])
+        self._running.clear()
+        self._ends.clear()
+        self.incarnation += 1
+        self._up_at = trio.current_time() + self._rng.uniform(3.0, 3.5)
+        self._changed.set()
+        trio.lowlevel.spawn_system_task(self._restart)
+
+    async def _restart(self):
+        await trio.sleep_until(self._up_at)
+        self.on_restart(self.incarnation)
+
+    def check(self, incarnation):
+        """Raise the error of a call to an incarnation that has ended."""
+        if trio.current_time() < self._up_at:
+            raise TargetGone("connection refused")
+        if incarnation != self.incarnation:
+            raise TargetReplaced("status 421")
+
     def observe_clock(self, clock_ms):
         pass
 
     def open_channel(self, incarnation, fencing_token):
-        return SimulatedChannel(self)
+        return SimulatedChannel(self, incarnation.started_ms)
 
     def start(self, task, run, content):
-        run_time_s, cpu_millis = map(float, content.split())
+        run_time_s, cpu_millis, *marks = content.split()
+        run_time_s, cpu_millis = float(run_time_s), float(cpu_millis)
         noise = self._rng.lognormvariate(0.0, 0.05)
         ends_at = trio.current_time() + run_time_s * noise / self.speed
         self._running[task, run] = ends_at, cpu_millis
         used = sum(cpu for _, cpu in self._running.values())
         self.most_used_millis = max(self.most_used_millis, used)
         self._changed.set()
+        if DEADLY in marks and task.endswith(".0.0"):
+            self.crash()
+            raise TargetUnresponsive("connection closed")
 
     def end(self, key, outcome):
         del self._running[key]
         self._ends.append(EndedRun(len(self._ends) + 1, *key, outcome))
 
-    async def poll(self, wait_s, acknowledged):
+    async def poll(self, wait_s, acknowledged, incarnation):
         deadline = trio.current_time() + wait_s
         while True:
+            if incarnation != self.incarnation:
+                raise TargetUnresponsive("connection closed")
             now = trio.current_time()
             for key, (ends_at, _) in list(self._running.items()):
                 if ends_at <= now:
@@ -151,22 +198,27 @@
 class SimulatedChannel(TargetChannel):
     """Connection to a `SimulatedTarget` with a short delay."""
 
-    def __init__(self, target):
+    def __init__(self, target, incarnation):
         self._target = target
+        self._incarnation = incarnation
 
-    async def start(self, task, run, spec):
+    async def _begin_call(self):
         await trio.sleep(0.0005)
+        self._target.check(self._incarnation)
+
+    async def start(self, task, run, spec):
+        await self._begin_call()
         self._target.start(task, run, spec)
         return StartResult.STARTED
 
     async def stop(self, task, run):
-        await trio.sleep(0.0005)
+        await self._begin_call()
         if (task, run) in self._target._running:
             self._target.end((task, run), RunOutcome.STOPPED)
 
     async def poll(self, wait_s, acknowledged, *, renew=True):
-        await trio.sleep(0.0005)
-        return await self._target.poll(wait_s, acknowledged)
+        await self._begin_call()
+        return await self._target.poll(wait_s, acknowledged, self._incarnation)
 
     async def aclose(self):
         pass
@@ -209,8 +261,10 @@
         data_centre_count,
         seed=1,
         capacity=CAPACITY,
+        speeds=(1.2, 1.2, 0.8),
     ):
         self._capacity = capacity
+        self._speeds = speeds
         self.rng = random.Random(seed)
         self.nursery = nursery
         self.entries, self.runners, self.targets = [], [], []
@@ -236,7 +290,7 @@
         self.nursery.start_soon(entry.run)
 
     def _add_agent(self, number):
-        target = SimulatedTarget(self.rng.choice([1.2, 1.2, 0.8]), self.rng)
+        target = SimulatedTarget(self.rng.choice(self._speeds), self.rng)
         runner = Runner(
             RunnerSettings(wire=WIRE_SETTINGS),
             target,
@@ -244,10 +298,23 @@
             trio.current_time,
         )
         self.nursery.start_soon(runner.run)
-        incarnation = TargetIncarnation(
-            f"t-{number}", 1, 1, SERVICE, ("a",), self._capacity, False, 500
-        )
-        runner.supervisor.handle_announcement(incarnation)
+
+        def announce(incarnation):
+            runner.supervisor.handle_announcement(
+                TargetIncarnation(
+                    f"t-{number}-{incarnation}",
+                    incarnation,
+                    1,
+                    SERVICE,
+                    ("a",),
+                    self._capacity,
+                    False,
+                    500,
+                )
+            )
+
+        target.on_restart = announce
+        announce(target.incarnation)
         self.targets.append(target)
         self.runners.append(runner)
         identity = Identity(
@@ -304,10 +371,22 @@
         Share of each entry in the jobs.
     kinds : tuple of JobKind
         Kinds of the jobs.
+    deadly_share : float
+        Share of the jobs of the first kind that have a deadly task. They are not
+        counted in the results.
+
+    Attributes
+    ----------
+    results : Results
+        What the callers got.
+    deadly_outcomes : list of ResultCode
+        Outcomes of the jobs with a deadly task.
     """
 
-    def __init__(self, fleet, jobs_per_s, weights, kinds=KINDS):
+    def __init__(self, fleet, jobs_per_s, weights, kinds=KINDS, deadly_share=0.0):
         self.results = Results()
+        self.deadly_outcomes = []
+        self._deadly_share = deadly_share
         self._kinds = kinds
         self._shares = [kind.share for kind in kinds]
         self._fleet = fleet
@@ -326,14 +405,22 @@
                 kind = self._rng.choices(self._kinds, self._shares)[0]
                 entry = self._rng.choices(self._fleet.entries, self._weights)[0]
                 job_id = f"{len(self._kinds)}-{number}"
-                nursery.start_soon(self._submit, entry, kind, job_id)
+                is_deadly = (
+                    kind is self._kinds[0] and self._rng.random() < self._deadly_share
+                )
+                nursery.start_soon(self._submit, entry, kind, job_id, is_deadly)
 
-    async def _submit(self, entry, kind, job_id):
+    async def _submit(self, entry, kind, job_id, is_deadly):
         content = f"{kind.run_time_s} {kind.cpu_millis}"
+        if is_deadly:
+            content += f" {DEADLY}"
         needs = Resources(kind.cpu_millis, 64, 0)
         spec = JobSpec(job_id, content, (Step(kind.tasks, needs, kind.run_time_s),))
         sent_at = trio.current_time()
         outcome = await entry.submit(spec, kind.queue, 10.0)
+        if is_deadly:
+            self.deadly_outcomes.append(outcome.code)
+            return
         aim_s = kind.queue.stretch * kind.run_time_s + kind.queue.objective_s
         if outcome.code is ResultCode.OK:
             is_late = trio.current_time() - sent_at > aim_s
--- /dev/null
+++ b/tests/fleet/test_deadly_tasks.py
@@ -0,0 +1,58 @@
+"""Tests of what callers get while some tasks crash each target that starts them."""
+
+from collections import Counter
+
+import trio
+
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.wire.messages import Resources
+
+from .conftest import Callers, Fleet, make_kind
+
+ENTRY_COUNT = 3
+AGENT_COUNT = 11
+ENTRY_WEIGHTS = [3, 2, 2]
+CAPACITY = Resources(64000, 131072, 0)
+# The load of the deployment, which uses about 70% of the capacity. Jobs of the first
+# kind have deadly tasks.
+KINDS = (
+    make_kind("preview", 8, 0.12, 0.245, 0, 6200),
+    make_kind("lookup", 2, 0.4, 0.711, 1, 6200),
+    make_kind("layout", 4, 1.8, 0.044, 2, 6200),
+)
+JOBS_PER_S = 70
+# Crashes of targets under one task after which it may be given up.
+CRASH_LIMIT = 2
+# Share of the worth that the users want on days with trouble.
+MIN_IN_TIME = 0.85
+
+
+async def play_deadly_jobs(nursery, deadly_share):
+    fleet = Fleet(
+        nursery, ENTRY_COUNT, AGENT_COUNT, 3, capacity=CAPACITY, speeds=(1.1, 1.0, 0.9)
+    )
+    await trio.sleep(0.5)
+    usual = Callers(fleet, JOBS_PER_S, ENTRY_WEIGHTS, KINDS)
+    await usual.run(2.0)
+    callers = Callers(fleet, JOBS_PER_S, ENTRY_WEIGHTS, KINDS, deadly_share)
+    await callers.run(8.0)
+    return fleet, callers
+
+
+async def test_a_deadly_task_crashes_few_targets(autojump_clock, nursery):
+    """Guards against a task that crashes target after target."""
+    fleet, callers = await play_deadly_jobs(nursery, 0.1)
+    crashes = Counter(tasks[-1] for target in fleet.targets for tasks in target.crashes)
+    assert max(crashes.values()) <= CRASH_LIMIT
+    assert ResultCode.DEADLINE_EXCEEDED not in callers.deadly_outcomes
+
+
+async def test_other_kinds_are_served_while_tasks_of_one_kind_are_deadly(
+    autojump_clock, nursery
+):
+    """Guards against the loss of the whole service to deadly tasks of one kind."""
+    _, callers = await play_deadly_jobs(nursery, 0.1)
+    results = callers.results
+    for name in ("lookup", "layout"):
+        assert results.share(results.in_time, name) >= MIN_IN_TIME
+    assert results.lost == {}
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -1,6 +1,7 @@
 """HTTP client for the target on the host of an agent."""
 
 import pytest
+import trio
 
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.platform.target import HttpTargetDriver
@@ -10,6 +11,7 @@
     EndedRun,
     RunOutcome,
     StartResult,
+    TargetGone,
     TargetIncarnation,
     TargetReplaced,
     TargetState,
@@ -64,13 +66,25 @@
     assert body == {"task": "t", "runId": 2, "taskSpec": "spec", "fencingToken": 77}
 
 
-async def test_unreachable_target_raises_unreached():
+async def test_refused_connection_raises_target_gone():
     """Guards against waiting for a run whose start request was never sent."""
     channel = open_channel("127.0.0.1:1")
-    with pytest.raises(TargetUnreachable):
+    with pytest.raises(TargetGone):
         await channel.start("t", 2, "spec")
 
 
+async def test_silent_host_raises_target_unreachable(monkeypatch):
+    """Guards against taking a host that is cut off for one whose target has ended."""
+
+    async def open_tcp_stream(host, port):
+        raise OSError("all attempts to connect failed") from TimeoutError("timed out")
+
+    monkeypatch.setattr(trio, "open_tcp_stream", open_tcp_stream)
+    with pytest.raises(TargetUnreachable) as caught:
+        await open_channel("127.0.0.1:1").start("t", 2, "spec")
+    assert not isinstance(caught.value, TargetGone)
+
+
 @pytest.mark.parametrize(
     ("outcome", "kind"),
     [
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -17,6 +17,7 @@
     StartResult,
     TargetChannel,
     TargetDriver,
+    TargetGone,
     TargetIncarnation,
     TargetReplaced,
     TargetState,
@@ -55,6 +56,8 @@
         `execute_unanswered_starts` is called.
     is_silent : bool
         Whether no call is answered or executed.
+    refusals : int or float
+        Number of calls whose connections are refused from now on.
     polls : int
         Number of polls that were executed.
     start_delay_s : float
@@ -77,6 +80,7 @@
         self.starts_to_leave_unanswered = 0
         self.start_answer = None
         self.is_silent = False
+        self.refusals = 0
         self.drops_poll_answers = False
         self.stalled_tasks = set()
         self.polls = 0
@@ -113,6 +117,13 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def crash(self):
+        """Lose all runs, close open connections and refuse new ones."""
+        self.running_runs.clear()
+        self.refusals = float("inf")
+        self._changed.set()
+        self._changed = trio.Event()
+
     def execute_unanswered_starts(self):
         """Execute the starts that were left unanswered; return their answers."""
         unanswered_starts, self.unanswered_starts = self.unanswered_starts, []
@@ -136,6 +147,9 @@
 
     async def _begin_call(self):
         await trio.sleep(0.001)
+        if self._target.refusals:
+            self._target.refusals -= 1
+            raise TargetGone("connection refused")
         if self._target.is_silent:
             await trio.sleep(0.15)
             raise TargetUnresponsive("no answer")
@@ -172,6 +186,8 @@
             raise TargetUnresponsive("answer lost")
         if wait_s and not any(end.number > acknowledged for end in target.ends):
             await target.wait_changed(wait_s)
+        if target.refusals:
+            raise TargetUnresponsive("connection closed")
         return TargetState(
             tuple(ActiveRun(*key, target.percent(key)) for key in target.running_runs),
             tuple(end for end in target.ends if end.number > acknowledged),
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -209,6 +209,32 @@
         assert conn.reports[-1].accepting
 
 
+async def test_runs_of_a_crashed_target_end_without_waiting_for_its_lease(
+    autojump_clock, runner, target
+):
+    """Guards against runs held back, and further ones ordered, after a crash."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        target.crash()
+        await trio.sleep(0.1)
+        assert conn.ends[1].run_state == RunState.UNKNOWN
+        assert not conn.reports[-1].accepting
+
+
+async def test_a_single_refused_connection_ends_no_run(autojump_clock, runner, target):
+    """Guards against ending the runs of a target whose listener was busy once."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1))
+        await trio.sleep(0.1)
+        target.refusals = 1
+        await trio.sleep(0.5)
+        assert conn.ends == {}
+        assert target.running_runs
+
+
 async def test_runs_of_a_silent_target_end_after_its_lease_expires(
     autojump_clock, runner, target
 ):
