Seed the order in which Trio runs tasks in the tests of the fleet

Trio shuffles ready tasks with a generator that nothing seeds, so the play differed from run to run. The load of the machine does not enter, since time is that of a mock clock. The fixture seeds the generator, so a verdict is the same on each run; the bound stays.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -8,6 +8,7 @@
 import random
 from dataclasses import dataclass, field
 
+import pytest
 import trio
 import trio.testing
 
@@ -431,3 +432,13 @@
             counts = self.results.lost
         name = kind.queue.name
         counts[name] = counts.get(name, 0) + 1
+
+
+@pytest.fixture(autouse=True)
+def seeded_scheduler(monkeypatch):
+    """Make the order in which Trio runs ready tasks the same in each run.
+
+    Trio shuffles them with a generator of its own; results then differ between runs.
+    """
+    monkeypatch.setattr(trio._core._run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+    monkeypatch.setattr(trio._core._run, "_r", random.Random(1))
