--- a/packages/base/src/hornbeamshore/base/codes.py
+++ b/packages/base/src/hornbeamshore/base/codes.py
@@ -44,6 +44,7 @@
     CANCELLED = 302
     RESULT_EXPIRED = 303
     RESULT_TOO_LARGE = 304
+    TARGET_CRASHED = 305
     OUTCOME_UNKNOWN = 400
     KEY_UNACCOUNTED = 401
     KEY_EXPIRED = 402
@@ -146,6 +147,9 @@
     ResultCode.RESULT_TOO_LARGE: CodeInfo(
         _RAN, 502, "The work ran; its result exceeds the limit."
     ),
+    ResultCode.TARGET_CRASHED: CodeInfo(
+        _RAN, 502, "A task crashed the targets that started it."
+    ),
     ResultCode.OUTCOME_UNKNOWN: CodeInfo(
         _UNKNOWN, 504, "Contact was lost after the work may have started."
     ),
--- a/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hornbeamshore.dispatch.containment import Containment
 from hornbeamshore.dispatch.headroom import Headroom
 from hornbeamshore.dispatch.placement import FastestEligible
 from hornbeamshore.dispatch.waiting import FairShareOrder
@@ -17,6 +18,8 @@
         Scheduling settings.
     fleet : Fleet
         Connected agents.
+    evidence : LossEvidence
+        Evidence about tasks that crash targets.
 
     Attributes
     ----------
@@ -24,18 +27,24 @@
         Estimates of the ratio of actual to declared run time by queue and agent.
     """
 
-    def __init__(self, cfg, fleet):
+    def __init__(self, cfg, fleet, evidence):
         self.run_times = LearnedRunTimes(cfg.run_times)
         self._cfg = cfg
         self._fleet = fleet
+        self._evidence = evidence
+        self._containment = Containment(cfg.containment, fleet, evidence)
         self._waiting = FairShareOrder(cfg)
-        self._headroom = Headroom(cfg)
-        self._placement = FastestEligible(cfg, self.run_times, fleet.index.rng)
+        # Suspected tasks wait apart, where they hold up no other task of their queue.
+        self._suspects = []
+        self._headroom = Headroom(cfg, self._containment)
+        self._placement = FastestEligible(
+            cfg, self.run_times, fleet.index.rng, self._containment
+        )
 
     @property
     def has_waiting_tasks(self):
         """Whether any task waits for an agent."""
-        return not self._waiting.is_empty
+        return bool(self._suspects) or not self._waiting.is_empty
 
     def add_job(self, job):
         """Set the objective of a job and enqueue the tasks of its first steps."""
@@ -53,15 +62,43 @@
     def release_tasks(self, job):
         """Enqueue the tasks of a job whose earlier steps are complete."""
         for task in job.release_tasks():
-            self._waiting.add(task)
+            self._enqueue(task)
 
     def requeue(self, task):
         """Enqueue a task again after a run that did not succeed."""
-        self._waiting.add(task)
+        self._enqueue(task)
+
+    def _enqueue(self, task):
+        if self._containment.is_suspected(task):
+            task.isolated = True
+            self._suspects.append(task)
+        else:
+            self._waiting.add(task)
 
     def remove_job(self, job):
         """Remove the waiting tasks of a job that has ended."""
         self._waiting.remove_job(job)
+        self._suspects = [task for task in self._suspects if task.job is not job]
+
+    def untried_suspects(self):
+        """Return the suspected tasks whose jobs can no longer end in useful time."""
+        now = trio.current_time()
+        return [task for task in self._suspects if now >= self._useful_until(task.job)]
+
+    def _useful_until(self, job):
+        objective_s = job.due_at - job.received_at
+        return job.received_at + objective_s * self._cfg.containment.late_factor
+
+    def record_loss(self, view, loss):
+        """Record the loss of the target of an agent, as the agent reported it."""
+        now = trio.current_time()
+        confined_queues = self._containment.confined_queues(now)
+        self._evidence.record_loss(
+            view.agent_id, view.incarnation, loss, confined_queues, now
+        )
+        if view.description is not None:
+            for queue_name in {run.queue for run in loss.runs}:
+                self._containment.update(queue_name, view.description.service, now)
 
     def assign(self):
         """Assign waiting tasks until none can be placed.
@@ -81,9 +118,19 @@
         if not self.has_waiting_tasks:
             return
         now = trio.current_time()
+        yield from self._assign_suspects(now)
         for include_late in (False, True):
             yield from self._assign_pass(now, include_late=include_late)
 
+    def _assign_suspects(self, now):
+        # The least likely cause first: a crash takes the agent away for seconds.
+        for task in sorted(self._suspects, key=self._containment.likelihood):
+            agents = self._fleet.usable_agents(task.job.queue.service)
+            view = self._placement.choose(task, agents, now)
+            if view is not None:
+                self._suspects.remove(task)
+                yield task, view, self._placement.expected_run_time_s(task, view)
+
     def _assign_pass(self, now, *, include_late):
         """Run one assignment pass.
 
@@ -145,6 +192,12 @@
             f" max_free={max(free, default=0)} sum_free={sum(free)}"
         )
 
+    def retry_after_s(self, job):
+        """Return the delay, in seconds, after which a rejected job may be served."""
+        if self._containment.is_confined(job.queue, trio.current_time()):
+            return self._cfg.containment.confinement_retry_after
+        return self._cfg.retry_after
+
     def record_run_time(self, run, run_time_s):
         """Update the estimates with the run time of a run.
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -10,6 +10,7 @@
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.dispatch.assigner import Assigner
+from hornbeamshore.dispatch.evidence import RecentStarts, Suspicion
 from hornbeamshore.dispatch.fleet import Fleet
 from hornbeamshore.dispatch.jobs import Job, Run, TaskPhase
 from hornbeamshore.dispatch.model import JobOutcome
@@ -52,6 +53,8 @@
         Agents that are connected, or were until recently.
     jobs : dict of str to Job
         Jobs in progress, by job id.
+    evidence : LossEvidence
+        Evidence about tasks that crash targets.
     assigner : Assigner
         Assigns waiting tasks to agents.
     """
@@ -62,7 +65,8 @@
         self._clock = clock
         self.fleet = Fleet(cfg.data_centre)
         self.jobs = {}
-        self.assigner = Assigner(cfg, self.fleet)
+        self.evidence = RecentStarts(cfg.containment)
+        self.assigner = Assigner(cfg, self.fleet, self.evidence)
         self._cancelled = OrderedDict()
         self._run_ids = itertools.count(1)
         self._last_tick = clock()
@@ -84,6 +88,7 @@
                 self._record_overdue_runs()
             self.place_tasks()
             self._reject_late_jobs()
+            self._answer_untried_suspects()
 
     def _check_suspension(self, now):
         """Pause placement if the process was suspended since the last tick."""
@@ -185,6 +190,12 @@
     def _register_job(self, job):
         self.jobs[job.spec.job_id] = job
         job.is_registered = True
+        if self.evidence.knows(job.spec.job_id):
+            # Another entry has run an earlier copy of the job.
+            job.may_have_run = True
+            if self._has_proven_task(job):
+                self._give_up(job)
+                return
         self.assigner.add_job(job)
         self.place_tasks()
         self._reject_if_late(job)
@@ -192,7 +203,35 @@
     def _finish(self, job, code):
         """Set the outcome of a job and remove its waiting tasks."""
         self.assigner.remove_job(job)
-        job.finish(code, self.cfg.retry_after)
+        job.finish(code, self.assigner.retry_after_s(job))
+
+    def _has_proven_task(self, job):
+        return any(
+            self.evidence.suspicion(task) is Suspicion.PROVEN
+            for step_tasks in job.tasks
+            for task in step_tasks
+        )
+
+    def _give_up(self, job):
+        """Fail a job with a task that has crashed the targets that started it."""
+        log.warning(
+            "job given up id=%s queue=%s: a task crashes targets",
+            job.spec.job_id,
+            job.queue.name,
+        )
+        self._finish(job, ResultCode.TARGET_CRASHED)
+
+    def _answer_untried_suspects(self):
+        """Answer jobs whose suspected tasks would wait too long for an agent."""
+        for task in self.assigner.untried_suspects():
+            if not task.job.finished.is_set():
+                log.warning(
+                    "suspect not tried job=%s task=%d.%d",
+                    task.job.spec.job_id,
+                    task.step_index,
+                    task.index,
+                )
+                self._finish(task.job, ResultCode.OUTCOME_UNKNOWN)
 
     def _abandon(self, job, code):
         """Finish an unfinished job whose own caller no longer waits for it.
@@ -284,7 +323,12 @@
         task.job.runs[run.run_id] = run
         view.add_run(run)
         order = RunOrder(
-            run.run_id, task.step_index, task.index, task.attempts, task.step_spec.needs
+            run.run_id,
+            task.step_index,
+            task.index,
+            task.attempts,
+            task.step_spec.needs,
+            task.isolated,
         )
         self._pending_orders[view.agent_id, task.job.spec.job_id].append(order)
 
@@ -293,7 +337,7 @@
         for (agent_id, job_id), orders in pending_orders.items():
             view = self.fleet.agents[agent_id]
             job = self.jobs[job_id]
-            body = RunTasks(job_id, job.spec.content, tuple(orders))
+            body = RunTasks(job_id, job.spec.content, tuple(orders), job.queue.name)
             total = sum((order.needs for order in orders), Resources())
             message_id = self._send(view, body)
             if message_id:
@@ -346,6 +390,8 @@
 
     def _apply_report(self, view, report):
         view.apply_report(report)
+        for loss in report.losses:
+            self.assigner.record_loss(view, loss)
         for end in report.ends:
             self._handle_run_end(view, end)
         view.unacknowledged_run_ids += [end.run_id for end in report.ends]
@@ -441,6 +487,7 @@
 
     def _complete_task(self, task):
         job = task.job
+        self.evidence.record_success(task)
         if not job.complete_task(task):
             return
         if job.is_complete:
@@ -456,6 +503,9 @@
             if task.failures >= task.job.queue.max_failed_runs:
                 self._finish(task.job, ResultCode.TASK_FAILED)
                 return
+        if self.evidence.suspicion(task) is Suspicion.PROVEN:
+            self._give_up(task.job)
+            return
         needs = task.step_spec.needs
         if code is ResultCode.NO_FREE_SLOT and not needs.fits_in(view.free):
             # The view was out of date; the report that ended the run has corrected it.
--- /dev/null
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -0,0 +1,245 @@
+"""Evidence from lost targets about the tasks and queues that crash them."""
+
+import abc
+import bisect
+import enum
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+# Crashes closer together than this may have one common cause, such as a power loss.
+COMMON_CAUSE_S = 0.05
+MAX_REMEMBERED_JOBS = 4096
+MAX_QUEUE_CRASHES = 256
+
+
+class Suspicion(enum.Enum):
+    """How far a task is suspected of crashing targets.
+
+    Attributes
+    ----------
+    NONE
+        The task may run anywhere.
+    SUSPECTED
+        The next run must show whether it is this task.
+    PROVEN
+        The task must not be started again.
+    """
+
+    NONE = "none"
+    SUSPECTED = "suspected"
+    PROVEN = "proven"
+
+
+@dataclass(frozen=True, slots=True)
+class TaskRecord:
+    """Losses of targets under one task.
+
+    Attributes
+    ----------
+    losses : int
+        Targets that were lost while they ran the task.
+    crashes : int
+        Those that are known to have crashed; the others may have been only silent.
+    suspicions : int
+        Crashes of these for which the task is the likely cause.
+    age_ms : int
+        Milliseconds from its start to the last answer of the target that was lost last.
+    """
+
+    losses: int = 0
+    crashes: int = 0
+    suspicions: int = 0
+    age_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class QueueCrash:
+    """Crash of a target under suspects of one queue alone."""
+
+    lost_at: float
+    queue_name: str
+    job_ids: frozenset[str]
+    is_trial: bool
+
+
+class LossEvidence(abc.ABC):
+    """Decides from lost targets which tasks and queues are to be contained."""
+
+    @abc.abstractmethod
+    def record_loss(self, agent_id, incarnation, loss, confined_queues, now):
+        """Record the loss of a target, unless it was recorded before.
+
+        Parameters
+        ----------
+        agent_id : str
+            Agent of the target.
+        incarnation : int
+            Incarnation of the agent process.
+        loss : TargetLoss
+            Loss as reported by the agent.
+        confined_queues : set of str
+            Queues that are known to have tasks that crash targets.
+        now : float
+            Trio clock time.
+        """
+
+    @abc.abstractmethod
+    def record_success(self, task):
+        """Clear a task that has succeeded."""
+
+    @abc.abstractmethod
+    def suspicion(self, task):
+        """Return the `Suspicion` of a task."""
+
+    @abc.abstractmethod
+    def knows(self, job_id):
+        """Return whether a target was lost while it ran a task of a job."""
+
+    @abc.abstractmethod
+    def likelihood(self, task):
+        """Return a sort key that is higher for the more likely cause of a crash."""
+
+    @abc.abstractmethod
+    def crashes_under(self, queue_name):
+        """Return the `QueueCrash` records of a queue, the earliest first."""
+
+    @abc.abstractmethod
+    def is_watched(self, queue_name, now):
+        """Return whether a target has crashed under one queue alone lately."""
+
+    @abc.abstractmethod
+    def is_recent(self, now):
+        """Return whether a target has crashed under a suspect lately."""
+
+
+class RecentStarts(LossEvidence):
+    """Suspects the tasks that were started just before a target crashed.
+
+    Most tasks that run on a target when it crashes are innocent, and a task that
+    crashes targets mostly does so soon after its start. If an isolated task is among
+    those started last, it is the only suspect; otherwise the tasks of confined queues
+    are, if there are any. A task that has been lost with several targets becomes a
+    suspect whenever it was started.
+
+    Parameters
+    ----------
+    cfg : ContainmentSettings
+        Thresholds.
+    """
+
+    def __init__(self, cfg):
+        self._cfg = cfg
+        self._jobs = OrderedDict()
+        self._seen = OrderedDict()
+        self._queue_crashes = []
+        self._last_crash_at = -float("inf")
+
+    def record_loss(self, agent_id, incarnation, loss, confined_queues, now):
+        """Record the loss of a target, unless it was recorded before."""
+        key = agent_id, incarnation, loss.number
+        lost_at = now - loss.elapsed_ms / 1000
+        if key in self._seen or now - lost_at > self._cfg.retention:
+            return
+        self._seen[key] = None
+        suspects = self._suspects(loss, confined_queues)
+        # A trial that ends in a crash says nothing about the other runs.
+        is_trial = any(run.isolated for run in suspects)
+        for run in suspects if is_trial else loss.runs:
+            self._record_run(run, loss.crashed, run in suspects)
+        if suspects:
+            self._last_crash_at = max(self._last_crash_at, lost_at)
+            self._record_crash(suspects, lost_at)
+        for memory in (self._seen, self._jobs):
+            while len(memory) > MAX_REMEMBERED_JOBS:
+                memory.popitem(last=False)
+
+    def record_success(self, task):
+        """Clear a task that has succeeded."""
+        records = self._jobs.get(task.job.spec.job_id)
+        if records is not None:
+            records.pop((task.step_index, task.index), None)
+
+    def suspicion(self, task):
+        """Return the `Suspicion` of a task."""
+        records = self._jobs.get(task.job.spec.job_id, {})
+        record = records.get((task.step_index, task.index))
+        if record is None:
+            return Suspicion.NONE
+        if (
+            record.suspicions >= self._cfg.max_suspicions
+            or record.crashes >= self._cfg.max_crashes
+        ):
+            return Suspicion.PROVEN
+        if record.suspicions or record.losses >= self._cfg.suspect_losses:
+            return Suspicion.SUSPECTED
+        return Suspicion.NONE
+
+    def knows(self, job_id):
+        """Return whether a target was lost while it ran a task of a job."""
+        return job_id in self._jobs
+
+    def likelihood(self, task):
+        """Return a sort key that is higher for the more likely cause of a crash."""
+        records = self._jobs.get(task.job.spec.job_id, {})
+        record = records.get((task.step_index, task.index), TaskRecord())
+        return record.suspicions, -record.age_ms
+
+    def crashes_under(self, queue_name):
+        """Return the `QueueCrash` records of a queue, the earliest first."""
+        return [
+            crash for crash in self._queue_crashes if crash.queue_name == queue_name
+        ]
+
+    def is_watched(self, queue_name, now):
+        """Return whether a target has crashed under one queue alone lately."""
+        oldest = now - self._cfg.watch_time
+        return any(
+            crash.queue_name == queue_name and crash.lost_at >= oldest
+            for crash in self._queue_crashes
+        )
+
+    def is_recent(self, now):
+        """Return whether a target has crashed under a suspect lately."""
+        return now - self._last_crash_at <= self._cfg.watch_time
+
+    def _suspects(self, loss, confined_queues):
+        if not loss.crashed:
+            return []
+        youngest = [
+            run for run in loss.runs if run.age_ms <= self._cfg.suspect_age * 1000
+        ]
+        tried = [run for run in youngest if run.isolated]
+        confined = [run for run in youngest if run.queue in confined_queues]
+        return tried or confined or youngest
+
+    def _record_run(self, run, has_crashed, is_suspect):
+        records = self._jobs.setdefault(run.job_id, {})
+        record = records.get((run.step, run.index), TaskRecord())
+        records[run.step, run.index] = replace(
+            record,
+            losses=record.losses + 1,
+            crashes=record.crashes + has_crashed,
+            suspicions=record.suspicions + is_suspect,
+            age_ms=run.age_ms,
+        )
+
+    def _record_crash(self, suspects, lost_at):
+        queue_names = {run.queue for run in suspects}
+        if len(queue_names) > 1:
+            return
+        crash = QueueCrash(
+            lost_at,
+            queue_names.pop(),
+            frozenset(run.job_id for run in suspects),
+            suspects[0].isolated,
+        )
+        if crash.is_trial or not any(
+            abs(lost_at - other.lost_at) < COMMON_CAUSE_S and not other.is_trial
+            for other in self._queue_crashes
+        ):
+            bisect.insort(self._queue_crashes, crash, key=_lost_at)
+        del self._queue_crashes[:-MAX_QUEUE_CRASHES]
+
+
+def _lost_at(crash):
+    return crash.lost_at
--- a/packages/dispatch/src/hornbeamshore/dispatch/headroom.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/headroom.py
@@ -35,10 +35,13 @@
     ----------
     cfg : DispatchSettings
         Scheduling settings.
+    containment : Containment
+        Tells the confined queues, which could not use the reserved capacity.
     """
 
-    def __init__(self, cfg):
+    def __init__(self, cfg, containment):
         self._cfg = cfg
+        self._containment = containment
         self._typical_jobs = {}
 
     def record_job(self, job, now):
@@ -70,7 +73,9 @@
                 queue.priority < task_queue.priority
                 and queue.service == task_queue.service
             )
-            if is_more_urgent and not self._leaves_headroom(task, typical, agents):
+            if not is_more_urgent or self._containment.is_confined(queue, now):
+                continue
+            if not self._leaves_headroom(task, typical, agents):
                 return False
         return True
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
@@ -7,6 +7,13 @@
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.dispatch.model import JobOutcome
 
+# Codes of jobs that have run; after any other code a job may not have started.
+_CODES_OF_RUN_JOBS = (
+    ResultCode.OK,
+    ResultCode.TASK_FAILED,
+    ResultCode.TARGET_CRASHED,
+)
+
 
 class TaskPhase(enum.Enum):
     """Phase in the life cycle of a task.
@@ -49,6 +56,8 @@
     excluded_until : dict of str to float
         Agent ids, each with the Trio clock time until which the task must not be
         placed on the agent.
+    isolated : bool
+        Whether the task is suspected of crashing targets and runs in isolation.
     """
 
     __slots__ = (
@@ -59,6 +68,7 @@
         "attempts",
         "failures",
         "excluded_until",
+        "isolated",
     )
 
     def __init__(self, job, step_index, index):
@@ -68,6 +78,7 @@
         self.phase = TaskPhase.BLOCKED
         self.attempts = self.failures = 0
         self.excluded_until = {}
+        self.isolated = False
 
     @property
     def step_spec(self):
@@ -207,7 +218,7 @@
         if self.finished.is_set():
             return
         run_state = None
-        if code not in (ResultCode.OK, ResultCode.TASK_FAILED):
+        if code not in _CODES_OF_RUN_JOBS:
             run_state = RunState.UNKNOWN if self.may_have_started else RunState.NOT_RUN
         self.outcome = JobOutcome.of(code, run_state, retry_after_s)
         self.finished.set()
--- a/packages/dispatch/src/hornbeamshore/dispatch/placement.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/placement.py
@@ -67,10 +67,13 @@
         Estimates of the ratio of actual to declared run time by queue and agent.
     rng : random.Random
         Source of the random choice of candidates.
+    containment : Containment
+        Limits on the agents of tasks that may crash targets.
     """
 
-    def __init__(self, cfg, run_times, rng):
+    def __init__(self, cfg, run_times, rng, containment):
         self._cfg = cfg
+        self._containment = containment
         self._run_times = run_times
         self._rng = rng
         self._log_tolerance = math.log(cfg.speed_tolerance)
@@ -84,7 +87,8 @@
         best = min(eligible, key=lambda view: self._sort_key(task, view, now))
         median_slowness = self._speeds_of(task.job.queue.service, agents, now).median
         slowness = self._run_times.slowness(best.agent_id)
-        if slowness <= median_slowness * self._cfg.degraded_factor:
+        is_degraded = slowness > median_slowness * self._cfg.degraded_factor
+        if task.isolated or not is_degraded:
             return best
         median_run_time_s = (
             self.expected_run_time_s(task, best) * median_slowness / slowness
@@ -160,6 +164,7 @@
         if view.data_centre != self._cfg.data_centre:
             load += self._cfg.far_load_penalty
         return (
+            self._containment.should_avoid(task, view, now),
             # The connection may be lost without a sign of it.
             silence_s > self._cfg.max_silence,
             bool(rack) and rack not in view.description.labels,
@@ -172,6 +177,7 @@
         if (
             not step.needs.fits_in(view.free)
             or task.excluded_until.get(view.agent_id, now) > now
+            or not self._containment.admits(task, view, now)
         ):
             return False
         labels = view.description.labels
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -7,6 +7,70 @@
 from hornbeamshore.wire.leases import LeaseSettings
 
 
+@dataclass(frozen=True, slots=True)
+class ContainmentSettings:
+    """Settings for tasks and queues that crash targets.
+
+    Attributes
+    ----------
+    suspect_age : Duration
+        Time from the start of a run to the last answer of its target up to which it is
+        a suspect when the target crashes.
+    trial_time : Duration
+        Time after the start of an isolated run in which its agent runs no other task
+        that was ordered later; longer than `suspect_age`.
+    suspect_losses : int
+        Number of targets lost under a task from which it is a suspect in any case.
+    max_suspicions : int
+        Number of crashes for which a task is the likely cause before it is given up.
+    max_crashes : int
+        Number of targets that crashed under a task before it is given up in any case.
+    isolation_share, confinement_share : float
+        Shares of the agents of a service for suspected tasks and for confined queues.
+    watch_time : Duration
+        Time after a crash for which the tasks of its queue prefer the agents of
+        confined queues and other tasks avoid them, if they can.
+    late_factor : float
+        Multiple of the response-time objective after which the answer of a job is of
+        no use to its caller; suspected tasks wait no longer for an agent.
+    confinement_window : Duration
+        Time within which crashes under the suspects of one queue confine the queue.
+    confinement_crashes : int
+        Least number of these crashes.
+    confinement_crash_share : float
+        Least number of these crashes as a fraction of the agents of the service.
+    confinement_time : Duration
+        Time after the last of these crashes for which the queue stays confined; longer
+        than a target is away after a crash.
+    confinement_retry_after : Duration
+        Delay that a caller is asked to wait when a confined queue has no agent;
+        targets are back some three seconds after a crash.
+    pools_validity : Duration
+        Time for which the agents that are set apart are used before they are chosen
+        again.
+    retention : Duration
+        Time for which the loss of a target is remembered; longer than callers submit
+        copies of a job.
+    """
+
+    suspect_age: Duration = Duration(0.05)
+    trial_time: Duration = Duration(0.1)
+    suspect_losses: int = 2
+    max_suspicions: int = 2
+    max_crashes: int = 3
+    isolation_share: float = 0.1
+    confinement_share: float = 0.33
+    watch_time: Duration = Duration(6.0)
+    late_factor: float = 3.0
+    confinement_window: Duration = Duration(5.0)
+    confinement_crashes: int = 3
+    confinement_crash_share: float = 0.05
+    confinement_time: Duration = Duration(6.0)
+    confinement_retry_after: Duration = Duration(3.0)
+    pools_validity: Duration = Duration(0.5)
+    retention: Duration = Duration(60.0)
+
+
 @dataclass(frozen=True, slots=True)
 class DispatchSettings:
     """Settings of a `Coordinator`.
@@ -21,6 +85,8 @@
         must use equal values.
     run_times : RunTimeSettings
         Settings of the estimator for run times of queues and speeds of targets.
+    containment : ContainmentSettings
+        Settings for tasks and queues that crash targets.
     fairness_window : Duration
         Time constant of the decaying sum of work by which the capacity that queues
         have used is compared.
@@ -82,6 +148,7 @@
             declared_deviation=0.4, pair_deviation=0.05, noise=0.3
         )
     )
+    containment: ContainmentSettings = field(default_factory=ContainmentSettings)
     fairness_window: Duration = Duration(5.0)
     patience: float = 0.25
     job_size_gain: float = 0.1
--- a/packages/runner/src/hornbeamshore/runner/reports.py
+++ b/packages/runner/src/hornbeamshore/runner/reports.py
@@ -29,11 +29,14 @@
         Sessions of entries, by entry id.
     state : callable
         Returns the current `RunnerState`, or None while no target is announced.
+    losses_after : callable
+        Returns the losses of the target after the one with a number.
     """
 
-    def __init__(self, sessions, state):
+    def __init__(self, sessions, state, losses_after):
         self._sessions = sessions
         self._get_state = state
+        self._get_losses_after = losses_after
         self._announced = None
 
     def send_run_list(self, session):
@@ -42,7 +45,7 @@
         if state is None or session.conn is None or session.run_list_sent:
             return
         session.run_list_sent = True
-        session.conn.try_send(session.make_report(state, complete=True))
+        session.conn.try_send(self._make_report(session, state, complete=True))
 
     def announce_changes(self):
         """Report to all entries if the target or the acceptance of runs has changed."""
@@ -64,9 +67,13 @@
         """Send an entry the report that was requested, if any."""
         state = self._get_state() if session.needs_report else None
         if state is not None and session.conn is not None:
-            session.conn.try_send(session.make_report(state))
+            session.conn.try_send(self._make_report(session, state))
 
     def heartbeat(self, session):
         """Return the report to send as a heartbeat, or None if there is none yet."""
         state = self._get_state() if session.run_list_sent else None
-        return None if state is None else session.make_report(state)
+        return None if state is None else self._make_report(session, state)
+
+    def _make_report(self, session, state, *, complete=False):
+        losses = self._get_losses_after(session.last_loss_sent)
+        return session.make_report(state, losses, complete=complete)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -12,6 +12,7 @@
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.runner.call_workers import CallWorkers
 from hornbeamshore.runner.health import ConsecutiveFailures
+from hornbeamshore.runner.losses import LossLog
 from hornbeamshore.runner.progress import Progress
 from hornbeamshore.runner.reports import Reporter, RunnerState
 from hornbeamshore.runner.runs import Run, RunPhase, RunTable
@@ -75,7 +76,8 @@
         self._table = RunTable()
         self._health = ConsecutiveFailures(cfg.health)
         self._probe_needs = Resources()
-        self._reporter = Reporter(self.sessions, self.state)
+        self._losses = LossLog(cfg.loss_retention)
+        self._reporter = Reporter(self.sessions, self.state, self._losses_after)
         self._state_changed = trio.Event()
         self._runs_ordered = trio.Event()
 
@@ -141,7 +143,7 @@
         for order in body.orders:
             if order.run_id in session.runs or order.run_id in session.ends:
                 continue
-            run = Run(session, body.job_id, body.spec, order)
+            run = Run(session, body, order)
             session.add_run(run)
             refusal = self._refusal_code(run)
             if refusal is None:
@@ -214,9 +216,16 @@
         if self.supervisor.is_suspect:
             # The start would have to wait until the target answers again.
             return ResultCode.TARGET_UNREACHABLE
-        if not run.needs.fits_in(self._table.free_capacity):
-            return ResultCode.NO_FREE_SLOT
-        return None
+        is_free = run.needs.fits_in(self._table.free_capacity)
+        return None if is_free and not self._is_trying() else ResultCode.NO_FREE_SLOT
+
+    def _is_trying(self):
+        """Return whether an isolated run was started a moment ago, or will be."""
+        earliest = self.clock() - self.cfg.trial_time
+        return any(
+            run.isolated and (not run.started_at or run.started_at > earliest)
+            for run in self._table.active.values()
+        )
 
     def _admit(self, run):
         self._table.admit(run)
@@ -298,20 +307,37 @@
     def target_lost(self, reason):
         """End all runs; none of them is running at the target any more."""
         runs = list(self._table.active.values())
-        if runs:
-            self.metrics.target_lost(reason)
-            self._log_lost_runs(runs, reason)
+        started_runs = [run for run in runs if run.started_at]
+        if started_runs:
+            self._record_loss(started_runs, reason)
         for run in runs:
-            self.end_run(run, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, reason)
+            if run.started_at:
+                code, run_state = ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN
+            else:
+                code, run_state = ResultCode.TARGET_UNREACHABLE, RunState.NOT_RUN
+            self.end_run(run, code, run_state, reason.value)
         self._notify_changed()
 
+    def _record_loss(self, runs, reason):
+        self.metrics.target_lost(reason.value)
+        self._log_lost_runs(runs, reason)
+        self._losses.record(
+            runs,
+            crashed=reason.is_crash and not self.supervisor.target.leaving,
+            answered_at=self.supervisor.answered_at,
+            now=self.clock(),
+        )
+
+    def _losses_after(self, number):
+        return self._losses.after(number, self.clock())
+
     def _log_lost_runs(self, runs, reason):
         """Log the runs lost with the target, those that were started last first."""
         answered_at = self.supervisor.answered_at
         ages_ms = {run.task: (answered_at - run.started_at) * 1000 for run in runs}
         log.warning(
             "runs lost reason=%r silence_ms=%.0f runs=%s",
-            reason,
+            reason.value,
             (self.clock() - answered_at) * 1000,
             ",".join(
                 f"{task}:{ages_ms[task]:.0f}"
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -34,6 +34,8 @@
         Whether the target has answered the stop.
     attempt : int
         Number of runs of the task that its entry has ordered, including this one.
+    isolated : bool
+        Whether the task is suspected of crashing targets.
     progress : Progress or None
         Progress, or None until the target has reported the run as running.
     """
@@ -42,6 +44,9 @@
         "session",
         "run_id",
         "job_id",
+        "queue",
+        "step",
+        "index",
         "task",
         "number",
         "spec",
@@ -51,16 +56,21 @@
         "stop_answered",
         "started_at",
         "attempt",
+        "isolated",
         "progress",
     )
 
-    def __init__(self, session, job_id, spec, order):
+    def __init__(self, session, body, order):
         self.session = session
         self.run_id = order.run_id
-        self.job_id = job_id
-        self.task = f"{job_id}.0.{order.step}.{order.index}"
+        self.job_id = body.job_id
+        self.queue = body.queue
+        self.step = order.step
+        self.index = order.index
+        self.task = f"{body.job_id}.0.{order.step}.{order.index}"
         self.number = self.attempt = order.attempt
-        self.spec = spec
+        self.isolated = order.isolated
+        self.spec = body.spec
         self.needs = order.needs
         self.phase = RunPhase.STARTING
         self.stop_reason = None
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -20,6 +20,8 @@
         processed.
     last_order_id : int
         Id of the last order received on the current connection.
+    last_loss_sent : int
+        Number of the last loss of the target that was sent on the current connection.
     run_list_sent : bool
         Whether the entry was sent the list of its runs on the current connection.
     report_requested : bool
@@ -33,14 +35,14 @@
         self.runs = {}
         self.ends = {}
         self.last_heard = now
-        self.last_order_id = 0
+        self.last_order_id = self.last_loss_sent = 0
         self.run_list_sent = self.report_requested = False
         self._unsent_run_ids = set()
 
     def attach(self, conn):
         """Switch to a new connection and resend all unacknowledged results."""
         self.conn = conn
-        self.last_order_id = 0
+        self.last_order_id = self.last_loss_sent = 0
         self.run_list_sent = self.report_requested = False
         self._unsent_run_ids = set(self.ends)
         self._update_activity()
@@ -96,19 +98,23 @@
             self.report_requested = True
             self.conn.request_write()
 
-    def make_report(self, state, *, complete=False):
+    def make_report(self, state, losses, *, complete=False):
         """Return a report with the state of the agent and the unsent results.
 
         Parameters
         ----------
         state : RunnerState
             State that is the same for all entries.
+        losses : tuple of TargetLoss
+            Losses of the target that the entry was not sent yet.
         complete : bool
             Whether the report lists all runs of the session and describes the target.
         """
         ends = tuple(self.ends[run_id] for run_id in sorted(self._unsent_run_ids))
         self._unsent_run_ids.clear()
         self.report_requested = False
+        if losses:
+            self.last_loss_sent = losses[-1].number
         return AgentReport(
             state.accepting,
             state.free,
@@ -117,4 +123,5 @@
             complete,
             tuple(self.runs) if complete else (),
             state.description if complete else None,
+            losses,
         )
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -61,6 +61,10 @@
         linearly with the number of hosts and not quadratically.
     max_near_entries : int
         Largest number of these that are chosen for being in the same data centre.
+    trial_time : Duration
+        Time after the start of an isolated run in which no other run is started.
+    loss_retention : Duration
+        Time for which losses of the target are reported to entries that connect.
     end_retention : Duration
         Time for which results are kept for a disconnected entry; longer than the
         longest deadline of a job.
@@ -79,6 +83,8 @@
     call_connections: int = 3
     max_entries: int = 16
     max_near_entries: int = 10
+    trial_time: Duration = Duration(0.1)
+    loss_retention: Duration = Duration(60.0)
     end_retention: Duration = Duration(20.0)
     takeover_retry: Duration = Duration(0.1)
     leave_timeout: Duration = Duration(4.5)
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -2,6 +2,7 @@
 
 import abc
 import contextlib
+import enum
 from dataclasses import dataclass
 
 import trio
@@ -36,6 +37,20 @@
     fencing_token: int
 
 
+class LossReason(enum.Enum):
+    """Sign by which the loss of a target was noticed."""
+
+    EXPIRED = "target lease expired"
+    REPLACED = "target replaced"
+    MISDIRECTED = "another incarnation answered"
+    DEPARTED = "target departed"
+
+    @property
+    def is_crash(self):
+        """Whether the target is certain to have ended without notice."""
+        return self not in (LossReason.EXPIRED, LossReason.DEPARTED)
+
+
 class TargetEvents(abc.ABC):
     """Queries and notifications from a supervisor to the owner of the runs."""
 
@@ -68,7 +83,13 @@
 
     @abc.abstractmethod
     def target_lost(self, reason):
-        """End all runs; none of them is running at the target any more."""
+        """End all runs; none of them is running at the target any more.
+
+        Parameters
+        ----------
+        reason : LossReason
+            Sign by which the loss was noticed.
+        """
 
 
 class Supervisor:
@@ -140,7 +161,7 @@
             return
         else:
             log.info("target announced id=%s", target.incarnation_id)
-            self._mark_lost("target replaced")
+            self._mark_lost(LossReason.REPLACED)
             self._fencing_token = self._last_acknowledged = 0
         if target.leaving and not (current and current.leaving):
             log.info("target leaving id=%s", target.incarnation_id)
@@ -155,13 +176,13 @@
         if self.target is not None and self.target.incarnation_id == incarnation_id:
             log.info("target departed id=%s", incarnation_id)
             self._departed = self.target.identity
-            self._mark_lost("target departed")
+            self._mark_lost(LossReason.DEPARTED)
             self.target = None
 
     def handle_replacement(self, takeover):
         """Handle the answer of another incarnation to a call of `takeover`."""
         if takeover == self.takeover:
-            self._mark_lost("another incarnation answered")
+            self._mark_lost(LossReason.MISDIRECTED)
 
     def record_renewal(self):
         """Record the end of a call that may have renewed the lease, answered or not."""
@@ -177,7 +198,7 @@
 
     def _mark_lost(self, reason):
         if self.takeover is not None:
-            log.warning("target lost reason=%r", reason)
+            log.warning("target lost reason=%r", reason.value)
         self.takeover = None
         self.is_suspect = False
         self._has_unacknowledged_ends = False
@@ -233,7 +254,7 @@
         log.warning("poll unanswered silence=%.2f: %s", silence, exc)
         self.is_suspect = True
         if silence > self.cfg.lease.target_stop_bound_s:
-            self._mark_lost("target lease expired")
+            self._mark_lost(LossReason.EXPIRED)
 
     def _process_state(self, state, expected):
         self._has_unacknowledged_ends = bool(state.ended)
--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -162,9 +162,9 @@
 class TargetChannel(abc.ABC):
     """Connection to one incarnation of the target, for one call at a time.
 
-    Each call raises `TargetUnresponsive` if it gets no valid answer, `TargetGone` if the
-    connection was refused and `TargetReplaced` if another incarnation answered. The call after a
-    `TargetUnresponsive` opens a new connection.
+    Each call raises `TargetUnresponsive` if it gets no valid answer, `TargetGone` if
+    the connection was refused and `TargetReplaced` if another incarnation answered. The
+    call after a `TargetUnresponsive` opens a new connection.
     """
 
     @abc.abstractmethod
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -105,18 +105,24 @@
 // message from the entry renews.
 struct Resources { 1: i32 cpu_millis, 2: i32 mem_mb, 3: i32 gpus }
 struct RunOrder {
-  1: i64 run_id, 2: i32 step, 3: i32 index, 4: i32 attempt, 5: Resources needs
+  1: i64 run_id, 2: i32 step, 3: i32 index, 4: i32 attempt, 5: Resources needs,
+  6: bool isolated
 }
-struct RunTasks { 1: string job_id, 2: string spec, 3: list<RunOrder> orders }
+struct RunTasks { 1: string job_id, 2: string spec, 3: list<RunOrder> orders, 4: string queue }
 struct StopRuns { 1: list<i64> run_ids }
 struct AckRuns { 1: list<i64> run_ids }
 struct RunEnd { 1: i64 run_id, 2: i32 code, 3: i32 run_state, 4: i64 run_time_us, 5: string detail }
 struct TargetDescription {
   1: string target, 2: string service_name, 3: list<string> labels, 4: Resources capacity
 }
+struct LostRun {
+  1: string job_id, 2: i32 step, 3: i32 index, 4: string queue, 5: i32 age_ms, 6: bool isolated
+}
+struct TargetLoss { 1: i64 number, 2: bool crashed, 3: i32 elapsed_ms, 4: list<LostRun> runs }
 struct AgentReport {
   4: bool accepting, 6: Resources free, 7: i64 received, 8: list<RunEnd> ends,
-  9: bool complete, 10: list<i64> held, 11: optional TargetDescription description
+  9: bool complete, 10: list<i64> held, 11: optional TargetDescription description,
+  12: list<TargetLoss> losses
 }
 
 // Exactly one body field is set.
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -5125,6 +5125,7 @@
      - index
      - attempt
      - needs
+     - isolated
 
     """
 
@@ -5134,15 +5135,17 @@
         'index',
         'attempt',
         'needs',
+        'isolated',
     )
 
 
-    def __init__(self, run_id=None, step=None, index=None, attempt=None, needs=None,):
+    def __init__(self, run_id=None, step=None, index=None, attempt=None, needs=None, isolated=None,):
         self.run_id = run_id
         self.step = step
         self.index = index
         self.attempt = attempt
         self.needs = needs
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5179,6 +5182,11 @@
                     self.needs.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5209,6 +5217,10 @@
             oprot.writeFieldBegin('needs', TType.STRUCT, 5)
             self.needs.write(oprot)
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 6)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5240,6 +5252,7 @@
      - job_id
      - spec
      - orders
+     - queue
 
     """
 
@@ -5247,13 +5260,15 @@
         'job_id',
         'spec',
         'orders',
+        'queue',
     )
 
 
-    def __init__(self, job_id=None, spec=None, orders=None,):
+    def __init__(self, job_id=None, spec=None, orders=None, queue=None,):
         self.job_id = job_id
         self.spec = spec
         self.orders = orders
+        self.queue = queue
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5285,6 +5300,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.queue = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5310,6 +5330,10 @@
                 iter139.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.queue is not None:
+            oprot.writeFieldBegin('queue', TType.STRING, 4)
+            oprot.writeString(self.queue.encode('utf-8') if sys.version_info[0] == 2 else self.queue)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5716,6 +5740,247 @@
         return not (self == other)
 
 
+class LostRun(object):
+    """
+    Attributes:
+     - job_id
+     - step
+     - index
+     - queue
+     - age_ms
+     - isolated
+
+    """
+
+    __slots__ = (
+        'job_id',
+        'step',
+        'index',
+        'queue',
+        'age_ms',
+        'isolated',
+    )
+
+
+    def __init__(self, job_id=None, step=None, index=None, queue=None, age_ms=None, isolated=None,):
+        self.job_id = job_id
+        self.step = step
+        self.index = index
+        self.queue = queue
+        self.age_ms = age_ms
+        self.isolated = isolated
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.step = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.index = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.queue = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LostRun')
+        if self.job_id is not None:
+            oprot.writeFieldBegin('job_id', TType.STRING, 1)
+            oprot.writeString(self.job_id.encode('utf-8') if sys.version_info[0] == 2 else self.job_id)
+            oprot.writeFieldEnd()
+        if self.step is not None:
+            oprot.writeFieldBegin('step', TType.I32, 2)
+            oprot.writeI32(self.step)
+            oprot.writeFieldEnd()
+        if self.index is not None:
+            oprot.writeFieldBegin('index', TType.I32, 3)
+            oprot.writeI32(self.index)
+            oprot.writeFieldEnd()
+        if self.queue is not None:
+            oprot.writeFieldBegin('queue', TType.STRING, 4)
+            oprot.writeString(self.queue.encode('utf-8') if sys.version_info[0] == 2 else self.queue)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 6)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetLoss(object):
+    """
+    Attributes:
+     - number
+     - crashed
+     - elapsed_ms
+     - runs
+
+    """
+
+    __slots__ = (
+        'number',
+        'crashed',
+        'elapsed_ms',
+        'runs',
+    )
+
+
+    def __init__(self, number=None, crashed=None, elapsed_ms=None, runs=None,):
+        self.number = number
+        self.crashed = crashed
+        self.elapsed_ms = elapsed_ms
+        self.runs = runs
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.crashed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.elapsed_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = LostRun()
+                        _elem166.read(iprot)
+                        self.runs.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetLoss')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.crashed is not None:
+            oprot.writeFieldBegin('crashed', TType.BOOL, 2)
+            oprot.writeBool(self.crashed)
+            oprot.writeFieldEnd()
+        if self.elapsed_ms is not None:
+            oprot.writeFieldBegin('elapsed_ms', TType.I32, 3)
+            oprot.writeI32(self.elapsed_ms)
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.runs))
+            for iter167 in self.runs:
+                iter167.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AgentReport(object):
     """
     Attributes:
@@ -5726,6 +5991,7 @@
      - complete
      - held
      - description
+     - losses
 
     """
 
@@ -5737,10 +6003,11 @@
         'complete',
         'held',
         'description',
+        'losses',
     )
 
 
-    def __init__(self, accepting=None, free=None, received=None, ends=None, complete=None, held=None, description=None,):
+    def __init__(self, accepting=None, free=None, received=None, ends=None, complete=None, held=None, description=None, losses=None,):
         self.accepting = accepting
         self.free = free
         self.received = received
@@ -5748,6 +6015,7 @@
         self.complete = complete
         self.held = held
         self.description = description
+        self.losses = losses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -5777,11 +6045,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = RunEnd()
-                        _elem166.read(iprot)
-                        self.ends.append(_elem166)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = RunEnd()
+                        _elem173.read(iprot)
+                        self.ends.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5793,10 +6061,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype170, _size167) = iprot.readListBegin()
-                    for _i171 in range(_size167):
-                        _elem172 = iprot.readI64()
-                        self.held.append(_elem172)
+                    (_etype177, _size174) = iprot.readListBegin()
+                    for _i178 in range(_size174):
+                        _elem179 = iprot.readI64()
+                        self.held.append(_elem179)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5806,6 +6074,17 @@
                     self.description.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.losses = []
+                    (_etype183, _size180) = iprot.readListBegin()
+                    for _i184 in range(_size180):
+                        _elem185 = TargetLoss()
+                        _elem185.read(iprot)
+                        self.losses.append(_elem185)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -5831,8 +6110,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter173 in self.ends:
-                iter173.write(oprot)
+            for iter186 in self.ends:
+                iter186.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -5842,14 +6121,21 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 10)
             oprot.writeListBegin(TType.I64, len(self.held))
-            for iter174 in self.held:
-                oprot.writeI64(iter174)
+            for iter187 in self.held:
+                oprot.writeI64(iter187)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.description is not None:
             oprot.writeFieldBegin('description', TType.STRUCT, 11)
             self.description.write(oprot)
             oprot.writeFieldEnd()
+        if self.losses is not None:
+            oprot.writeFieldBegin('losses', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.losses))
+            for iter188 in self.losses:
+                iter188.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6502,11 +6788,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype178, _size175) = iprot.readListBegin()
-                    for _i179 in range(_size175):
-                        _elem180 = Message()
-                        _elem180.read(iprot)
-                        self.messages.append(_elem180)
+                    (_etype192, _size189) = iprot.readListBegin()
+                    for _i193 in range(_size189):
+                        _elem194 = Message()
+                        _elem194.read(iprot)
+                        self.messages.append(_elem194)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6523,8 +6809,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter181 in self.messages:
-                iter181.write(oprot)
+            for iter195 in self.messages:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6934,6 +7220,7 @@
     (3, TType.I32, 'index', None, None, ),  # 3
     (4, TType.I32, 'attempt', None, None, ),  # 4
     (5, TType.STRUCT, 'needs', [Resources, None], None, ),  # 5
+    (6, TType.BOOL, 'isolated', None, None, ),  # 6
 )
 all_structs.append(RunTasks)
 RunTasks.thrift_spec = (
@@ -6941,6 +7228,7 @@
     (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'spec', 'UTF8', None, ),  # 2
     (3, TType.LIST, 'orders', (TType.STRUCT, [RunOrder, None], False), None, ),  # 3
+    (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
 )
 all_structs.append(StopRuns)
 StopRuns.thrift_spec = (
@@ -6969,6 +7257,24 @@
     (3, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 3
     (4, TType.STRUCT, 'capacity', [Resources, None], None, ),  # 4
 )
+all_structs.append(LostRun)
+LostRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'step', None, None, ),  # 2
+    (3, TType.I32, 'index', None, None, ),  # 3
+    (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'isolated', None, None, ),  # 6
+)
+all_structs.append(TargetLoss)
+TargetLoss.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.BOOL, 'crashed', None, None, ),  # 2
+    (3, TType.I32, 'elapsed_ms', None, None, ),  # 3
+    (4, TType.LIST, 'runs', (TType.STRUCT, [LostRun, None], False), None, ),  # 4
+)
 all_structs.append(AgentReport)
 AgentReport.thrift_spec = (
     None,  # 0
@@ -6983,6 +7289,7 @@
     (9, TType.BOOL, 'complete', None, None, ),  # 9
     (10, TType.LIST, 'held', (TType.I64, None, False), None, ),  # 10
     (11, TType.STRUCT, 'description', [TargetDescription, None], None, ),  # 11
+    (12, TType.LIST, 'losses', (TType.STRUCT, [TargetLoss, None], False), None, ),  # 12
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -507,13 +507,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RunOrder:
-    """Order for one run of a task; `run_id` is unique within the ordering process."""
+    """Order for one run of a task; `run_id` is unique within the ordering process.
+
+    An isolated run is one of a task that is suspected of crashing targets.
+    """
 
     run_id: int
     step: int
     index: int
     attempt: int
     needs: Resources
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -523,6 +527,7 @@
     job_id: str
     spec: str
     orders: tuple[RunOrder, ...]
+    queue: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -575,6 +580,56 @@
     capacity: Resources
 
 
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """Run that was lost with its target.
+
+    Attributes
+    ----------
+    job_id : str
+        Job of the run.
+    step, index : int
+        Task of the run.
+    queue : str
+        Queue of the job.
+    age_ms : int
+        Milliseconds from the start of the run to the last answer of the target;
+        negative if it was started after that.
+    isolated : bool
+        Whether it was ordered as an isolated run.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    queue: str
+    age_ms: int
+    isolated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class TargetLoss:
+    """Loss of a target during runs.
+
+    Attributes
+    ----------
+    number : int
+        Number of the loss, which grows during the life of the agent process.
+    crashed : bool
+        Whether the target is known to have crashed; it may have been only silent
+        otherwise.
+    elapsed_ms : int
+        Milliseconds from the loss to the report.
+    runs : tuple of LostRun
+        Runs of all entries that were lost.
+    """
+
+    number: int
+    crashed: bool
+    elapsed_ms: int
+    runs: tuple[LostRun, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AgentReport:
     """State of an agent, with the unacknowledged ends of runs.
@@ -598,6 +653,8 @@
     description : TargetDescription or None
         Properties of the target; None if they are as last sent on the connection. A
         complete report has them.
+    losses : tuple of TargetLoss
+        Losses of the target that were not sent on the connection before.
     """
 
     accepting: bool
@@ -607,6 +664,7 @@
     complete: bool = False
     held: tuple[int, ...] = ()
     description: TargetDescription | None = None
+    losses: tuple[TargetLoss, ...] = ()
 
 
 # Field of the Thrift struct Message for each class that can be a message body.
--- /dev/null
+++ b/tests/dispatch/test_containment.py
@@ -0,0 +1,305 @@
+"""Tests of tasks that crash targets: evidence, isolation, confinement, giving up."""
+
+from dataclasses import replace
+
+import pytest
+import trio
+
+from hornbeamshore.base.codes import ResultCode, RunState
+from hornbeamshore.dispatch.containment import Containment
+from hornbeamshore.dispatch.evidence import RecentStarts, Suspicion
+from hornbeamshore.dispatch.fleet import Fleet
+from hornbeamshore.dispatch.jobs import Job
+from hornbeamshore.dispatch.settings import ContainmentSettings
+from hornbeamshore.wire.messages import LostRun, TargetLoss
+
+from .conftest import QUEUE, FakeAgent, Submission, make_job
+
+CFG = ContainmentSettings()
+OTHER_QUEUE = replace(QUEUE, name="hold", prefix="/h/")
+
+
+def crash(*runs):
+    """Return the loss of a crashed target with runs of job, queue, age and trial."""
+    return True, runs
+
+
+def silence(*runs):
+    """Return the loss of a target that was silent."""
+    return False, runs
+
+
+def record(evidence, losses, confined=(), times=None):
+    for number, (crashed, runs) in enumerate(losses, 1):
+        lost_runs = tuple(LostRun(job, 0, 0, *rest) for job, *rest in runs)
+        loss = TargetLoss(number, crashed, 0, lost_runs)
+        now = times[number - 1] if times else float(number)
+        evidence.record_loss("agent-1", 1, loss, set(confined), now)
+
+
+def first_task(job_id, queue=QUEUE):
+    return Job(make_job(1, job_id), queue, 0.0).tasks[0][0]
+
+
+YOUNG = ("j1", "check", 5, False)
+OLD = ("j1", "check", 500, False)
+TRIED = ("j2", "check", 5, True)
+
+
+@pytest.mark.parametrize(
+    ("losses", "confined", "expected"),
+    [
+        ([], (), Suspicion.NONE),
+        ([crash(YOUNG)], (), Suspicion.SUSPECTED),
+        ([crash(YOUNG), crash(YOUNG)], (), Suspicion.PROVEN),
+        ([crash(OLD)], (), Suspicion.NONE),
+        ([crash(OLD), crash(OLD)], (), Suspicion.SUSPECTED),
+        ([crash(OLD), crash(OLD), crash(OLD)], (), Suspicion.PROVEN),
+        ([silence(YOUNG)], (), Suspicion.NONE),
+        ([silence(YOUNG)] * 2, (), Suspicion.SUSPECTED),
+        ([silence(YOUNG)] * 9, (), Suspicion.SUSPECTED),
+        ([crash(YOUNG, TRIED)] * 3, (), Suspicion.NONE),
+        ([crash(YOUNG, ("j2", "hold", 9, False))], ("hold",), Suspicion.NONE),
+        ([crash(YOUNG, ("j2", "hold", 9, False))], ("check",), Suspicion.SUSPECTED),
+    ],
+    ids=[
+        "no loss",
+        "started just before a crash",
+        "twice started just before a crash",
+        "started long before a crash",
+        "twice started long before a crash",
+        "three crashes",
+        "silent target",
+        "two silent targets",
+        "many silent targets",
+        "another task was on trial",
+        "another queue is confined",
+        "its own queue is confined",
+    ],
+)
+def test_suspicion_of_a_task(losses, confined, expected):
+    """Guards against innocent tasks that are given up, and deadly ones that are not."""
+    evidence = RecentStarts(CFG)
+    record(evidence, losses, confined)
+    assert evidence.suspicion(first_task("j1")) is expected
+
+
+def test_a_loss_that_is_reported_again_counts_once():
+    """Guards against a double count after a connection of an agent is replaced."""
+    evidence = RecentStarts(CFG)
+    for _ in range(2):
+        record(evidence, [crash(YOUNG)])
+    assert evidence.suspicion(first_task("j1")) is Suspicion.SUSPECTED
+
+
+def test_a_task_that_succeeds_is_cleared():
+    """Guards against tasks that stay suspected although a run has succeeded."""
+    evidence = RecentStarts(CFG)
+    record(evidence, [crash(YOUNG)])
+    evidence.record_success(first_task("j1"))
+    assert evidence.suspicion(first_task("j1")) is Suspicion.NONE
+
+
+def crashes_of_jobs(*job_ids, queue="check", trial=False):
+    return [crash((job_id, queue, 5, trial)) for job_id in job_ids]
+
+
+@pytest.mark.parametrize(
+    ("losses", "times", "agent_count", "confined_at"),
+    [
+        (crashes_of_jobs("a", "b", "c"), [1, 2, 3], 11, {3: True, 8: True, 10: False}),
+        (crashes_of_jobs("a", "b", "c"), [1, 2, 9], 11, {9: False}),
+        (crashes_of_jobs("a", "b", "c"), [1, 2, 3], 100, {3: False}),
+        (crashes_of_jobs("a", "a", "a"), [1, 2, 3], 11, {3: False}),
+        (
+            [*crashes_of_jobs("a", "b"), *crashes_of_jobs("b", trial=True)],
+            [1, 2, 3],
+            11,
+            {3: True},
+        ),
+        (crashes_of_jobs("a", "b", "c"), [1, 1.01, 1.02], 11, {2: False}),
+        (crashes_of_jobs("a", "b", "c", "d"), [1, 2, 3, 8.5], 11, {14: True}),
+        (
+            [crash(("a", "check", 5, False), ("b", "hold", 5, False))] * 3,
+            [1, 2, 3],
+            11,
+            {3: False},
+        ),
+    ],
+    ids=[
+        "three jobs",
+        "three jobs over a long time",
+        "few crashes in a large fleet",
+        "one job",
+        "two jobs and a trial",
+        "one cause",
+        "a further crash",
+        "suspects of two queues",
+    ],
+)
+def test_confinement_of_a_queue(losses, times, agent_count, confined_at):
+    """Guards against queues that take down the fleet, or are confined for no reason."""
+    fleet = Fleet("perth")
+    for number in range(agent_count):
+        fleet.agents[f"agent-{number}"] = StaticAgent(f"agent-{number}")
+    evidence = RecentStarts(CFG)
+    containment = Containment(CFG, fleet, evidence)
+    record(evidence, losses, times=times)
+    containment.update("check", QUEUE.service, float(times[-1]))
+    assert {
+        at: containment.is_confined(QUEUE, float(at)) for at in confined_at
+    } == confined_at
+
+
+class StaticAgent:
+    """Agent with a description, as far as pools look at it."""
+
+    def __init__(self, agent_id):
+        self.agent_id = agent_id
+        self.description = QUEUE
+        self.runs = {}
+
+
+@pytest.mark.parametrize("agent_count", [1, 2, 3, 11, 160])
+def test_pools_leave_most_agents_to_other_queues(agent_count):
+    """Guards against suspects that can use no agent, or most of the fleet."""
+    fleet = Fleet("perth")
+    for number in range(agent_count):
+        fleet.agents[f"agent-{number}"] = StaticAgent(f"agent-{number}")
+    containment = Containment(CFG, fleet, RecentStarts(CFG))
+    task = first_task("j1")
+    task.isolated = True
+    admitting = [
+        view for view in fleet.agents.values() if containment.admits(task, view, 0.0)
+    ]
+    assert 1 <= len(admitting) <= max(1, agent_count / 5)
+
+
+@pytest.fixture
+def agents(coordinator):
+    connected = [FakeAgent(coordinator, f"agent-{number}") for number in range(5)]
+    for agent in connected:
+        agent.report(held=())
+    return connected
+
+
+def agent_with_order(agents):
+    return next((agent for agent in agents if agent.orders), None)
+
+
+async def test_a_task_that_crashes_its_targets_fails_its_job(
+    autojump_clock, nursery, coordinator, agents
+):
+    """Guards against a task that is started again on target after target."""
+    submission = Submission(nursery, coordinator, make_job(1))
+    await trio.sleep(0.05)
+    first = agent_with_order(agents)
+    first.lose_target()
+    await trio.sleep(0.2)
+    second = agent_with_order(agents)
+    assert next(iter(second.orders.values())).isolated
+    second.lose_target()
+    await trio.sleep(0.2)
+    assert submission.outcome.code is ResultCode.TARGET_CRASHED
+    assert submission.outcome.run_state is RunState.RAN
+    assert agent_with_order(agents) is None
+
+
+async def test_suspects_run_one_at_a_time(autojump_clock, nursery, coordinator, agents):
+    """Guards against a crash in a trial that could be due to either of two tasks."""
+    for agent in agents[1:]:
+        agent.is_accepting = False
+        agent.report()
+    submissions = [
+        Submission(nursery, coordinator, make_job(1, f"j{number}", estimate_s=5.0))
+        for number in range(2)
+    ]
+    await trio.sleep(0.05)
+    agents[0].lose_target()
+    for agent in agents[1:]:
+        agent.is_accepting = True
+        agent.report()
+    await trio.sleep(0.05)
+    assert sum(len(agent.orders) for agent in agents) == 1
+    await trio.sleep(CFG.trial_time)
+    assert sum(len(agent.orders) for agent in agents) == 2
+    assert [submission.outcome for submission in submissions] == [None, None]
+
+
+async def test_other_jobs_do_not_wait_for_a_suspect(
+    autojump_clock, nursery, coordinator, agents
+):
+    """Guards against a suspect that holds up its queue until an agent is free."""
+    Submission(nursery, coordinator, make_job(1, "suspect", estimate_s=5.0))
+    await trio.sleep(0.05)
+    agent_with_order(agents).lose_target()
+    await trio.sleep(0.2)
+    on_trial = agent_with_order(agents)
+    on_trial.lose_target(crashed=False)
+    on_trial.is_accepting = False
+    on_trial.report()
+    await trio.sleep(0.2)
+    assert agent_with_order(agents) is None
+    Submission(nursery, coordinator, make_job(1, "other"))
+    await trio.sleep(0.05)
+    assert agent_with_order(agents) not in (None, on_trial)
+
+
+async def test_a_suspect_that_is_not_tried_in_time_is_answered_as_unknown(
+    autojump_clock, nursery, coordinator, agents
+):
+    """Guards against a job held until its deadline, or said not to have run."""
+    submission = Submission(nursery, coordinator, make_job(1))
+    await trio.sleep(0.05)
+    for agent in agents:
+        agent.is_accepting = False
+        if not agent.orders:
+            agent.report()
+    agent_with_order(agents).lose_target()
+    await trio.sleep(1.0)
+    assert submission.outcome.code is ResultCode.OUTCOME_UNKNOWN
+    assert submission.outcome.run_state is RunState.UNKNOWN
+
+
+@pytest.mark.parametrize(
+    ("crash_count", "code", "run_state"),
+    [
+        (1, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+        (2, ResultCode.TARGET_CRASHED, RunState.RAN),
+    ],
+)
+async def test_a_copy_of_a_job_at_another_entry(
+    autojump_clock, nursery, coordinator, agents, crash_count, code, run_state
+):
+    """Guards against evidence that is lost with the entry that ran the job.
+
+    The agents tell each entry about the losses of runs that other entries ordered.
+    """
+    run = LostRun("j1", 0, 0, QUEUE.name, 1)
+    for agent in agents[:crash_count]:
+        agent.report(held=(), losses=(TargetLoss(1, True, 0, (run,)),))
+    for agent in agents:
+        agent.is_accepting = False
+        agent.report()
+    submission = Submission(nursery, coordinator, make_job(1, "j1"))
+    await trio.sleep(1.0)
+    assert submission.outcome.code is code
+    assert submission.outcome.run_state is run_state
+
+
+async def test_callers_of_a_confined_queue_are_asked_to_wait_for_its_targets(
+    autojump_clock, nursery, coordinator, agents
+):
+    """Guards against callers that come back before a crashed target can."""
+    for number, agent in enumerate(agents[:3]):
+        await trio.sleep(0.1)
+        run = LostRun(f"d{number}", 0, 0, QUEUE.name, 1)
+        agent.report(held=(), losses=(TargetLoss(1, True, 0, (run,)),))
+    for agent in agents:
+        agent.is_accepting = False
+        agent.report()
+    refused = Submission(nursery, coordinator, make_job(1, "j1"))
+    other = Submission(nursery, coordinator, make_job(1, "j2"), OTHER_QUEUE)
+    await trio.sleep(1.0)
+    assert refused.outcome.retry_after_s == CFG.confinement_retry_after
+    assert other.outcome.retry_after_s == coordinator.cfg.retry_after
