End the runs of a crashed target when its host refuses connections

Cause: only the end of its lease counted as a sign that a target was lost. Its host refuses connections from the first moment on (`OSError`, 23 times in a row in the timeline), which a target that is slow, suspended or cut off never does: its connections time out.

A single refusal ends nothing.

--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -9,6 +9,7 @@
 
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.runner.target import (
+    TargetGone,
     TargetIncarnation,
     TargetReplaced,
     TargetUnresponsive,
@@ -40,6 +41,7 @@
 class LossReason(enum.Enum):
     """Sign by which the loss of a target was noticed."""
 
+    REFUSED = "connections refused"
     EXPIRED = "target lease expired"
     REPLACED = "target replaced"
     MISDIRECTED = "another incarnation answered"
@@ -252,8 +254,11 @@
     def _handle_unanswered_poll(self, exc):
         silence = self._clock() - self._renewed_at
         log.warning("poll unanswered silence=%.2f: %s", silence, exc)
-        self.is_suspect = True
-        if silence > self.cfg.lease.target_stop_bound_s:
+        was_suspect, self.is_suspect = self.is_suspect, True
+        if was_suspect and isinstance(exc, TargetGone):
+            # A listener that is only overloaded lets a connection attempt time out.
+            self._mark_lost(LossReason.REFUSED)
+        elif silence > self.cfg.lease.target_stop_bound_s:
             self._mark_lost(LossReason.EXPIRED)
 
     def _process_state(self, state, expected):
