Do not exclude a target for good while its capacity has shrunk

What callers would see: a target may shrink and grow again while it runs. A task that came to it while it was too small was refused as never runnable (108), and its entry did not place the task there again however much the target had grown; on a small fleet such a task waits until it is refused as late or its deadline passes.

Cause: the agent told a task that exceeds the present capacity from one that exceeds only the free part, as if capacity never changed. The announced capacity itself takes effect at once, for the next start, also below what is running; a test now shows it.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -520,10 +520,7 @@
             code,
             detail,
         )
-        is_excluded_for_good = code is ResultCode.NEVER_RUNNABLE
-        task.excluded_until[view.agent_id] = (
-            math.inf if is_excluded_for_good else now + self.cfg.avoid_time
-        )
+        task.excluded_until[view.agent_id] = now + self.cfg.avoid_time
         self._requeue(task)
 
     def _requeue(self, task):
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -211,8 +211,6 @@
             return reason
         if self._health.is_probing(self.clock()) and self._table.is_busy:
             return ResultCode.NO_FREE_SLOT
-        if not run.needs.fits_in(self._table.capacity):
-            return ResultCode.NEVER_RUNNABLE
         if self.supervisor.is_suspect:
             # The start would have to wait until the target answers again.
             return ResultCode.TARGET_UNREACHABLE
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -397,6 +397,30 @@
     assert submission.outcome.code is ResultCode.OK
 
 
+async def test_a_target_that_grows_again_is_used_again(
+    autojump_clock, nursery, coordinator
+):
+    """Guards against a task that excludes a target for good while it has shrunk.
+
+    The order crosses the report of the shrunk capacity.
+    """
+    agent = FakeAgent(coordinator, "agent-1")
+    agent.report(held=())
+    submission = Submission(nursery, coordinator, make_job(1, estimate_s=2.0))
+    await trio.sleep(0.05)
+    run_id = next(iter(agent.orders))
+    agent.sent.clear()
+    small = Resources(1000, 4096, 0)
+    end = RunEnd(run_id, int(ResultCode.NEVER_RUNNABLE), int(RunState.NOT_RUN))
+    agent.report(end, free=small)
+    await trio.sleep(0.5)
+    assert not agent.orders
+    agent.report(free=CAPACITY)
+    await trio.sleep(0.05)
+    assert len(agent.orders) == 1
+    assert submission.outcome is None
+
+
 @pytest.mark.parametrize(
     ("free", "is_avoided"),
     [(Resources(0, 4096, 0), False), (CAPACITY, True)],
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -67,6 +67,33 @@
         assert ("j1.0.0.3", 1) in target.started
 
 
+async def test_runs_fit_in_a_capacity_that_shrinks_and_grows(
+    autojump_clock, runner, target
+):
+    """Guards against starts beyond a shrunk capacity, or refused for good after it.
+
+    A target that shrinks below what it runs starts nothing until enough has ended.
+    """
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1, 2))
+        await trio.sleep(0.1)
+        for sequence, cpu_millis, run_id, code in (
+            (2, 2000, 3, ResultCode.NO_FREE_SLOT),
+            (3, 9000, 4, None),
+            (4, 6000, 5, ResultCode.NO_FREE_SLOT),
+        ):
+            capacity = Resources(cpu_millis, 1024, 0)
+            runner.supervisor.handle_announcement(
+                announcement(sequence=sequence, capacity=capacity)
+            )
+            runner.order_runs(session, sequence, order_tasks(run_id))
+            await trio.sleep(0.1)
+            assert conn.reports[-1].free.cpu_millis <= cpu_millis - 6000
+            assert (conn.ends[run_id].code if run_id in conn.ends else None) == code
+        assert len(target.running_runs) == 3
+
+
 @pytest.mark.parametrize(
     ("kind", "code"),
     [
