Do not carry the ejection of a target over to its successor

What callers saw: after a crash in which starts of two jobs failed, the restarted target was still ejected, and was then probed with one run at a time until a run had succeeded, which takes the length of a run from a fleet that is short of targets.

Cause: the record of failures belongs to the agent and was kept when the target was known to have ended. It is now kept only for a target whose lease expired, which may still be the same process. The test failed before: not accepting 50 ms after the restart.

--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -17,7 +17,7 @@
 from hornbeamshore.runner.reports import Reporter, RunnerState
 from hornbeamshore.runner.runs import Run, RunPhase, RunTable
 from hornbeamshore.runner.sessions import Session
-from hornbeamshore.runner.supervisor import Supervisor, TargetEvents
+from hornbeamshore.runner.supervisor import LossReason, Supervisor, TargetEvents
 from hornbeamshore.runner.target import RunOutcome
 from hornbeamshore.wire.messages import Resources, TargetDescription
 
@@ -314,6 +314,9 @@
             else:
                 code, run_state = ResultCode.TARGET_UNREACHABLE, RunState.NOT_RUN
             self.end_run(run, code, run_state, reason.value)
+        if reason is not LossReason.EXPIRED:
+            # The failures were those of a process that has ended.
+            self._health = ConsecutiveFailures(self.cfg.health)
         self._notify_changed()
 
     def _record_loss(self, runs, reason):
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -122,3 +122,30 @@
         runner.order_runs(session, 4, order_isolated(4, "s4"))
         await trio.sleep(0.05)
         assert len(target.running_runs) == 2
+
+
+async def test_a_restarted_target_is_not_ejected_for_its_predecessor(
+    autojump_clock, runner, target
+):
+    """Guards against an ejection that outlasts the crash by which its starts failed."""
+    conn = FakeConnection()
+    target.start_delay_s = 0.05
+    with attached(runner, conn) as session:
+        for number in range(3):
+            order = order_tasks(number, job_id=f"j{number}", cpu_millis=1000)
+            runner.order_runs(session, number, order)
+        await trio.sleep(0.02)
+        target.starts_to_leave_unanswered = 3
+        target.crash()
+        await trio.sleep(0.2)
+        assert not conn.reports[-1].accepting
+        target.refusals = 0
+        target.incarnation_id = "t-2"
+        runner.supervisor.handle_announcement(
+            announcement(incarnation_id="t-2", started_ms=2000)
+        )
+        await trio.sleep(0.05)
+        assert conn.reports[-1].accepting
+        runner.order_runs(session, 9, order_tasks(9, 10, cpu_millis=1000))
+        await trio.sleep(0.2)
+        assert len(target.running_runs) == 2
