Let the suspects of unconfined queues use the agents of confined ones

What callers got: a task that was started just before a crash is tried on a tenth of the agents, one of 11. While its target is down, leaving or cut off, the innocent suspects of an ordinary crash would wait for seconds and be answered as unknown, although the fleet is healthy; seen by reading, and in the fleet test as lost jobs of the other queues.

Suspects of a queue that is not confined now use the third of the agents that is set aside for confined queues as well, isolated there as elsewhere, and prefer the tenth. Suspects of a confined queue, of which many are deadly, do not.

The tests of the old rule are as strict for confined queues; for the others they bound the agents by a half, and trials by one for each target.

--- a/packages/dispatch/src/hornbeamshore/dispatch/containment.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/containment.py
@@ -133,10 +133,12 @@
         queues and other tasks avoid them. This costs no capacity, and most of the
         crashes before the queue is confined happen there.
         """
-        if task.isolated or not self._evidence.is_recent(now):
+        if not self._evidence.is_recent(now):
             return False
         queue = task.job.queue
         pools = self._pools_of(queue.service, now)
+        if task.isolated:
+            return view.agent_id not in pools.isolation
         if view.agent_id in pools.isolation:
             return True
         is_in_pool = view.agent_id in pools.confinement
@@ -145,13 +147,12 @@
     def _admits_trial(self, task, view, now):
         """Return whether a suspected task may run on an agent.
 
-        The suspects of other queues than the confined ones are mostly innocent; they
-        use the agents of the confined queues as well, rather than wait for seconds.
+        The suspects of queues that are not confined are mostly innocent; they use the
+        agents of confined queues as well, rather than wait for seconds.
         """
         pools = self._pools_of(task.job.queue.service, now)
-        confined = self.confined_queues(now)
         agent_ids = pools.isolation
-        if confined and task.job.queue.name not in confined:
+        if not self.is_confined(task.job.queue, now):
             agent_ids |= pools.confinement
         return view.agent_id in agent_ids and not self._is_trying(view, now)
 
