Choose the agents for suspects and confined queues among those with the label

What callers would get: a task that requires a label, lost in a crash just after its start, was tried only on the agents that are set apart for the whole service. If none of them has the label, the task found no agent and its job was answered as unknown, where it would have been placed again before suspects were isolated.

The agents are now chosen among those of the service that have the label, in the same order. Choices for labels, which come from callers, are dropped once they are no longer valid. The fuzzing of the inner protocol covers the reports of losses.

--- a/packages/dispatch/src/hornbeamshore/dispatch/containment.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/containment.py
@@ -15,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AgentPools:
-    """Agents of a service that are set apart.
+    """Agents of a service, or of those with one label, that are set apart.
 
     Attributes
     ----------
@@ -81,7 +81,7 @@
         now : float
             Trio clock time.
         """
-        agent_count = self._pools_of(service, now).agent_count
+        agent_count = self._pools_of(service, "", now).agent_count
         was_confined = now < self._confined_until.get(queue_name, 0.0)
         until = self._confinement_end(queue_name, agent_count)
         self._confined_until[queue_name] = until
@@ -122,8 +122,7 @@
         if task.isolated:
             return self._admits_trial(task, view, now)
         if self.is_confined(task.job.queue, now):
-            pools = self._pools_of(task.job.queue.service, now)
-            return view.agent_id in pools.confinement
+            return view.agent_id in self._pools_for(task, now).confinement
         return True
 
     def should_avoid(self, task, view, now):
@@ -135,14 +134,13 @@
         """
         if not self._evidence.is_recent(now):
             return False
-        queue = task.job.queue
-        pools = self._pools_of(queue.service, now)
+        pools = self._pools_for(task, now)
         if task.isolated:
             return view.agent_id not in pools.isolation
         if view.agent_id in pools.isolation:
             return True
         is_in_pool = view.agent_id in pools.confinement
-        return is_in_pool != self._evidence.is_watched(queue.name, now)
+        return is_in_pool != self._evidence.is_watched(task.job.queue.name, now)
 
     def _admits_trial(self, task, view, now):
         """Return whether a suspected task may run on an agent.
@@ -150,7 +148,7 @@
         The suspects of queues that are not confined are mostly innocent; they use the
         agents of confined queues as well, rather than wait for seconds.
         """
-        pools = self._pools_of(task.job.queue.service, now)
+        pools = self._pools_for(task, now)
         agent_ids = pools.isolation
         if not self.is_confined(task.job.queue, now):
             agent_ids |= pools.confinement
@@ -162,17 +160,29 @@
             for run in view.runs.values()
         )
 
-    def _pools_of(self, service, now):
-        pools = self._pools.get(service)
+    def _pools_for(self, task, now):
+        return self._pools_of(
+            task.job.queue.service, task.step_spec.required_label, now
+        )
+
+    def _pools_of(self, service, label, now):
+        """Return the pools among the agents of a service that have a label, if any."""
+        pools = self._pools.get((service, label))
         if pools is None or now >= pools.valid_until:
-            pools = self._pools[service] = self._make_pools(service, now)
+            # Labels come from callers; without this, each would stay for good.
+            self._pools = {
+                key: kept for key, kept in self._pools.items() if now < kept.valid_until
+            }
+            pools = self._pools[service, label] = self._make_pools(service, label, now)
         return pools
 
-    def _make_pools(self, service, now):
+    def _make_pools(self, service, label, now):
         names = [
             view.agent_id
             for view in self._fleet.agents.values()
-            if view.description is not None and view.description.service == service
+            if view.description is not None
+            and view.description.service == service
+            and (not label or label in view.description.labels)
         ]
         ordered = rendezvous_order(service, names)
         isolated = max(1, round(len(ordered) * self._cfg.isolation_share))
--- a/tests/dispatch/test_containment.py
+++ b/tests/dispatch/test_containment.py
@@ -270,6 +270,22 @@
     assert agent_with_order(agents) not in (None, *tried)
 
 
+@pytest.mark.parametrize("labelled", range(5))
+async def test_a_suspect_is_tried_on_an_agent_with_its_label(
+    autojump_clock, nursery, coordinator, agents, labelled
+):
+    """Guards against suspects for which no agent set apart has the required label."""
+    for number, agent in enumerate(agents):
+        agent.labels = ("ssd",) if number == labelled else ("a",)
+        agent.report(held=())
+    job = make_job(1, required_label="ssd", estimate_s=1.0)
+    Submission(nursery, coordinator, job)
+    await trio.sleep(0.05)
+    agents[labelled].lose_target()
+    await trio.sleep(0.2)
+    assert [order.isolated for order in agents[labelled].orders.values()] == [True]
+
+
 async def test_a_suspect_that_is_not_tried_in_time_is_answered_as_unknown(
     autojump_clock, nursery, coordinator, agents
 ):
--- a/tests/wire/test_malformed_frames.py
+++ b/tests/wire/test_malformed_frames.py
@@ -10,12 +10,14 @@
 from hornbeamshore.wire.messages import (
     BODY_FIELDS,
     AgentReport,
+    LostRun,
     Message,
     Resources,
     RunEnd,
     RunOrder,
     RunTasks,
     TargetDescription,
+    TargetLoss,
 )
 
 VALID_BODIES = (
@@ -28,7 +30,13 @@
         (1, 2),
         TargetDescription("t-1", "order-desk", ("a",), Resources(8000, 1024, 0)),
     ),
-    RunTasks("job", "content", (RunOrder(1, 0, 0, 1, Resources(1, 1, 0)),)),
+    AgentReport(
+        False,
+        Resources(),
+        7,
+        losses=(TargetLoss(3, True, 20, (LostRun("job", 0, 1, "check", -2, True),)),),
+    ),
+    RunTasks("job", "content", (RunOrder(1, 0, 0, 1, Resources(1, 1, 0)),), "check"),
 )
 
 
