--- a/review/standins.py
+++ b/review/standins.py
@@ -363,6 +363,8 @@
 
     async def answer(self, method, target, headers, body):
         await asyncio.sleep(0.0005)
+        if not self.up:
+            return None
         data = json.loads(body)
         if headers.get("hornbeamshore-expect-instance", self.id) != self.id:
             return self._reply(421)
