Judge the service beside deadly tasks by the mean of five plays

The test of other kinds of jobs beside deadly tasks decided by one play, in which the rarest kind has 28 jobs. The committed seed happened to pass.

The bound stays at 0.85 for each kind and is now held by the mean over five seeds of the scheduler, so that the verdict depends on what callers get and not on one play.

--- a/tests/fleet/test_deadly_tasks.py
+++ b/tests/fleet/test_deadly_tasks.py
@@ -1,6 +1,8 @@
 """Tests of what callers get while some tasks crash each target that starts them."""
 
-from collections import Counter
+import random
+import statistics
+from collections import Counter, defaultdict
 
 import trio
 
@@ -25,6 +27,8 @@
 CRASH_LIMIT = 2
 # Share of the worth that the users want on days with trouble.
 MIN_IN_TIME = 0.85
+# One play has 28 jobs of the rarest kind, of which a single crash can delay several.
+PLAYS = 5
 
 
 async def play_deadly_jobs(nursery, deadly_share):
@@ -48,13 +52,19 @@
 
 
 async def test_other_kinds_are_served_while_tasks_of_one_kind_are_deadly(
-    autojump_clock, nursery
+    autojump_clock, monkeypatch
 ):
     """Guards against the loss of the whole service to deadly tasks of one kind."""
-    _, callers = await play_deadly_jobs(nursery, 0.1)
-    results = callers.results
-    for name in ("lookup", "layout"):
-        assert results.share(results.in_time, name) >= MIN_IN_TIME
+    shares = defaultdict(list)
+    for seed in range(1, PLAYS + 1):
+        monkeypatch.setattr(trio._core._run, "_r", random.Random(seed))
+        async with trio.open_nursery() as nursery:
+            _, callers = await play_deadly_jobs(nursery, 0.1)
+            nursery.cancel_scope.cancel()
+        for name in ("lookup", "layout"):
+            shares[name].append(callers.results.share(callers.results.in_time, name))
+    for name, values in shares.items():
+        assert statistics.fmean(values) >= MIN_IN_TIME, (name, values)
 
 
 async def test_jobs_without_deadly_tasks_are_served_or_refused(autojump_clock, nursery):
