Use an incarnation of a target once it has answered a call itself

Cause: an agent took each announcement for the truth and told incarnations apart by their id alone. The delayed announcement of the earlier life was adopted while the new life answered, runs were started there, and the next announcement reported them as lost although they went on. The fencing token of that takeover, taken from the clock of the earlier life, then kept the agent from taking over the new one until its clock had caught up.

Change: the list of runs says when the answering life started, and a poll raises TargetRestarted if that is another one. An announcement of another incarnation is a candidate, which takes effect only after the target has answered a call that is addressed to it; the present token is used for this call, so it does not disturb the incarnation in use. After a restart under the same id, runs that no poll has listed may have been started by the new life: they are reported only after the takeover has stopped what runs there, or when their lease has expired. Tokens never go back within a process, and a token that the target refuses is outbid. The clock of leases follows the incarnation in use; that of an announcement is no longer used.

The order of start times no longer decides: the time of day may be set back between two lives.

--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -81,8 +81,8 @@
         self.starts_sent += 1
         try:
             answer = await channel.start(run.task, run.number, run.spec)
-        except TargetReplaced:
-            self._supervisor.handle_replacement(takeover)
+        except TargetReplaced as exc:
+            self._supervisor.handle_replacement(takeover, exc)
         except TargetUnreachable as exc:
             if self._runner.is_active(run):
                 self._runner.record_target_failure(run)
@@ -122,8 +122,8 @@
     async def _send_stop(self, run, channel, takeover):
         try:
             await channel.stop(run.task, run.number)
-        except TargetReplaced:
-            self._supervisor.handle_replacement(takeover)
+        except TargetReplaced as exc:
+            self._supervisor.handle_replacement(takeover, exc)
         except TargetUnresponsive as exc:
             log.warning("stop unanswered task=%s run=%d: %s", run.task, run.number, exc)
             await trio.sleep(TARGET_RETRY_PAUSE_S)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -292,7 +292,10 @@
                 self._handle_missing_run(run)
         for key, percent in reported.items():
             run = self._table.active.get(key)
-            if run is not None and run.phase is RunPhase.RUNNING:
+            if run is None:
+                continue
+            run.is_listed = True
+            if run.phase is RunPhase.RUNNING:
                 self._update_progress(run, percent, state.clock_ms)
 
     def target_changed(self):
@@ -303,8 +306,10 @@
         self._notify_changed()
 
     def target_lost(self, reason):
-        """End all runs; none of them is running at the target any more."""
+        """End the runs that are certain not to be running at the target any more."""
         runs = list(self._table.active.values())
+        if reason is LossReason.RESTARTED:
+            runs = [run for run in runs if run.is_listed or not run.started_at]
         started_runs = [run for run in runs if run.started_at]
         if started_runs:
             self._record_loss(started_runs, reason)
@@ -319,6 +324,12 @@
             self._health = ConsecutiveFailures(self.cfg.health)
         self._notify_changed()
 
+    def target_cleared(self):
+        """End the runs that are left after a loss; the target runs nothing any more."""
+        for run in list(self._table.active.values()):
+            detail = LossReason.RESTARTED.value
+            self.end_run(run, ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, detail)
+
     def _record_loss(self, runs, reason):
         self.metrics.target_lost(reason.value)
         self._log_lost_runs(runs, reason)
@@ -393,6 +404,7 @@
                     await self._runs_ordered.wait()
             await trio.sleep(SESSION_CHECK_INTERVAL_S)
             now = self.clock()
+            self.supervisor.end_lapsed_runs()
             for session in list(self.sessions.values()):
                 self._check_session(session, now)
             # An ejection expires without any event that would trigger a report.
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -38,6 +38,8 @@
         Whether the task is suspected of crashing targets.
     progress : Progress or None
         Progress, or None until the target has reported the run as running.
+    is_listed : bool
+        Whether a poll has listed the run, so that the incarnation in use holds it.
     """
 
     __slots__ = (
@@ -58,6 +60,7 @@
         "attempt",
         "isolated",
         "progress",
+        "is_listed",
     )
 
     def __init__(self, session, body, order):
@@ -77,6 +80,7 @@
         self.stop_answered = False
         self.started_at = 0.0
         self.progress = None
+        self.is_listed = False
 
     @property
     def key(self):
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -9,14 +9,18 @@
 
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.runner.target import (
+    TargetFenced,
     TargetGone,
     TargetIncarnation,
     TargetReplaced,
+    TargetRestarted,
     TargetUnresponsive,
 )
 
 # Pause before the next call to a target that did not answer or is still stopping runs.
 TARGET_RETRY_PAUSE_S = 0.05
+# Targets hold the token in a signed 64-bit integer.
+MAX_FENCING_TOKEN = 2**62
 
 log = PartLogger("agent")
 
@@ -44,6 +48,7 @@
     REFUSED = "connections refused"
     EXPIRED = "target lease expired"
     REPLACED = "target replaced"
+    RESTARTED = "target restarted under its id"
     MISDIRECTED = "another incarnation answered"
     DEPARTED = "target departed"
 
@@ -85,7 +90,10 @@
 
     @abc.abstractmethod
     def target_lost(self, reason):
-        """End all runs; none of them is running at the target any more.
+        """End the runs that are certain not to be running at the target any more.
+
+        These are all runs, except after a restart under the same id: a run that no poll
+        has listed may have been started by the new incarnation.
 
         Parameters
         ----------
@@ -93,6 +101,10 @@
             Sign by which the loss was noticed.
         """
 
+    @abc.abstractmethod
+    def target_cleared(self):
+        """End the runs that are left after a loss; the target runs nothing any more."""
+
 
 class Supervisor:
     """Takes over the target of an agent and renews its lease.
@@ -112,7 +124,8 @@
     Attributes
     ----------
     target : TargetIncarnation or None
-        Incarnation from the last accepted announcement.
+        Incarnation in use, as it last announced itself; before the first takeover, the
+        one that was announced first.
     takeover : Takeover or None
         Current takeover; None until the target runs nothing of earlier agents.
     has_adopted : bool
@@ -133,6 +146,8 @@
         self._driver = driver
         self._owner = owner
         self._clock = clock
+        # Another announced incarnation that has not answered a call yet.
+        self._candidate = None
         # Identity of the target that departed last; a delayed announcement of it must
         # not bring it back.
         self._departed = None
@@ -150,24 +165,25 @@
             nursery.start_soon(self._poll_target)
 
     def handle_announcement(self, target):
-        """Handle an announcement of the target; a delayed one is ignored."""
-        current = self.target
+        """Handle an announcement of the target; a delayed one is ignored.
+
+        One of another incarnation than the one in use may be delayed as well, or come
+        from another process. It takes effect once the target has confirmed it.
+        """
         if target.identity == self._departed:
             log.info("announcement ignored departed=%s", target.incarnation_id)
-            return
-        if current is not None and target.identity == current.identity:
-            if target.sequence <= current.sequence:
-                return
-        elif current is not None and not target.supersedes(current):
-            log.info("announcement ignored target=%s", target.incarnation_id)
-            return
+        elif self.target is None or target.identity == self.target.identity:
+            self._update_target(target)
         else:
-            log.info("target announced id=%s", target.incarnation_id)
-            self._mark_lost(LossReason.REPLACED)
-            self._fencing_token = self._last_acknowledged = 0
+            self._candidate = target
+            self._adopt_requested.set()
+
+    def _update_target(self, target):
+        current = self.target
+        if current is not None and target.sequence <= current.sequence:
+            return
         if target.leaving and not (current and current.leaving):
             log.info("target leaving id=%s", target.incarnation_id)
-        self._driver.observe_clock(target.clock_ms)
         self.target = target
         if self.takeover is None:
             self._adopt_requested.set()
@@ -175,16 +191,30 @@
 
     def handle_departure(self, incarnation_id):
         """Handle the departure of the target with this id."""
+        candidate = self._candidate
+        if candidate is not None and candidate.incarnation_id == incarnation_id:
+            self._candidate = None
         if self.target is not None and self.target.incarnation_id == incarnation_id:
             log.info("target departed id=%s", incarnation_id)
             self._departed = self.target.identity
             self._mark_lost(LossReason.DEPARTED)
             self.target = None
 
-    def handle_replacement(self, takeover):
-        """Handle the answer of another incarnation to a call of `takeover`."""
+    def handle_replacement(self, takeover, exc):
+        """Handle the answer of another incarnation to a call of `takeover`.
+
+        Parameters
+        ----------
+        takeover : Takeover
+            Takeover during which the call was sent.
+        exc : TargetReplaced
+            Error of the call.
+        """
         if takeover == self.takeover:
-            self._mark_lost(LossReason.MISDIRECTED)
+            is_same_id = isinstance(exc, TargetRestarted)
+            self._mark_lost(
+                LossReason.RESTARTED if is_same_id else LossReason.MISDIRECTED
+            )
 
     def record_renewal(self):
         """Record the end of a call that may have renewed the lease, answered or not."""
@@ -198,9 +228,19 @@
         """Request a poll of the target, unless one is in progress."""
         self._poll_requested.set()
 
+    def end_lapsed_runs(self):
+        """End the runs left in doubt by a restart once their lease has expired."""
+        if self.takeover is not None or not self._owner.has_runs():
+            return
+        if self._clock() - self._renewed_at > self.cfg.lease.target_stop_bound_s:
+            self._owner.target_cleared()
+
     def _mark_lost(self, reason):
         if self.takeover is not None:
             log.warning("target lost reason=%r", reason.value)
+        if reason is LossReason.RESTARTED:
+            # The new incarnation may have executed the last calls.
+            self.record_renewal()
         self.takeover = None
         self.is_suspect = False
         self._has_unacknowledged_ends = False
@@ -233,8 +273,8 @@
         renew = not self.is_suspect
         try:
             state = await channel.poll(wait_s, self._last_acknowledged, renew=renew)
-        except TargetReplaced:
-            self.handle_replacement(takeover)
+        except TargetReplaced as exc:
+            self.handle_replacement(takeover, exc)
             return
         except TargetUnresponsive as exc:
             if takeover == self.takeover:
@@ -274,49 +314,87 @@
         while True:
             await self._adopt_requested.wait()
             self._adopt_requested = trio.Event()
-            while self.target is not None and self.takeover is None:
-                target = self.target
-                # The target's monotonic clock orders the fencing tokens of successive
-                # agents even if the wall clock is set back.
-                self._fencing_token = max(self._fencing_token + 1, target.clock_ms)
-                takeover = Takeover(target, self._fencing_token)
-                async with contextlib.aclosing(
-                    self._driver.open_channel(target, self._fencing_token)
-                ) as channel:
-                    acknowledged = await self._stop_leftover_runs(channel)
-                is_current = self.target and self.target.identity == target.identity
-                if acknowledged is not None and is_current:
-                    self._last_acknowledged = acknowledged
-                    self._adopt(takeover)
-                else:
+            while (target := self._next_incarnation()) is not None:
+                try:
+                    await self._take_over(target)
+                except TargetReplaced as exc:
+                    log.info(
+                        "announcement not confirmed id=%s started_ms=%d: %s",
+                        target.incarnation_id,
+                        target.started_ms,
+                        exc,
+                    )
+                    if not self._drop_candidate(target):
+                        break
+                except TargetUnresponsive as exc:
+                    log.warning("target not adopted: %s", exc)
                     await trio.sleep(self.cfg.takeover_retry)
 
-    async def _stop_leftover_runs(self, channel):
-        """Stop the runs of earlier agents.
-
-        Returns
-        -------
-        int or None
-            Number of the last ended run that was acknowledged; None if the target may
-            still be running something.
+    def _next_incarnation(self):
+        """Return the announced incarnation to take over next, or None."""
+        if self._candidate is not None:
+            return self._candidate
+        return self.target if self.takeover is None else None
+
+    def _drop_candidate(self, target):
+        """Drop a candidate unless it was announced again; return whether it was one."""
+        if self._candidate is target:
+            self._candidate = None
+            return True
+        return self._candidate is not None
+
+    async def _take_over(self, target):
+        """Take over an announced incarnation once it has answered a call.
+
+        Raises
+        ------
+        TargetReplaced
+            If another incarnation answers.
+        TargetUnresponsive
+            If the incarnation does not answer, or may still be running something.
         """
-        acknowledged = self._last_acknowledged
-        try:
-            while True:
-                state = await channel.poll(0.0, acknowledged, renew=False)
-                acknowledged = max(
-                    [acknowledged, *(ended.number for ended in state.ended)]
-                )
-                if not state.running and not state.ended:
-                    return acknowledged
-                for item in state.running:
-                    await channel.stop(item.task, item.run)
-                await trio.sleep(TARGET_RETRY_PAUSE_S)
-        except TargetUnresponsive as exc:
-            log.warning("target not adopted: %s", exc)
-        except TargetReplaced:
-            log.info("target not adopted: another incarnation answered")
-        return None
+        is_same = self.target is not None and target.identity == self.target.identity
+        acknowledged = self._last_acknowledged if is_same else 0
+        # A call with the present token does not disturb the incarnation in use.
+        async with self._open_channel(target) as channel:
+            clock_ms = await _read_clock(channel, acknowledged)
+        if not is_same:
+            self._replace_target(target)
+        self._driver.follow_clock(target, clock_ms)
+        # The target's monotonic clock orders the fencing tokens of successive agents
+        # even if the wall clock is set back.
+        self._fencing_token = max(self._fencing_token + 1, round(clock_ms))
+        takeover = Takeover(target, self._fencing_token)
+        async with self._open_channel(target) as channel:
+            try:
+                acknowledged = await _stop_leftover_runs(channel, acknowledged)
+            except TargetFenced:
+                # Only agents of this host call the target: the higher token is that of
+                # a predecessor.
+                self._fencing_token = min(2 * self._fencing_token, MAX_FENCING_TOKEN)
+                raise
+        if self.target is not None and self.target.identity == target.identity:
+            self._last_acknowledged = acknowledged
+            self._adopt(takeover)
+
+    def _open_channel(self, target):
+        return contextlib.aclosing(
+            self._driver.open_channel(target, self._fencing_token)
+        )
+
+    def _replace_target(self, target):
+        """Use a confirmed incarnation in place of the one before, which has ended."""
+        log.info("target replaced id=%s", target.incarnation_id)
+        previous, candidate = self.target, self._candidate
+        if previous is not None:
+            is_same_id = previous.incarnation_id == target.incarnation_id
+            self._mark_lost(LossReason.RESTARTED if is_same_id else LossReason.REPLACED)
+        self._last_acknowledged = 0
+        if candidate is not None and candidate.identity == target.identity:
+            self._candidate = None
+            target = candidate
+        self.target = target
+        self._owner.target_changed()
 
     def _adopt(self, takeover):
         log.info(
@@ -324,6 +402,7 @@
             takeover.target.incarnation_id,
             takeover.fencing_token,
         )
+        self._owner.target_cleared()
         self.record_renewal()
         self.record_answer()
         self.takeover = takeover
@@ -331,6 +410,43 @@
         self._owner.target_changed()
 
 
+async def _read_clock(channel, acknowledged):
+    """Return a reading, in ms, of the clock of the incarnation that a channel expects.
+
+    Raises the errors of `TargetChannel.poll`, except `TargetFenced`.
+    """
+    try:
+        state = await channel.poll(0.0, acknowledged, renew=False)
+    except TargetFenced as exc:
+        return exc.clock_ms
+    return state.clock_ms
+
+
+async def _stop_leftover_runs(channel, acknowledged):
+    """Stop the runs of earlier agents and incarnations.
+
+    Returns
+    -------
+    int
+        Number of the last ended run that was acknowledged.
+
+    Raises
+    ------
+    TargetReplaced
+        If another incarnation answers.
+    TargetUnresponsive
+        If the target may still be running something.
+    """
+    while True:
+        state = await channel.poll(0.0, acknowledged, renew=False)
+        acknowledged = max([acknowledged, *(ended.number for ended in state.ended)])
+        if not state.running and not state.ended:
+            return acknowledged
+        for item in state.running:
+            await channel.stop(item.task, item.run)
+        await trio.sleep(TARGET_RETRY_PAUSE_S)
+
+
 class ChannelCache:
     """Caches one channel to the target of the current takeover."""
 
--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -19,10 +19,31 @@
     """The host of the target refused the connection: no process listens there."""
 
 
+class TargetFenced(TargetUnresponsive):
+    """A call was refused because the target has seen a higher fencing token.
+
+    Attributes
+    ----------
+    clock_ms : float
+        Reading of the target's own monotonic clock.
+    """
+
+    def __init__(self, message, clock_ms):
+        super().__init__(message)
+        self.clock_ms = clock_ms
+
+
 class TargetReplaced(Exception):  # noqa: N818
     """A different incarnation of the target answered; the expected one has ended."""
 
 
+class TargetRestarted(TargetReplaced):
+    """The different incarnation has the id of the expected one.
+
+    It executes the calls that are addressed to that id.
+    """
+
+
 class StartResult(enum.Enum):
     """Answer of a target to the start of a run.
 
@@ -87,7 +108,8 @@
     incarnation_id : str
         Id that calls are addressed to.
     started_ms : int
-        Unix time of the start, in milliseconds; orders incarnations that share an id.
+        Unix time of the start, in milliseconds; distinguishes incarnations that share
+        an id.
     sequence : int
         Number that grows with each announcement, so that a delayed one is detected.
     service : str
@@ -116,10 +138,6 @@
         """Return the id and start time that together identify this incarnation."""
         return self.incarnation_id, self.started_ms
 
-    def supersedes(self, other):
-        """Return whether this is a later incarnation than `other`."""
-        return self.identity != other.identity and self.started_ms >= other.started_ms
-
 
 @dataclass(frozen=True, slots=True)
 class ActiveRun:
@@ -164,7 +182,8 @@
 
     Each call raises `TargetUnresponsive` if it gets no valid answer, `TargetGone` if
     the connection was refused and `TargetReplaced` if another incarnation answered. The
-    call after a `TargetUnresponsive` opens a new connection.
+    call after a `TargetUnresponsive` opens a new connection. Only a poll is certain to
+    notice another incarnation with the same id.
     """
 
     @abc.abstractmethod
@@ -186,6 +205,13 @@
             ended runs up to it.
         renew : bool
             Whether to renew the lease of all runs.
+
+        Raises
+        ------
+        TargetFenced
+            If the target has seen a higher fencing token.
+        TargetRestarted
+            If another incarnation with the id of the expected one answered.
         """
 
     @abc.abstractmethod
@@ -197,8 +223,16 @@
     """Opens channels to the incarnations of one target."""
 
     @abc.abstractmethod
-    def observe_clock(self, clock_ms):
-        """Update the estimate of the target's monotonic clock with a new reading."""
+    def follow_clock(self, incarnation, clock_ms):
+        """Express leases in the clock of an incarnation from now on.
+
+        Parameters
+        ----------
+        incarnation : TargetIncarnation
+            Incarnation; clock readings in the answers of others are ignored.
+        clock_ms : float
+            Reading of its clock, made just now.
+        """
 
     @abc.abstractmethod
     def open_channel(self, incarnation, fencing_token):
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -154,7 +154,7 @@
         if incarnation != self.incarnation:
             raise TargetReplaced("status 421")
 
-    def observe_clock(self, clock_ms):
+    def follow_clock(self, incarnation, clock_ms):
         pass
 
     def open_channel(self, incarnation, fencing_token):
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -87,12 +87,21 @@
 
 
 class FakeTarget:
-    """ASGI application of a target whose tasks take 50 ms."""
+    """ASGI application of a target whose tasks take 50 ms.
+
+    Parameters
+    ----------
+    incarnation_id : str
+        Id of the target.
+    born : int
+        Unix time, in milliseconds, at which the target started.
+    """
 
     RUN_DURATION_S = 0.05
 
-    def __init__(self, incarnation_id="i-1"):
+    def __init__(self, incarnation_id="i-1", born=1):
         self.incarnation_id = incarnation_id
+        self.born = born
         self.running = {}
         self.completions = []
         self.starts = []
@@ -115,7 +124,7 @@
                     "capacity": {"cpu": 8000, "memMb": 4096, "gpu": 0},
                     "labels": ["a", "r1"],
                     "clockMs": self.clock_ms,
-                    "born": 1,
+                    "born": self.born,
                 }
                 url = f"http://{address}/hornbeamshore/instances/{self.incarnation_id}"
                 try:
@@ -129,16 +138,19 @@
         if scope["type"] != "http":
             return
         body = json.loads(await read_body(receive, 1 << 20))
-        if scope["path"].endswith("run-start"):
+        await send_response(send, *await self.answer(scope["path"], body))
+
+    async def answer(self, path, body):
+        """Execute a call and return the status and body of the response."""
+        if path.endswith("run-start"):
             key = body["task"], body["runId"]
             self.starts.append(key)
             self.running[key] = time.monotonic() + self.RUN_DURATION_S
-            await send_response(send, 200, {"clockMs": self.clock_ms})
-        elif scope["path"].endswith("run-stop"):
+            return 200, {"clockMs": self.clock_ms}
+        if path.endswith("run-stop"):
             self._complete((body["task"], body["runId"]), "stopped")
-            await send_response(send, 200, {"clockMs": self.clock_ms})
-        else:
-            await send_response(send, 200, await self._poll(body))
+            return 200, {"clockMs": self.clock_ms}
+        return 200, await self._poll(body)
 
     async def _poll(self, body):
         deadline = time.monotonic() + body.get("waitMs", 0) / 1000
@@ -153,6 +165,7 @@
         running = [[task, run, "", 50] for task, run in self.running]
         return {
             "clockMs": self.clock_ms,
+            "born": self.born,
             "running": running,
             "completions": completions,
         }
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -11,6 +11,7 @@
     EndedRun,
     RunOutcome,
     StartResult,
+    TargetFenced,
     TargetGone,
     TargetIncarnation,
     TargetReplaced,
@@ -28,7 +29,7 @@
 
 def open_channel(address):
     driver = HttpTargetDriver(address, CFG)
-    driver.observe_clock(TARGET.clock_ms)
+    driver.follow_clock(TARGET, TARGET.clock_ms)
     return driver.open_channel(TARGET, 77)
 
 
@@ -149,3 +150,32 @@
     async with serving(ScriptedApp((status, body))) as address:
         with pytest.raises(TargetUnresponsive):
             await open_channel(address).stop("t", 2)
+
+
+@pytest.mark.parametrize(
+    ("born", "expected"),
+    [(TARGET.started_ms, None), (0, None), (6, TargetReplaced), (4, TargetReplaced)],
+    ids=["expected", "not said", "later", "earlier"],
+)
+async def test_a_poll_notices_another_incarnation_with_the_same_id(born, expected):
+    """Guards against runs of one life of a target that are taken for those of another.
+
+    The id to which calls are addressed is the same in both lives.
+    """
+    body = {"clockMs": 1, "born": born, "running": [], "completions": []}
+    async with serving(ScriptedApp((200, body))) as address:
+        channel = open_channel(address)
+        if expected is None:
+            assert await channel.poll(0.0, 0) == TargetState((), (), 1)
+        else:
+            with pytest.raises(expected):
+                await channel.poll(0.0, 0)
+
+
+async def test_a_poll_with_a_low_token_returns_the_clock():
+    """Guards against an agent that cannot tell a refused token from a silent target."""
+    app = ScriptedApp((409, {"clockMs": 5001, "reason": "fence"}))
+    async with serving(app) as address:
+        with pytest.raises(TargetFenced) as caught:
+            await open_channel(address).poll(0.0, 0)
+    assert caught.value.clock_ms == 5001
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -17,9 +17,11 @@
     StartResult,
     TargetChannel,
     TargetDriver,
+    TargetFenced,
     TargetGone,
     TargetIncarnation,
     TargetReplaced,
+    TargetRestarted,
     TargetState,
     TargetUnresponsive,
 )
@@ -66,10 +68,19 @@
         Tasks that make no progress.
     drops_poll_answers : bool
         Whether polls are executed but not answered.
+    started_ms : int
+        Unix time of the start of the incarnation; 0 if answers to polls do not say it.
+    restarted_at : float
+        Trio time at which the clock of the incarnation started.
+    followed_identity : tuple or None
+        Identity of the incarnation in whose clock leases are expressed.
     """
 
     def __init__(self):
         self.incarnation_id = TARGET.incarnation_id
+        self.started_ms = 0
+        self.restarted_at = 0.0
+        self.followed_identity = None
         self.running_runs = {}
         self.refused_runs = set()
         self.ends = []
@@ -87,11 +98,20 @@
         self.start_delay_s = 0.0
         self._changed = trio.Event()
 
-    def observe_clock(self, clock_ms):
-        pass
+    def follow_clock(self, incarnation, clock_ms):
+        self.followed_identity = incarnation.identity
 
     def open_channel(self, incarnation, fencing_token):
-        return FakeChannel(self, incarnation.incarnation_id, fencing_token)
+        return FakeChannel(self, incarnation, fencing_token)
+
+    def restart(self, started_ms):
+        """Start again under the same id, knowing nothing of the time before."""
+        self.running_runs.clear()
+        self.refused_runs.clear()
+        self.ends.clear()
+        self.fencing_token = 0
+        self.started_ms = started_ms
+        self.restarted_at = trio.current_time()
 
     def start(self, task, run, fencing_token):
         if fencing_token < self.fencing_token:
@@ -140,9 +160,10 @@
 
 
 class FakeChannel(TargetChannel):
-    def __init__(self, target, incarnation_id, fencing_token):
+    def __init__(self, target, incarnation, fencing_token):
         self._target = target
-        self._incarnation_id = incarnation_id
+        self._incarnation_id = incarnation.incarnation_id
+        self._started_ms = incarnation.started_ms
         self._fencing_token = fencing_token
 
     async def _begin_call(self):
@@ -177,6 +198,8 @@
     async def poll(self, wait_s, acknowledged, *, renew=True):
         await self._begin_call()
         target = self._target
+        if self._fencing_token < target.fencing_token:
+            raise TargetFenced("token is too low", self._clock_ms)
         target.fencing_token = max(target.fencing_token, self._fencing_token)
         target.polls += 1
         if renew:
@@ -188,12 +211,19 @@
             await target.wait_changed(wait_s)
         if target.refusals == float("inf"):
             raise TargetUnresponsive("connection closed")
+        if target.started_ms not in (0, self._started_ms):
+            raise TargetRestarted("the target has started again")
         return TargetState(
             tuple(ActiveRun(*key, target.percent(key)) for key in target.running_runs),
             tuple(end for end in target.ends if end.number > acknowledged),
-            trio.current_time() * 1000,
+            self._clock_ms,
         )
 
+    @property
+    def _clock_ms(self):
+        elapsed_s = trio.current_time() - self._target.restarted_at
+        return TARGET.clock_ms + elapsed_s * 1000
+
     async def aclose(self):
         pass
 
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -11,7 +11,7 @@
 from hornbeamshore.runner.progress import Progress
 from hornbeamshore.runner.runner import Runner
 from hornbeamshore.runner.settings import RunnerSettings
-from hornbeamshore.runner.target import RunOutcome, StartResult
+from hornbeamshore.runner.target import RunOutcome, StartResult, TargetReplaced
 from hornbeamshore.wire.messages import Resources
 
 from .conftest import (
@@ -322,7 +322,7 @@
         await trio.sleep(0.2)
         runner.order_runs(session, 1, order_tasks(1))
         await trio.sleep(0.1)
-        runner.supervisor.handle_replacement(old)
+        runner.supervisor.handle_replacement(old, TargetReplaced("status 421"))
         assert runner.supervisor.takeover is not None
         assert list(session.runs) == [1]
 
@@ -561,7 +561,7 @@
 
     class SlowlyClosingTarget(FakeTarget):
         def open_channel(self, incarnation, fencing_token):
-            return SlowlyClosingChannel(self, incarnation.incarnation_id, fencing_token)
+            return SlowlyClosingChannel(self, incarnation, fencing_token)
 
     target = SlowlyClosingTarget()
     runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
