Order no run for a caller that has closed its connection

Cause: a woken entry reads the requests of clients that have left and submits them before it reads that they have left. A pause of placement for a fixed 0.1 s stood for the knowledge that all disconnects had been read.

Change: the state of the socket says that the peer has closed the connection, in front of unread data as well (POLLRDHUP). It is asked at the moment at which a task of a job is placed, whatever has led to it: a request, free capacity, the end of an earlier copy. Each 0.1 s it is also asked for all jobs in progress with one call, since hypercorn reads nothing while a further request waits on the connection.

--- a/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
@@ -103,8 +103,8 @@
     def assign(self):
         """Assign waiting tasks until none can be placed.
 
-        The caller must reserve the resources of each task on its agent before it
-        resumes the iteration.
+        Before it resumes the iteration, the caller must either reserve the resources of
+        the task on its agent or remove the job of the task.
 
         Yields
         ------
@@ -125,6 +125,8 @@
     def _assign_suspects(self, now):
         # The least likely cause first: a crash takes the agent away for seconds.
         for task in sorted(self._suspects, key=self._containment.likelihood):
+            if task.job.finished.is_set():
+                continue
             agents = self._fleet.usable_agents(task.job.queue.service)
             view = self._placement.choose(task, agents, now)
             if view is not None:
--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -14,6 +14,7 @@
 from hornbeamshore.dispatch.fleet import Fleet
 from hornbeamshore.dispatch.jobs import Job, Run, TaskPhase
 from hornbeamshore.dispatch.model import JobOutcome
+from hornbeamshore.dispatch.presence import AssumedPresence
 from hornbeamshore.wire.connection import MessageHandler
 from hornbeamshore.wire.messages import (
     AckRuns,
@@ -46,6 +47,9 @@
     clock : callable
         Returns the time in seconds by which leases are measured; it includes the time
         for which the host is suspended.
+    presence : CallerPresence or None
+        Detects callers that have closed their connections; None if callers always
+        cancel their calls.
 
     Attributes
     ----------
@@ -59,10 +63,11 @@
         Assigns waiting tasks to agents.
     """
 
-    def __init__(self, cfg, metrics, clock=boot_time_s):
+    def __init__(self, cfg, metrics, clock=boot_time_s, presence=None):
         self.cfg = cfg
         self.metrics = metrics
         self._clock = clock
+        self._presence = presence or AssumedPresence()
         self.fleet = Fleet(cfg.data_centre)
         self.jobs = {}
         self.evidence = RecentStarts(cfg.containment)
@@ -70,7 +75,6 @@
         self._cancelled = OrderedDict()
         self._run_ids = itertools.count(1)
         self._last_tick = clock()
-        self._placement_resumes_at = 0.0
         self._pending_orders = defaultdict(list)
 
     async def run(self):
@@ -80,24 +84,19 @@
             is_waiting = self.assigner.has_waiting_tasks
             await trio.sleep(self.cfg.tick if is_waiting else self.cfg.idle_tick)
             now = self._clock()
-            self._check_suspension(now)
+            if now - self._last_tick > self.cfg.suspension_threshold:
+                log.warning("suspended gap=%.3f", now - self._last_tick)
             self._last_tick = now
             if now >= agents_due_at:
                 agents_due_at = now + self.cfg.idle_tick
                 self._expire_lost_agents(now)
                 self._record_overdue_runs()
+                self._abandon_departed(self.jobs.values())
             self.place_tasks()
             self._reject_late_jobs()
             self._answer_untried_suspects()
 
-    def _check_suspension(self, now):
-        """Pause placement if the process was suspended since the last tick."""
-        if now - self._last_tick > self.cfg.suspension_threshold:
-            log.warning("suspended gap=%.3f", now - self._last_tick)
-            self._last_tick = now
-            self._placement_resumes_at = trio.current_time() + self.cfg.placement_pause
-
-    async def submit(self, spec, queue, deadline_s):
+    async def submit(self, spec, queue, deadline_s, caller=None):
         """Run a job until it ends or its deadline passes.
 
         A duplicate of a job in progress shares the outcome of that job. At the
@@ -111,13 +110,16 @@
             Queue of the job.
         deadline_s : float
             Seconds for which the caller waits for the answer.
+        caller : object or None
+            Connection of the caller, as `CallerPresence` takes it; None for a caller
+            in this process.
 
         Returns
         -------
         JobOutcome
             Outcome to report to the caller.
         """
-        job = Job(spec, queue, trio.current_time())
+        job = Job(spec, queue, trio.current_time(), caller)
         with trio.move_on_after(deadline_s):
             shared_outcome = await self._await_duplicate(spec.job_id)
             if shared_outcome is not None:
@@ -242,6 +244,26 @@
             job.is_abandoned = True
             self._finish(job, code)
 
+    def _abandon_departed(self, jobs):
+        """Abandon the unfinished jobs whose callers have closed their connections.
+
+        A caller's disconnect is usually read first, and cancels the submission. It is
+        not read while a further request on the connection waits for this job.
+        """
+        jobs = [job for job in jobs if not job.finished.is_set()]
+        if not jobs:
+            return
+        departed = self._presence.departed([job.caller for job in jobs])
+        for job in jobs:
+            if job.caller in departed:
+                log.info(
+                    "caller left id=%s queue=%s placed=%s",
+                    job.spec.job_id,
+                    job.queue.name,
+                    job.has_placed_task,
+                )
+                self._abandon(job, ResultCode.CANCELLED)
+
     def _close_job(self, job):
         """Stop the remaining runs of a finished job; count and log its outcome."""
         run_ids_by_agent = defaultdict(list)
@@ -304,13 +326,18 @@
     # Placement.
 
     def place_tasks(self):
-        """Place waiting tasks on agents with free capacity and order their runs."""
-        # A message may be handled before the first tick after a suspension.
-        self._check_suspension(self._clock())
-        if trio.current_time() < self._placement_resumes_at:
-            return
+        """Place waiting tasks on agents with free capacity and order their runs.
+
+        No run is ordered for a caller that has left: it may have submitted the job to
+        another entry, which runs it now.
+        """
+        checked_jobs = set()
         for task, view, expected_run_time_s in self.assigner.assign():
-            self._order_run(task, view, expected_run_time_s)
+            if task.job not in checked_jobs:
+                checked_jobs.add(task.job)
+                self._abandon_departed([task.job])
+            if not task.job.finished.is_set():
+                self._order_run(task, view, expected_run_time_s)
         self._flush_orders()
 
     def _order_run(self, task, view, expected_run_time_s):
--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -11,6 +11,7 @@
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.dispatch.coordinator import Coordinator
 from hornbeamshore.dispatch.metrics import DispatchMetrics
+from hornbeamshore.dispatch.presence import SocketPresence
 from hornbeamshore.dispatch.routing import RoutingReplica
 from hornbeamshore.dispatch.settings import DispatchSettings
 from hornbeamshore.serving.http_server import serve_http
@@ -140,7 +141,7 @@
     """
     stopping = trio.Event()
     metrics = DispatchMetrics()
-    coordinator = Coordinator(cfg.dispatch, metrics)
+    coordinator = Coordinator(cfg.dispatch, metrics, presence=SocketPresence())
     routing = RoutingReplica()
     metrics.register_gauges(coordinator, routing)
     registration_key = deployment_key(cfg.deployment, ENTRY_KEY_PREFIX + cfg.entry_id)
--- a/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/jobs.py
@@ -125,6 +125,8 @@
     received_at, due_at : float
         Trio clock times at which the job was submitted and at which its last run
         must end to meet the response-time objective.
+    caller : object or None
+        Connection of the caller; None for a caller in this process.
     has_placed_task : bool
         Whether any task has been placed.
     may_have_run : bool
@@ -148,10 +150,11 @@
         Tasks of each step.
     """
 
-    def __init__(self, spec, queue, received_at):
+    def __init__(self, spec, queue, received_at, caller=None):
         self.spec = spec
         self.queue = queue
         self.received_at = received_at
+        self.caller = caller
         self.due_at = float("inf")
         self.has_placed_task = self.may_have_run = False
         self.is_registered = self.is_abandoned = False
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -131,11 +131,8 @@
     idle_tick : Duration
         Interval at which lost agents and overdue runs are checked.
     suspension_threshold : Duration
-        Gap between two ticks above which the process is taken to have been
-        suspended. The platform allows suspensions of up to 300 ms to go undetected.
-    placement_pause : Duration
-        Time after a suspension during which no task is placed, so that disconnects
-        received during the suspension are processed first.
+        Gap between two ticks above which the log says that the process was suspended
+        or did not get the processor.
     avoid_time : Duration
         Time for which a task is not placed again on an agent where its run did not
         succeed.
@@ -165,5 +162,4 @@
     tick: Duration = Duration(0.02)
     idle_tick: Duration = Duration(0.1)
     suspension_threshold: Duration = Duration(0.3)
-    placement_pause: Duration = Duration(0.1)
     avoid_time: Duration = Duration(0.1)
--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -25,6 +25,9 @@
 FLUSH_TIMEOUT_S = 1.0
 FLUSH_POLL_INTERVAL_S = 0.005
 
+# Key of the connection's socket in the state of an ASGI scope.
+SOCKET_STATE = "socket"
+
 _log = PartLogger("entry")
 
 
@@ -41,7 +44,8 @@
     Parameters
     ----------
     app : callable
-        ASGI application.
+        ASGI application. The state of its scopes holds the socket of the connection
+        under `SOCKET_STATE`.
     listeners : list of trio.SocketListener
         Listeners; they are closed ``cfg.linger`` after `stopping` is set.
     cfg : HttpSettings
@@ -61,7 +65,7 @@
             ASGIWrapper(request_counter),
             config,
             worker_context,
-            ConnectionState({}),
+            ConnectionState({SOCKET_STATE: stream.socket}),
             stream,
         ).run()
 
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -11,6 +11,7 @@
 from hornbeamshore.dispatch.coordinator import Coordinator
 from hornbeamshore.dispatch.metrics import DispatchMetrics
 from hornbeamshore.dispatch.model import JobSpec, Queue, Step
+from hornbeamshore.dispatch.presence import CallerPresence
 from hornbeamshore.dispatch.settings import DispatchSettings
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import (
@@ -158,14 +159,32 @@
         Cancels the submission, as a disconnect of the caller does.
     """
 
-    def __init__(self, nursery, coordinator, spec, queue=QUEUE, deadline_s=10.0):
+    def __init__(
+        self, nursery, coordinator, spec, queue=QUEUE, deadline_s=10.0, caller=None
+    ):
         self.outcome = None
         self.scope = trio.CancelScope()
-        nursery.start_soon(self._run, coordinator, spec, queue, deadline_s)
+        nursery.start_soon(self._run, coordinator, spec, queue, deadline_s, caller)
 
-    async def _run(self, coordinator, spec, queue, deadline_s):
+    async def _run(self, coordinator, *submission):
         with self.scope:
-            self.outcome = await coordinator.submit(spec, queue, deadline_s)
+            self.outcome = await coordinator.submit(*submission)
+
+
+class FakePresence(CallerPresence):
+    """Presence of callers as the test sets it.
+
+    Attributes
+    ----------
+    departed_callers : set
+        Callers that have closed their connections.
+    """
+
+    def __init__(self):
+        self.departed_callers = set()
+
+    def departed(self, callers):
+        return self.departed_callers & set(callers)
 
 
 @pytest.fixture(autouse=True)
@@ -175,9 +194,14 @@
 
 
 @pytest.fixture
-async def coordinator(autojump_clock, nursery):
+def presence():
+    return FakePresence()
+
+
+@pytest.fixture
+async def coordinator(autojump_clock, nursery, presence):
     coordinator = Coordinator(
-        DispatchSettings("perth"), DispatchMetrics(), trio.current_time
+        DispatchSettings("perth"), DispatchMetrics(), trio.current_time, presence
     )
     nursery.start_soon(coordinator.run)
     return coordinator
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -321,22 +321,6 @@
     assert len(other.orders) == 1
 
 
-async def test_placement_pauses_after_suspension(
-    autojump_clock, nursery, agent, coordinator
-):
-    """Guards against runs for a caller that disconnected during a suspension."""
-    suspended_s = 0.0
-    coordinator._clock = lambda: trio.current_time() + suspended_s
-    await trio.sleep(0.1)
-    suspended_s = 5.0
-    await trio.sleep(0.03)
-    Submission(nursery, coordinator, make_job(1, estimate_s=5.0))
-    await trio.sleep(0.02)
-    assert agent.orders == {}
-    await trio.sleep(0.2)
-    assert len(agent.orders) == 1
-
-
 @pytest.mark.parametrize(
     ("changes", "labels", "runs"),
     [
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -38,7 +38,7 @@
         self.submitted = []
         self.cancelled = trio.Event()
 
-    async def submit(self, spec, queue, deadline_s):
+    async def submit(self, spec, queue, deadline_s, caller):
         self.submitted.append((spec, queue.name, deadline_s))
         if self.outcome is None:
             try:
