Refuse an order that is older than the lease of its entry

What a process reads after it has been suspended, or got no processor time, is taken for news. A woken agent reads an order that its entry has given up meanwhile, renews the lease of the entry by it and starts the run. That the connection has been reset by the entry does not help: the frame is in the socket of the agent. Likewise, an order queued by an entry before it was suspended is written when it wakes.

In the tests, an order read 1.0 or 3.0 s after it was sent was started; there was no way to tell its age.

Change: each batch of the inner protocol carries the clock of its sender and a lower bound of the clock of its receiver, worked out from the batches that came the other way. No clocks need to agree. The bound is that of the moment at which the oldest message of the batch was queued. The rule drop_with_connection of the model, which assumed that undelivered starts are lost with their connection, is replaced by orders_expire.

--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -42,10 +42,10 @@
 
     def handle(self, conn, message):
         """Handle an order, a stop or an acknowledgement; ignore other messages."""
-        self._runner.renew_lease(self._session)
+        self._runner.renew_lease(self._session, conn.sent_at)
         body = message.body
         if isinstance(body, RunTasks):
-            self._runner.order_runs(self._session, message.id, body)
+            self._runner.order_runs(self._session, message.id, body, conn.sent_at)
         elif isinstance(body, StopRuns):
             self._runner.stop_runs(self._session, body.run_ids)
         elif isinstance(body, AckRuns):
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -99,7 +99,7 @@
                 self._stop_entry_runs(session, "entry restarted")
             session = Session(peer.process_id, peer.incarnation, self.clock())
             self.sessions[peer.process_id] = session
-        self.renew_lease(session)
+        self.renew_lease(session, self.clock())
         session.attach(conn)
         log.info(
             "entry attached id=%s runs=%d ends=%d",
@@ -115,15 +115,21 @@
         if self.supervisor.has_adopted:
             self._reporter.send_run_list(session)
 
-    def renew_lease(self, session):
-        """Renew the lease of an entry after a message or connection from it.
+    def renew_lease(self, session, sent_at):
+        """Renew the lease of an entry by a message or connection from it.
 
         A lease that has expired meanwhile is not extended: after a suspension, messages
         that were sent long before may be received ahead of the next lease check.
+
+        Parameters
+        ----------
+        session : Session
+            Session of the entry.
+        sent_at : float
+            Time on the clock at or after which the entry has sent the message.
         """
-        now = self.clock()
-        self._expire_lease(session, now)
-        session.last_heard = now
+        self._expire_lease(session, self.clock())
+        session.last_heard = max(session.last_heard, sent_at)
 
     def send_pending_report(self, session):
         """Send an entry the results and changes that it was not sent yet."""
@@ -133,11 +139,34 @@
         """Return the report to send to an entry as a heartbeat, or None."""
         return self._reporter.heartbeat(session)
 
-    def order_runs(self, session, message_id, body):
+    def order_runs(self, session, message_id, body, sent_at):
         """Start or refuse the runs that an entry orders.
 
-        No run waits here for capacity: the entry can place a refused one elsewhere.
+        No run waits here for capacity: the entry can place a refused one elsewhere. An
+        order that is older than the lease of its entry is refused, since the entry may
+        have given it up.
+
+        Parameters
+        ----------
+        session : Session
+            Session of the entry.
+        message_id : int
+            Id of the message.
+        body : RunTasks
+            Order.
+        sent_at : float
+            Time on the clock at or after which the entry has sent the order.
         """
+        age_s = self.clock() - sent_at
+        is_expired = age_s > self.cfg.lease.entry_lease
+        if is_expired:
+            log.warning(
+                "order expired entry=%s job=%s runs=%d age_ms=%.0f",
+                session.entry_id,
+                body.job_id,
+                len(body.orders),
+                age_s * 1000,
+            )
         session.last_order_id = message_id
         self._runs_ordered.set()
         for order in body.orders:
@@ -145,7 +174,9 @@
                 continue
             run = Run(session, body, order)
             session.add_run(run)
-            refusal = self._refusal_code(run)
+            refusal = (
+                ResultCode.START_EXPIRED if is_expired else self._refusal_code(run)
+            )
             if refusal is None:
                 self._admit(run)
             else:
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -16,8 +16,8 @@
     ends : dict of int to RunEnd
         Results that the entry has not acknowledged, by run id.
     last_heard : float
-        Boot time, in seconds, at which the last message or connection of the entry was
-        processed.
+        Boot time, in seconds, at or after which the entry has sent the last message or
+        opened the last connection.
     last_order_id : int
         Id of the last order received on the current connection.
     last_loss_sent : int
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -149,4 +149,6 @@
   60: optional RunTasks run_tasks, 61: optional StopRuns stop_runs,
   62: optional AckRuns ack_runs, 63: optional AgentReport agent_report
 }
-struct Batch { 1: list<Message> messages }
+// Clocks in milliseconds, 0 if unknown: that of the sender, and a lower bound of that of
+// the receiver.
+struct Batch { 1: list<Message> messages, 2: i64 sender_ms, 3: i64 receiver_ms }
--- a/packages/wire/src/hornbeamshore/wire/codec.py
+++ b/packages/wire/src/hornbeamshore/wire/codec.py
@@ -14,6 +14,7 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
+from hornbeamshore.wire.clocks import Timing
 from hornbeamshore.wire.gen.hornbeamshore import ttypes
 from hornbeamshore.wire.messages import BODY_FIELDS, Message
 
@@ -30,17 +31,35 @@
     """The payload of a frame is not a valid batch of messages."""
 
 
-def encode_batch(messages):
-    """Return a sequence of `Message` encoded as one Thrift ``Batch``."""
-    structs = [_message_to_struct(message) for message in messages]
+def encode_batch(messages, timing=None):
+    """Return a sequence of `Message` encoded as one Thrift ``Batch``.
+
+    Parameters
+    ----------
+    messages : sequence of Message
+        Messages.
+    timing : Timing or None
+        Clocks at the sending of the batch.
+    """
+    batch = ttypes.Batch([_message_to_struct(message) for message in messages])
+    if timing is not None:
+        batch.sender_ms, batch.receiver_ms = timing.sender_ms, timing.receiver_ms
     transport = TMemoryBuffer()
-    ttypes.Batch(messages=structs).write(_PROTOCOL_FACTORY.getProtocol(transport))
+    batch.write(_PROTOCOL_FACTORY.getProtocol(transport))
     return transport.getvalue()
 
 
 def decode_batch(data):
     """Return the list of `Message` encoded in the payload of one frame.
 
+    Raises the errors of `decode_timed_batch`.
+    """
+    return decode_timed_batch(data)[0]
+
+
+def decode_timed_batch(data):
+    """Return the messages and the `Timing` encoded in the payload of one frame.
+
     Raises
     ------
     CodecError
@@ -54,7 +73,8 @@
         raise CodecError(f"frame is not a valid batch: {exc}") from exc
     if batch.messages is None or len(batch.messages) > MAX_MESSAGES_PER_BATCH:
         raise CodecError("batch has no message list or exceeds the message limit")
-    return [_message_from_struct(struct) for struct in batch.messages]
+    messages = [_message_from_struct(struct) for struct in batch.messages]
+    return messages, Timing(batch.sender_ms or 0, batch.receiver_ms or 0)
 
 
 def _message_to_struct(message):
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -15,9 +15,11 @@
 
 import trio
 
+from hornbeamshore.base.clock import boot_time_s
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.wire import codec, framing, handshake
+from hornbeamshore.wire.clocks import PeerClock, Timing
 from hornbeamshore.wire.messages import Heartbeat, Message
 
 MAX_OUTBOX_MESSAGES = 100_000
@@ -129,6 +131,9 @@
         Heartbeat interval and timeouts.
     reader : FrameReader or None
         Reader used for the handshake, which may have buffered further bytes.
+    clock : callable
+        Returns the time in seconds by which the age of messages is measured; it
+        includes the time for which the host is suspended.
 
     Attributes
     ----------
@@ -140,14 +145,18 @@
         Totals since the connection opened; bytes exclude the length prefixes.
     last_received_at : float
         Trio time at which the last frame from the peer was received.
+    sent_at : float
+        Time on the clock at or after which the peer has sent the messages that are
+        being handled.
     closed_by_peer : bool
         Whether the stream was closed or reset by the peer or its host, rather than
         closed by this process, for example after a timeout.
     """
 
-    def __init__(self, stream, peer, cfg, reader=None):
+    def __init__(self, stream, peer, cfg, reader=None, clock=boot_time_s):
         self.peer = peer
         self.cfg = cfg
+        self.sent_at = clock()
         self.is_open = self.is_active = True
         self.closed_by_peer = False
         self.last_received_at = self._active_since = trio.current_time()
@@ -157,7 +166,10 @@
         self._reader = reader or framing.FrameReader(stream)
         self._reader.max_bytes = framing.MAX_FRAME_BYTES
         self._message_ids = itertools.count(1)
+        self._clock = clock
+        self._peer_clock = PeerClock()
         self._outbox = []
+        self._oldest_queued_at = 0.0
         self._write_requested = trio.Event()
         self._is_writing = False
         self._write_expires_at = 0.0
@@ -182,6 +194,8 @@
         if not self.is_open:
             raise NotSent(f"{self!r} is already closed")
         message = Message(next(self._message_ids), reply_to, body)
+        if not self._outbox:
+            self._oldest_queued_at = self._clock()
         self._outbox.append(message)
         if len(self._outbox) > MAX_OUTBOX_MESSAGES:
             log.warning("send queue full peer=%s", self.peer.process_id)
@@ -324,10 +338,11 @@
 
     def _handle_payload(self, payload, handler):
         try:
-            messages = codec.decode_batch(payload)
+            messages, timing = codec.decode_timed_batch(payload)
         except codec.CodecError as exc:
             log.warning("invalid frame received peer=%s: %s", self.peer.process_id, exc)
             return False
+        self._apply_timing(timing)
         self.messages_received += len(messages)
         for message in messages:
             channel = self._reply_channels.pop(message.reply_to, None)
@@ -338,6 +353,13 @@
                 handler.handle(self, message)
         return True
 
+    def _apply_timing(self, timing):
+        now = self._clock()
+        if timing.sender_ms:
+            self._peer_clock.observe(timing.sender_ms, now)
+        # Before it has a reading of this clock, the peer sends its first messages only.
+        self.sent_at = min(now, max(self.sent_at, timing.receiver_ms / 1000))
+
     async def _write_loop(self, handler):
         written_at = trio.current_time()
         while self.is_open:
@@ -381,7 +403,12 @@
         while self._outbox:
             limit = codec.MAX_MESSAGES_PER_BATCH
             batch, self._outbox = self._outbox[:limit], self._outbox[limit:]
-            payload = codec.encode_batch(batch)
+            # The process may have been suspended since the first message was queued.
+            queued_at = self._oldest_queued_at
+            timing = Timing(
+                int(self._clock() * 1000), self._peer_clock.bound_ms(queued_at)
+            )
+            payload = codec.encode_batch(batch, timing)
             self._is_writing = True
             self._write_expires_at = trio.current_time() + self.cfg.dead_after
             self._write_scope = trio.CancelScope(deadline=self._write_deadline())
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -6765,16 +6765,22 @@
     """
     Attributes:
      - messages
+     - sender_ms
+     - receiver_ms
 
     """
 
     __slots__ = (
         'messages',
+        'sender_ms',
+        'receiver_ms',
     )
 
 
-    def __init__(self, messages=None,):
+    def __init__(self, messages=None, sender_ms=None, receiver_ms=None,):
         self.messages = messages
+        self.sender_ms = sender_ms
+        self.receiver_ms = receiver_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6796,6 +6802,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sender_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.receiver_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6813,6 +6829,14 @@
                 iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.sender_ms is not None:
+            oprot.writeFieldBegin('sender_ms', TType.I64, 2)
+            oprot.writeI64(self.sender_ms)
+            oprot.writeFieldEnd()
+        if self.receiver_ms is not None:
+            oprot.writeFieldBegin('receiver_ms', TType.I64, 3)
+            oprot.writeI64(self.receiver_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -7362,6 +7386,8 @@
 Batch.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'messages', (TType.STRUCT, [Message, None], False), None, ),  # 1
+    (2, TType.I64, 'sender_ms', None, None, ),  # 2
+    (3, TType.I64, 'receiver_ms', None, None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/spec/dispatching.py
+++ b/spec/dispatching.py
@@ -36,7 +36,6 @@
 
 # Times in ticks, in the same order as those of `LeaseSettings`: the lease of an entry
 # at an agent and that of an agent at its target both expire before a caller resubmits.
-CONNECTION_TIMEOUT_TICKS = 1
 ENTRY_LEASE_TICKS = 2
 TARGET_LEASE_TICKS = 2
 RESEND_TICKS = 3
@@ -75,8 +74,9 @@
         An agent lists its runs to entries only after it has adopted its target.
     read_before_placing : bool
         An entry reads the disconnect of its caller before it places a run.
-    drop_with_connection : bool
-        Starts that are not yet delivered are lost with their connection.
+    orders_expire : bool
+        An agent refuses a start that it reads later than the duration of the entry
+        lease after it was sent, whether or not its connection is still open.
     agents_outlive_callers : bool
         An assumption: no agent or target is lost between the loss of an entry, or of
         its caller, and the resubmission. Without it, the two leases expire one after
@@ -93,7 +93,7 @@
     fence_on_adoption: bool = True
     list_after_adoption: bool = True
     read_before_placing: bool = True
-    drop_with_connection: bool = True
+    orders_expire: bool = True
     agents_outlive_callers: bool = True
 
 
@@ -165,7 +165,7 @@
     def _run_steps(self, state, number, run):
         agent = state.agents[run.agent]
         is_linked = self._is_linked(state, run.entry, agent)
-        if run.in_flight and is_linked and agent.adopted:
+        if run.in_flight and agent.adopted:
             yield Deliver(number)
         if run.pending:
             yield Execute(number)
@@ -381,11 +381,8 @@
             idle_ticks=idle_ticks,
             target_silence_ticks=target_silence_ticks,
         )
-        if (
-            silence_ticks >= CONNECTION_TIMEOUT_TICKS
-            and self.rules.drop_with_connection
-        ):
-            state = self._drop_undelivered_starts(state, number)
+        if silence_ticks >= ENTRY_LEASE_TICKS and self.rules.orders_expire:
+            state = self._expire_undelivered_starts(state, number)
         if target_silence_ticks < TARGET_LEASE_TICKS or not self.rules.target_lease:
             return state
         for position, run in enumerate(state.runs):
@@ -394,8 +391,8 @@
                 state = self._with_run(state, position, active=False, pending=False)
         return state
 
-    def _drop_undelivered_starts(self, state, agent):
-        """Drop entry 0's undelivered starts to an agent that closed the connection."""
+    def _expire_undelivered_starts(self, state, agent):
+        """Drop entry 0's starts that an agent refuses if it reads them later."""
         for number, run in enumerate(state.runs):
             if run.entry == 0 and run.agent == agent:
                 state = self._with_run(state, number, in_flight=False)
@@ -440,6 +437,6 @@
     _broken("fence_on_adoption"),
     _broken("list_after_adoption", added_later=True),
     _broken("read_before_placing", added_later=True),
-    _broken("drop_with_connection", added_later=True),
+    _broken("orders_expire", added_later=True),
     _broken("agents_outlive_callers", added_later=True),
 )
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -336,11 +336,17 @@
         agent_stream, entry_stream = trio.testing.memory_stream_pair()
         is_near = entry_identity.data_centre == agent_identity.data_centre
         delay_s = 0.0002 if is_near else 0.0007
-        agent_conn = Connection(
-            DelayedStream(agent_stream, delay_s), entry_identity, WIRE_SETTINGS
-        )
-        entry_conn = Connection(
-            DelayedStream(entry_stream, delay_s), agent_identity, WIRE_SETTINGS
+        agent_conn, entry_conn = (
+            Connection(
+                DelayedStream(stream, delay_s),
+                peer,
+                WIRE_SETTINGS,
+                clock=trio.current_time,
+            )
+            for stream, peer in (
+                (agent_stream, entry_identity),
+                (entry_stream, agent_identity),
+            )
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(entry_conn.run, entry)
--- a/tests/platform/test_restarted_target.py
+++ b/tests/platform/test_restarted_target.py
@@ -99,7 +99,9 @@
             if runner.state().accepting:
                 run_id += 1
                 order = RunOrder(run_id, 0, run_id, 1, Resources(100, 1, 0))
-                runner.order_runs(session, 1, RunTasks("j1", "content", (order,)))
+                runner.order_runs(
+                    session, 1, RunTasks("j1", "content", (order,)), runner.clock()
+                )
                 await wait_until(lambda: len(target.starts) == run_id)  # noqa: B023
         assert session.ends == {}
         assert len(session.runs) == len(target.running) == run_id > 0
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -286,7 +286,7 @@
         await trio.sleep(0.1)
         for session in runner.sessions.values():
             if session.conn is not None and session.conn.is_receiving:
-                runner.renew_lease(session)
+                runner.renew_lease(session, runner.clock())
 
 
 @pytest.fixture
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -26,9 +26,9 @@
     """Guards against evidence that only the entry of the lost runs has."""
     first, second = FakeConnection("entry-1"), FakeConnection("entry-2")
     with attached(runner, first) as session, attached(runner, second):
-        runner.order_runs(session, 1, order_tasks(1, job_id="j1"))
+        runner.order_runs(session, 1, order_tasks(1, job_id="j1"), runner.clock())
         await trio.sleep(0.1)
-        runner.order_runs(session, 2, order_tasks(2, job_id="j2"))
+        runner.order_runs(session, 2, order_tasks(2, job_id="j2"), runner.clock())
         await trio.sleep(0.01)
         target.crash()
         await trio.sleep(0.5)
@@ -46,7 +46,7 @@
     """Guards against a restarted entry that starts deadly tasks again."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.crash()
         await trio.sleep(3.0)
@@ -67,7 +67,7 @@
     """Guards against a silent target that is taken for a crashed one."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         if event == "silence":
             target.is_silent = True
@@ -96,7 +96,7 @@
     target.start_delay_s = 0.2
     with attached(runner, conn) as session:
         orders = order_tasks(1, 2, 3, 4, 5, cpu_millis=1000)
-        runner.order_runs(session, 1, orders)
+        runner.order_runs(session, 1, orders, runner.clock())
         await trio.sleep(0.01)
         runner.target_lost(LossReason.REFUSED)
         started = len(losses_of(conn)[0].runs)
@@ -110,16 +110,16 @@
     """Guards against innocent runs that are lost in the trial of a suspect."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_isolated(1))
-        runner.order_runs(session, 2, order_isolated(2, "s2"))
-        runner.order_runs(session, 3, order_tasks(3, cpu_millis=1000))
+        runner.order_runs(session, 1, order_isolated(1), runner.clock())
+        runner.order_runs(session, 2, order_isolated(2, "s2"), runner.clock())
+        runner.order_runs(session, 3, order_tasks(3, cpu_millis=1000), runner.clock())
         await trio.sleep(0.05)
         assert {run_id: end.code for run_id, end in conn.ends.items()} == {
             2: ResultCode.NO_FREE_SLOT,
             3: ResultCode.NO_FREE_SLOT,
         }
         await trio.sleep(runner.cfg.trial_time)
-        runner.order_runs(session, 4, order_isolated(4, "s4"))
+        runner.order_runs(session, 4, order_isolated(4, "s4"), runner.clock())
         await trio.sleep(0.05)
         assert len(target.running_runs) == 2
 
@@ -133,7 +133,7 @@
     with attached(runner, conn) as session:
         for number in range(3):
             order = order_tasks(number, job_id=f"j{number}", cpu_millis=1000)
-            runner.order_runs(session, number, order)
+            runner.order_runs(session, number, order, runner.clock())
         await trio.sleep(0.02)
         target.starts_to_leave_unanswered = 3
         target.crash()
@@ -146,6 +146,8 @@
         )
         await trio.sleep(0.05)
         assert conn.reports[-1].accepting
-        runner.order_runs(session, 9, order_tasks(9, 10, cpu_millis=1000))
+        runner.order_runs(
+            session, 9, order_tasks(9, 10, cpu_millis=1000), runner.clock()
+        )
         await trio.sleep(0.2)
         assert len(target.running_runs) == 2
--- a/tests/runner/test_restarts.py
+++ b/tests/runner/test_restarts.py
@@ -34,10 +34,10 @@
     target.started_ms = TARGET.started_ms
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.25)
         nursery.start_soon(watch_for_false_ends, conn, target)
-        runner.order_runs(session, 2, order_tasks(2))
+        runner.order_runs(session, 2, order_tasks(2), runner.clock())
         target.restart(2000)
         await trio.sleep(0.005)
         assert [task for task, _ in target.running_runs] == ["j1.0.0.2"]
@@ -61,7 +61,7 @@
     target.started_ms = TARGET.started_ms
     with attached(runner, conn) as session:
         for started_ms in (2000, 3000):
-            runner.order_runs(session, 1, order_tasks(started_ms))
+            runner.order_runs(session, 1, order_tasks(started_ms), runner.clock())
             await trio.sleep(0.2)
             target.end_run(f"j1.0.0.{started_ms}")
             await trio.sleep(0.2)
@@ -98,7 +98,7 @@
         await trio.sleep(0.3)
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.2)
         assert ("j1.0.0.1", 1) in target.started
         assert conn.ends == {}
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -31,8 +31,8 @@
     """Guards against runs beyond the capacity, or that wait while others are free."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1, 2))
-        runner.order_runs(session, 2, order_tasks(3, 4))
+        runner.order_runs(session, 1, order_tasks(1, 2), runner.clock())
+        runner.order_runs(session, 2, order_tasks(3, 4), runner.clock())
         await trio.sleep(0.1)
         assert len(target.running_runs) == 2
         assert {run_id: end.code for run_id, end in conn.ends.items()} == {
@@ -42,7 +42,7 @@
         assert all(end.run_state == RunState.NOT_RUN for end in conn.ends.values())
         target.end_run("j1.0.0.1")
         await trio.sleep(0.1)
-        runner.order_runs(session, 3, order_tasks(5))
+        runner.order_runs(session, 3, order_tasks(5), runner.clock())
         await trio.sleep(0.1)
         assert ("j1.0.0.5", 1) in target.started
 
@@ -53,16 +53,16 @@
     """Guards against runs that wait for a target while others could run them."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.drops_poll_answers = True
         await trio.sleep(0.3)
-        runner.order_runs(session, 2, order_tasks(2))
+        runner.order_runs(session, 2, order_tasks(2), runner.clock())
         assert conn.ends[2].code == ResultCode.TARGET_UNREACHABLE
         assert conn.ends[2].run_state == RunState.NOT_RUN
         target.drops_poll_answers = False
         await trio.sleep(0.3)
-        runner.order_runs(session, 3, order_tasks(3))
+        runner.order_runs(session, 3, order_tasks(3), runner.clock())
         await trio.sleep(0.1)
         assert ("j1.0.0.3", 1) in target.started
 
@@ -76,7 +76,7 @@
     """
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1, 2))
+        runner.order_runs(session, 1, order_tasks(1, 2), runner.clock())
         await trio.sleep(0.1)
         for sequence, cpu_millis, run_id, code in (
             (2, 2000, 3, ResultCode.NO_FREE_SLOT),
@@ -87,7 +87,7 @@
             runner.supervisor.handle_announcement(
                 announcement(sequence=sequence, capacity=capacity)
             )
-            runner.order_runs(session, sequence, order_tasks(run_id))
+            runner.order_runs(session, sequence, order_tasks(run_id), runner.clock())
             await trio.sleep(0.1)
             assert conn.reports[-1].free.cpu_millis <= cpu_millis - 6000
             assert (conn.ends[run_id].code if run_id in conn.ends else None) == code
@@ -108,7 +108,7 @@
     """Guards against losing a result with the connection that carried it."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.end_run("j1.0.0.1", kind)
         await trio.sleep(0.1)
@@ -129,7 +129,7 @@
     """Guards against concurrent runs of a job resubmitted after its entry was lost."""
     conn = FakeConnection()
     session = runner.attach(conn)
-    runner.order_runs(session, 1, order_tasks(1))
+    runner.order_runs(session, 1, order_tasks(1), runner.clock())
     await trio.sleep(0.1)
     if silence == "disconnected":
         session.detach(conn)
@@ -146,7 +146,7 @@
 ):
     """Guards against running tasks for an entry that lost its jobs in a restart."""
     session = runner.attach(FakeConnection(incarnation=1))
-    runner.order_runs(session, 1, order_tasks(1))
+    runner.order_runs(session, 1, order_tasks(1), runner.clock())
     await trio.sleep(0.1)
     runner.attach(FakeConnection(incarnation=2))
     await trio.sleep(0.1)
@@ -156,7 +156,7 @@
 async def test_an_entry_that_reconnects_keeps_its_runs(autojump_clock, runner, target):
     """Guards against stopping runs because a single connection was closed."""
     with attached(runner, FakeConnection()) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
     await trio.sleep(0.3)
     conn = FakeConnection()
@@ -172,7 +172,7 @@
     target.starts_to_leave_unanswered = 1
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(1.0)
         assert conn.ends[1].code == ResultCode.OUTCOME_UNKNOWN
         assert conn.ends[1].run_state == RunState.NOT_RUN
@@ -186,7 +186,7 @@
     target.starts_to_leave_unanswered = 1
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.0005)
         runner.stop_runs(session, [1])
         await trio.sleep(1.0)
@@ -201,7 +201,9 @@
     conn = FakeConnection()
     with attached(runner, conn) as session:
         for run_id in (1, 2):
-            runner.order_runs(session, run_id, order_tasks(run_id, index=0))
+            runner.order_runs(
+                session, run_id, order_tasks(run_id, index=0), runner.clock()
+            )
             await trio.sleep(0.1)
             target.end_run("j1.0.0.0")
             await trio.sleep(0.1)
@@ -215,7 +217,7 @@
     """
     target.refused_runs.add(("j1.0.0.1", 5))
     with attached(runner, FakeConnection()) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.2)
         assert len(target.running_runs) == 1
 
@@ -224,7 +226,7 @@
     """Guards against waiting for results of runs that ended with their target."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.running_runs.clear()
         target.incarnation_id = "t-2"
@@ -242,7 +244,7 @@
     """Guards against runs held back, and further ones ordered, after a crash."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.crash()
         await trio.sleep(0.1)
@@ -254,7 +256,7 @@
     """Guards against ending the runs of a target whose listener was busy once."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.refusals = 1
         await trio.sleep(0.5)
@@ -268,7 +270,7 @@
     """Guards against reporting a run as ended while it may still be running."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.is_silent = True
         await trio.sleep(0.9)
@@ -285,7 +287,7 @@
     target.start_delay_s = 0.1
     polls = target.polls
     with attached(runner, FakeConnection()) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.3)
         target.end_run("j1.0.0.1")
         await trio.sleep(0.1)
@@ -298,7 +300,7 @@
     """Guards against a second run while unanswered polls renew the first lease."""
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         target.drops_poll_answers = True
         for _ in range(500):
@@ -320,7 +322,7 @@
             announcement(incarnation_id="t-2", started_ms=2000)
         )
         await trio.sleep(0.2)
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         runner.supervisor.handle_replacement(old, TargetReplaced("status 421"))
         assert runner.supervisor.takeover is not None
@@ -338,12 +340,12 @@
     """
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.15)
         conn.is_receiving = False
         runner.clock = lambda: trio.current_time() + 5.0
         if first_event == "message":
-            runner.renew_lease(session)
+            runner.renew_lease(session, runner.clock())
         elif first_event == "connection":
             runner.attach(FakeConnection())
         await trio.sleep(0.2)
@@ -363,7 +365,7 @@
     conn = FakeConnection()
     with attached(runner, conn) as session:
         runner.supervisor.handle_announcement(announcement(sequence=2, leaving=True))
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         assert conn.ends[1].code == ResultCode.AGENT_LEAVING
         assert not conn.reports[-1].accepting
@@ -417,7 +419,12 @@
         if failure == "unhealthy":
             target.start_answer = StartResult.UNHEALTHY
         for number in (1, 2):
-            runner.order_runs(session, number, order_tasks(number, job_id=f"j{number}"))
+            runner.order_runs(
+                session,
+                number,
+                order_tasks(number, job_id=f"j{number}"),
+                runner.clock(),
+            )
             await trio.sleep(0.05)
             if failure == "failed":
                 target.end_run(f"j{number}.0.0.{number}", RunOutcome.FAILED)
@@ -435,7 +442,7 @@
     conn = FakeConnection()
     with attached(runner, conn) as session:
         for number in (1, 2, 3):
-            runner.order_runs(session, number, order_tasks(number))
+            runner.order_runs(session, number, order_tasks(number), runner.clock())
             await trio.sleep(0.05)
             target.end_run(f"j1.0.0.{number}", RunOutcome.FAILED)
             await trio.sleep(0.05)
@@ -454,7 +461,7 @@
     conn = FakeConnection()
     target.stalled_tasks = {"j1.0.0.1"} if stalled else set()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1, attempt=attempt))
+        runner.order_runs(session, 1, order_tasks(1, attempt=attempt), runner.clock())
         await trio.sleep(2.0)
         assert (1 in conn.ends) is ends
         assert bool(target.running_runs) is not ends
@@ -493,7 +500,9 @@
         sessions = [stack.enter_context(attached(runner, conn)) for conn in conns]
         before = sum(len(conn.reports) for conn in conns)
         for number in range(10):
-            runner.order_runs(sessions[0], number + 1, order_tasks(number + 1))
+            runner.order_runs(
+                sessions[0], number + 1, order_tasks(number + 1), runner.clock()
+            )
             await trio.sleep(0.05)
             target.end_run(f"j1.0.0.{number + 1}")
             await trio.sleep(0.05)
@@ -539,7 +548,7 @@
     conn = FakeConnection()
     with attached(runner, conn) as session:
         assert not conn.is_active
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         assert conn.is_active
         await trio.sleep(0.1)
         target.end_run("j1.0.0.1")
@@ -573,7 +582,7 @@
         )
         await trio.sleep(0.3)
         with attached(runner, FakeConnection(incarnation=number)) as session:
-            runner.order_runs(session, 1, order_tasks(1))
+            runner.order_runs(session, 1, order_tasks(1), runner.clock())
             await trio.sleep(0.02)
     if event == "departed":
         runner.supervisor.handle_departure("t-2")
@@ -612,7 +621,7 @@
     await trio.sleep(0.3)
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
         assert not conn.reports[0].accepting
         assert conn.ends[1].run_state == RunState.NOT_RUN
@@ -627,7 +636,10 @@
     # Processes that other tests run in place replace the handlers that caplog needs.
     monkeypatch.setattr("hornbeamshore.runner.runner.log", log)
     runner.order_runs(
-        runner.attach(FakeConnection(incarnation=1)), 1, order_tasks(1, job_id="job-7")
+        runner.attach(FakeConnection(incarnation=1)),
+        1,
+        order_tasks(1, job_id="job-7"),
+        runner.clock(),
     )
     await trio.sleep(0.1)
     runner.attach(FakeConnection(incarnation=2))
@@ -649,11 +661,11 @@
     """
     conn = FakeConnection()
     with attached(runner, conn) as session:
-        runner.order_runs(session, 1, order_tasks(1))
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.2)
         if lost_answers == "starts":
             target.starts_to_leave_unanswered = 1
-            runner.order_runs(session, 2, order_tasks(2))
+            runner.order_runs(session, 2, order_tasks(2), runner.clock())
         else:
             target.drops_poll_answers = True
             target.end_run("j1.0.0.1")
@@ -663,3 +675,49 @@
         while set(conn.ends) != {2 if lost_answers == "starts" else 1}:
             assert trio.current_time() < ended_at
             await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "is_started"), [(0.0, True), (0.8, True), (1.0, False), (3.0, False)]
+)
+@pytest.mark.parametrize("reconnects", [False, True])
+async def test_an_order_from_before_a_suspension_is_refused(
+    autojump_clock, runner, target, age_s, is_started, reconnects
+):
+    """Guards against a run whose entry has given it up while the order was not read.
+
+    A woken agent may read the order before or after it connects to the entry again.
+    """
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        sent_at = runner.clock()
+        conn.is_receiving = False
+        await trio.sleep(age_s)
+        if reconnects:
+            session = runner.attach(conn)
+        runner.renew_lease(session, sent_at)
+        runner.order_runs(session, 1, order_tasks(1), sent_at)
+        await trio.sleep(0.05)
+        assert bool(target.running_runs) is is_started
+        if not is_started:
+            assert conn.ends[1].code == ResultCode.START_EXPIRED
+            assert conn.ends[1].run_state == RunState.NOT_RUN
+
+
+async def test_a_lease_counts_from_the_sending_of_a_message(
+    autojump_clock, runner, target
+):
+    """Guards against runs that outlive their entry in an agent that reads late.
+
+    The caller of a lost entry submits its job again after 1.3 s.
+    """
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        await trio.sleep(0.1)
+        conn.is_receiving = False
+        ended_at = runner.clock()
+        for _ in range(12):
+            await trio.sleep(0.1)
+            runner.renew_lease(session, ended_at)
+        assert not target.running_runs
