Decode what other programs write with one kind of error, within bounds

What callers saw: a value under the key of the configuration that nests very deeply ended every entry, and no job was answered. A heartbeat that nests very deeply was answered with 500. A heartbeat with a number that the inner protocol cannot carry ended the connections of its agent to all entries, over and over. A configuration with a version of 24 digits and no routes was put in force, and later ones were ignored.

Cause: decoders raise more than ValueError (msgspec raises RecursionError for deep nesting, thrift's accelerator RecursionError and MemoryError), and an error in one task of a process ends the process.

Change: decode_json raises msgspec.DecodeError, a ValueError, whatever is wrong, and is used for all JSON of the platform and of the project's own interfaces. The types of numbers, names and clocks have bounds where they are decoded. Rows in the answers of a target are checked; an answer with an invalid row is taken for none, since a row that was passed over would count as a run that has ended. Rejected items are logged and counted (hornbeamshore_rejected_inputs).

The fuzzing of decoders has missed these: it replaced values by small ones only and never by nested ones, it did not pass what was decoded on to the inner protocol, and its routing had routes of the wrong type, so that each example was rejected for this reason alone. All three are mended.

--- a/packages/agent/src/hornbeamshore/agent/configuration.py
+++ b/packages/agent/src/hornbeamshore/agent/configuration.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hornbeamshore.base.decoding import decode_json
 from hornbeamshore.base.hashing import content_digest
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.units import Duration, decode_unit
@@ -93,4 +94,4 @@
     raw = stream.decompress(content, MAX_SLICE_BYTES)
     if not stream.eof:
         raise ValueError("content is truncated or too large")
-    return msgspec.json.decode(raw, type=AgentSlice, dec_hook=decode_unit)
+    return decode_json(raw, AgentSlice, dec_hook=decode_unit)
--- a/packages/config/src/hornbeamshore/config/content.py
+++ b/packages/config/src/hornbeamshore/config/content.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from hornbeamshore.base.decoding import decode_json
 from hornbeamshore.base.units import decode_unit, encode_unit
 from hornbeamshore.config.model import Deployment
 
@@ -68,8 +69,8 @@
         raw = decompressor.decompress(data, MAX_RAW_BYTES)
         if not decompressor.eof:
             raise ContentError("content is truncated or exceeds its size limit")
-        return msgspec.json.decode(raw, type=ConfigValue, dec_hook=decode_unit)
-    except (zlib.error, msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        return decode_json(raw, ConfigValue, dec_hook=decode_unit)
+    except (zlib.error, msgspec.DecodeError) as exc:
         raise ContentError(f"content is not a valid deployment: {exc}") from exc
 
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/metrics.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/metrics.py
@@ -3,6 +3,8 @@
 import prometheus_client
 from prometheus_client.core import GaugeMetricFamily
 
+from hornbeamshore.serving.rejections import RejectionCollector
+
 # Response times range from tens of milliseconds to about ten seconds.
 JOB_SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0, 13.0)
 
@@ -37,6 +39,7 @@
             ["code"],
             registry=self.registry,
         )
+        self.registry.register(RejectionCollector())
 
     def register_gauges(self, coordinator, routing):
         """Register gauges that are read from their sources at each scrape.
--- a/packages/dispatch/src/hornbeamshore/dispatch/routing.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/routing.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hornbeamshore.base.decoding import REJECTIONS
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.store.base import StoreError
 
@@ -83,3 +84,4 @@
             self.update(decode(item.value))
         except ValueError as exc:
             log.error("invalid routing ignored revision=%d: %s", item.mod_revision, exc)
+            REJECTIONS.record("routing", item.key, exc)
--- a/packages/entry/src/hornbeamshore/entry/http_requests.py
+++ b/packages/entry/src/hornbeamshore/entry/http_requests.py
@@ -8,6 +8,7 @@
 
 from hornbeamshore.base.clock import random_id, unix_ms
 from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.base.decoding import decode_json
 from hornbeamshore.base.types import (
     MAX_TASKS_PER_JOB,
     Header,
@@ -283,17 +284,17 @@
 def _decode(raw, body_type, location):
     # msgspec ignores unknown keys of data classes, which would hide misspelt keys.
     try:
-        keys = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+        keys = decode_json(raw, dict[str, msgspec.Raw])
         unknown = keys.keys() - body_type.__dataclass_fields__.keys()
         if unknown:
             known = ", ".join(sorted(body_type.__dataclass_fields__))
             raise malformed_request(
                 f"{location}: unknown key {min(unknown)!r}; known: {known}"
             )
-        return msgspec.json.decode(raw, type=body_type)
+        return decode_json(raw, body_type)
     except msgspec.ValidationError as exc:
         raise malformed_request(_locate_error(str(exc), location)) from exc
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+    except msgspec.DecodeError as exc:
         raise malformed_request(f"{location}: invalid JSON: {exc}") from exc
 
 
--- a/packages/entry/src/hornbeamshore/entry/http_responses.py
+++ b/packages/entry/src/hornbeamshore/entry/http_responses.py
@@ -2,11 +2,13 @@
 
 import base64
 import math
+import typing
 from dataclasses import dataclass
 
 import msgspec
 
 from hornbeamshore.base.codes import CODE_TABLE, ResultCode, RunState, refuse
+from hornbeamshore.base.decoding import decode_json
 from hornbeamshore.base.types import JobAnswer, JobKey
 from hornbeamshore.entry import http_headers
 
@@ -142,9 +144,9 @@
     if media_type == "application/json" or media_type.endswith("+json"):
         try:
             # The JSON is validated but copied unchanged, so numbers keep their digits.
-            msgspec.json.decode(result.body)
+            decode_json(result.body, typing.Any)
             return {**fields, "body": msgspec.Raw(result.body)}
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        except msgspec.DecodeError:
             pass
     encoded = base64.b64encode(result.body).decode("ascii")
     return {**fields, "body_base64": encoded}
--- a/packages/entry/src/hornbeamshore/entry/table.py
+++ b/packages/entry/src/hornbeamshore/entry/table.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hornbeamshore.base.decoding import decode_json
 from hornbeamshore.base.hashing import rendezvous_order
 from hornbeamshore.wire.messages import OwnerTable
 
@@ -30,7 +31,7 @@
         If the value is not a valid table.
     """
     try:
-        return msgspec.json.decode(data, type=OwnerTable)
+        return decode_json(data, OwnerTable)
     except msgspec.DecodeError as exc:
         raise TableError(f"invalid owner table: {exc}") from exc
 
--- a/packages/runner/src/hornbeamshore/runner/metrics.py
+++ b/packages/runner/src/hornbeamshore/runner/metrics.py
@@ -3,6 +3,8 @@
 import prometheus_client
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from hornbeamshore.serving.rejections import RejectionCollector
+
 # Tasks run for tens of milliseconds to several seconds.
 RUN_TIME_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 3.0, 5.0, 8.0)
 
@@ -37,6 +39,7 @@
             ["reason"],
             registry=self.registry,
         )
+        self.registry.register(RejectionCollector())
 
     def target_lost(self, reason):
         """Count a loss of the target during runs."""
--- a/packages/store/src/hornbeamshore/store/etcd.py
+++ b/packages/store/src/hornbeamshore/store/etcd.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from hornbeamshore.base.decoding import decode_json
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.store.base import (
@@ -471,16 +472,16 @@
 
 def _decode(content, response_type, *, maybe_written=False):
     try:
-        return msgspec.json.decode(content, type=response_type, strict=False)
-    except (msgspec.MsgspecError, ValueError) as exc:
+        return decode_json(content, response_type, strict=False)
+    except msgspec.DecodeError as exc:
         message = f"store returned a malformed response: {exc}"
         raise StoreUnavailable(message, maybe_written=maybe_written) from exc
 
 
 def _raise_error(status, content, is_write):
     try:
-        error = msgspec.json.decode(content, type=_ErrorResponse)
-    except msgspec.MsgspecError:
+        error = decode_json(content, _ErrorResponse)
+    except msgspec.DecodeError:
         error = _ErrorResponse(0, f"HTTP status {status}")
     if error.code == GRPC_NOT_FOUND and "lease" in error.message:
         raise LeaseNotFound(error.message)
--- a/packages/wire/src/hornbeamshore/wire/codec.py
+++ b/packages/wire/src/hornbeamshore/wire/codec.py
@@ -11,7 +11,6 @@
 import typing
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
 from hornbeamshore.wire.clocks import Timing
@@ -23,8 +22,6 @@
 # Thrift field names that differ from the data class: ``service`` is a Thrift keyword.
 _THRIFT_FIELD_NAMES = {"service": "service_name"}
 _PROTOCOL_FACTORY = TCompactProtocolAcceleratedFactory()
-# Exceptions that the accelerated decoder raises for malformed input.
-_DECODE_ERRORS = (TException, EOFError, TypeError, ValueError, OverflowError)
 
 
 class CodecError(ValueError):
@@ -69,8 +66,10 @@
     batch = ttypes.Batch()
     try:
         batch.read(_PROTOCOL_FACTORY.getProtocol(TMemoryBuffer(data)))
-    except _DECODE_ERRORS as exc:
-        raise CodecError(f"frame is not a valid batch: {exc}") from exc
+    except Exception as exc:
+        # The accelerated decoder raises errors of many types for malformed input,
+        # RecursionError for deep nesting and MemoryError for a false length among them.
+        raise CodecError(f"frame is not a valid batch: {exc!r}") from exc
     if batch.messages is None or len(batch.messages) > MAX_MESSAGES_PER_BATCH:
         raise CodecError("batch has no message list or exceeds the message limit")
     messages = [_message_from_struct(struct) for struct in batch.messages]
--- a/packages/wire/src/hornbeamshore/wire/establish.py
+++ b/packages/wire/src/hornbeamshore/wire/establish.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from hornbeamshore.base.decoding import split_address
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.wire import codec, framing, handshake
 from hornbeamshore.wire.connection import (
@@ -47,11 +48,11 @@
     HandshakeError
         If either process rejects the other.
     """
-    host, _, port = address.rpartition(":")
     async with contextlib.AsyncExitStack() as stack:
         try:
+            host, port = split_address(address)
             with trio.fail_after(cfg.dial_timeout):
-                stream = await trio.open_tcp_stream(host, int(port))
+                stream = await trio.open_tcp_stream(host, port)
                 await stack.enter_async_context(stream)
                 reader = _handshake_reader(stream)
                 send, receive = _handshake_channel(stream, reader)
@@ -59,7 +60,7 @@
         except OSError as exc:
             error_type = ConnectionRefused if _is_refused(exc) else ConnectionLost
             raise error_type(f"{address}: {exc}") from exc
-        except (trio.TooSlowError, trio.BrokenResourceError) as exc:
+        except (trio.TooSlowError, trio.BrokenResourceError, ValueError) as exc:
             raise ConnectionLost(f"{address}: {exc}") from exc
         yield Connection(stream, peer, cfg, reader)
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -69,7 +69,20 @@
         {"capacity": None},
         {"capacity": {"cpu": "many", "memMb": 1}},
         {"service": 7},
+        {"capacity": {"cpu": 2**31, "memMb": 1}},
+        {"capacity": {"cpu": 1, "memMb": 10**30}},
+        {"capacity": {"cpu": -1, "memMb": 1}},
+        {"seq": 2**63},
+        {"seq": -1},
+        {"clockMs": 1e300},
+        {"clockMs": -1},
+        {"born": 10**25},
+        {"born": 1.5},
+        {"labels": ["x" * 2000]},
+        {"labels": ["x"] * 2000},
+        {"service": "x" * 2000},
     ],
+    ids=str,
 )
 async def test_invalid_announcement_is_rejected(change):
     """Guards against an invalid announcement being used or ending the process."""
@@ -79,9 +92,14 @@
     assert (status, calls) == (400, [])
 
 
-async def test_body_that_is_not_json_is_rejected():
+@pytest.mark.parametrize(
+    "body",
+    [b"\xff\x00", b"[" * 100_000, b'{"labels":' + b"[" * 50_000 + b"]" * 50_000 + b"}"],
+    ids=["not JSON", "unclosed", "deep nesting"],
+)
+async def test_body_that_is_not_json_is_rejected(body):
     """Guards against a body that is not JSON ending the process."""
-    assert await put_announcement(b"\xff\x00") == (400, [])
+    assert await put_announcement(body) == (400, [])
 
 
 async def test_delete_reports_the_departure():
--- a/tests/platform/test_malformed_input.py
+++ b/tests/platform/test_malformed_input.py
@@ -1,6 +1,7 @@
 """Seeded fuzzing of what the platform sends: jobs, announcements and configurations."""
 
 import json
+import re
 
 import msgspec
 import pytest
@@ -13,6 +14,14 @@
 from hornbeamshore.platform.routing import decode_routing
 from hornbeamshore.platform.target import _PollResponse
 from hornbeamshore.runner.target import TargetIncarnation
+from hornbeamshore.wire import codec
+from hornbeamshore.wire.messages import (
+    AgentReport,
+    Message,
+    RunOrder,
+    RunTasks,
+    TargetDescription,
+)
 
 JOB = {
     "taskSpec": "text",
@@ -30,8 +39,51 @@
 }
 ROUTING = {
     "version": 3,
-    "routes": {"q": {"host": "h", "prefix": "/p/", "service": "s", "priority": 1}},
+    "routes": [
+        {"name": "q", "host": "h", "prefix": "/p/", "service": "s", "priority": 1}
+    ],
 }
+
+
+class NestedJson:
+    """Value that JSON encodes as lists in lists, deeper than any decoder follows."""
+
+    def __init__(self, depth):
+        self.depth = depth
+
+    def __repr__(self):
+        return f"NestedJson({self.depth})"
+
+
+def encode_json(content):
+    """Return content as JSON, with `NestedJson` values written out."""
+    text = json.dumps(content, default=lambda value: f"NESTED{value.depth}")
+
+    def write_out(match):
+        return "[" * int(match[1]) + "]" * int(match[1])
+
+    return re.sub(r'"NESTED(\d+)"', write_out, text).encode()
+
+
+def assert_encodable(value):
+    """Check that the inner protocol can carry what was decoded."""
+    if isinstance(value, TargetIncarnation):
+        description = TargetDescription(
+            value.incarnation_id, value.service, value.labels, value.capacity
+        )
+        body = AgentReport(True, value.capacity, 1, description=description)
+    elif isinstance(value, JobSpec):
+        orders = tuple(
+            RunOrder(1, index, step.count - 1, 1, step.needs)
+            for index, step in enumerate(value.steps)
+        )
+        body = RunTasks(value.job_id, value.content, orders, "q")
+    else:
+        return
+    (message,) = codec.decode_batch(codec.encode_batch([Message(1, 0, body)]))
+    assert message.body == body
+
+
 SCALARS = st.one_of(
     st.none(),
     st.booleans(),
@@ -40,6 +92,7 @@
     st.text(max_size=5),
     st.just([]),
     st.just({}),
+    st.integers(1, 5000).map(lambda depth: NestedJson(depth)),
 )
 
 
@@ -81,13 +134,14 @@
     @settings(max_examples=400, derandomize=True, deadline=None)
     @given(*DAMAGE)
     def check(path, value):
-        data = json.dumps(replace_value(content, path, value)).encode()
+        data = encode_json(replace_value(content, path, value))
         try:
             decoded = decode(data)
         except (ValueError, UnsupportedJob):
             return
         assert isinstance(decoded, expected)
         hash(decoded)
+        assert_encodable(decoded)
 
     @settings(max_examples=200, derandomize=True, deadline=None)
     @given(st.binary(max_size=100))
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -121,8 +121,18 @@
         {"running": [["t", 1, "", None]]},
         {"running": [["t"]]},
         {"completions": [[1, "t", 1, "vanished", ""]]},
+        {"running": [[["t"], 1, "", 40]]},
+        {"running": [["t", {}, "", 40]]},
+        {"running": [["t", 2**64, "", 40]]},
+        {"running": [["t", 1, "", 1e300]]},
+        {"completions": [["8", "t", 1, "done", ""]]},
+        {"completions": [[1, "t", 1, ["done"], ""]]},
+        {"completions": [[1.5, "t", 1, "done", ""]]},
+        {"clockMs": 1e300},
+        {"clockMs": -5},
+        {"born": "soon"},
     ],
-    ids=["text percentage", "null percentage", "short row", "unknown outcome"],
+    ids=str,
 )
 async def test_invalid_poll_response_raises_target_unresponsive(fields):
     """Guards against an invalid row in a response ending the process."""
--- a/tests/wire/test_malformed_frames.py
+++ b/tests/wire/test_malformed_frames.py
@@ -72,6 +72,25 @@
         assert message.body is None or type(message.body) in BODY_FIELDS
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        # Unknown field 15: structs in structs, whose fields all have the same type.
+        b"\xfc" * 200_000,
+        b"\xfc" * 200_000 + b"\x00" * 200_001,
+        # Unknown field 15: a list of lists.
+        b"\xf9" + b"\x19" * 200_000,
+        # List of messages with a length of 2**31 - 1, and with a negative one.
+        b"\x19\xfc\xff\xff\xff\xff\x07",
+        b"\x19\xfc\xff\xff\xff\xff\x0f",
+    ],
+    ids=["structs", "closed structs", "lists", "long list", "negative length"],
+)
+def test_nested_and_long_payloads_are_rejected(data):
+    """Guards against an error that ends the process that accepts connections."""
+    assert decode_or_reject(data) in (None, [])
+
+
 @pytest.mark.parametrize("body", VALID_BODIES, ids=lambda body: type(body).__name__)
 def test_messages_survive_the_codec(body):
     """Guards against fields that are lost or exchanged on the way."""
