Pass over an odd address among those of the entries

What callers saw: one odd value among the addresses of entries in the store ended every agent, again and again, and all jobs were refused.

Cause: the directory kept whatever a key held as an address, and the task of the connection converted the port where it was used. ValueError and OverflowError were not expected there and ended the process.

Change: an address is checked when it is read from the store. An odd one is passed over with a line in the log and a count; under the key of an entry it counts as the removal of the key, after which the address is still known for a minute.

--- a/packages/store/src/hornbeamshore/store/directory.py
+++ b/packages/store/src/hornbeamshore/store/directory.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from hornbeamshore.base.decoding import REJECTIONS, split_address
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.store.base import LeaseNotFound, StoreError
 
@@ -135,10 +136,19 @@
                 await trio.sleep(RETRY_DELAY_S)
 
     def _apply_change(self, change):
-        if change.item is not None:
+        registration = None if change.item is None else self._decode(change.item)
+        if registration is not None:
             self._removed_at.pop(change.key, None)
-            value = change.item.value.decode(errors="replace")
-            address, _, data_centre = value.partition(" ")
-            self._addresses[change.key] = address, data_centre
+            self._addresses[change.key] = registration
         elif change.key in self._addresses:
             self._removed_at.setdefault(change.key, trio.current_time())
+
+    def _decode(self, item):
+        """Return address and data centre of a registration; None if it is invalid."""
+        try:
+            address, _, data_centre = item.value.decode().partition(" ")
+            split_address(address)
+        except ValueError as exc:
+            REJECTIONS.record("directory", item.key, exc)
+            return None
+        return address, data_centre
