Order announcements of a target by its clock

What callers saw: after a heartbeat under the id of a target with a sequence number that cannot be, later sound heartbeats were ignored, and a target that said that it was leaving went on getting work.

Cause: the sequence number alone decided which of two announcements is later, and nothing shows that a number is too high.

Change: the target's clock decides, since the agent knows it from the answers of the target: an announcement whose reading is more than 2 s ahead of it is rejected. Sequence numbers order announcements of the same millisecond. The reading of an announcement that came before the first answer is checked at the takeover.

Evidence: test_an_odd_number_does_not_hide_later_announcements and, with real processes, test_odd_entries_of_another_writer_end_no_process, which also has the heartbeats of another id or start time that were taken for the next life of the target; those are handled since announcements have to be confirmed.

--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -3,10 +3,11 @@
 import abc
 import contextlib
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
+from hornbeamshore.base.decoding import REJECTIONS
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.runner.target import (
     TargetFenced,
@@ -19,6 +20,9 @@
 
 # Pause before the next call to a target that did not answer or is still stopping runs.
 TARGET_RETRY_PAUSE_S = 0.05
+# An announcement whose clock reading is further ahead of the target's clock is wrong:
+# the network only makes it older, and the estimate of the clock is not slow.
+MAX_CLOCK_LEAD_MS = 2000
 # Targets hold the token in a signed 64-bit integer.
 MAX_FENCING_TOKEN = 2**62
 
@@ -180,7 +184,7 @@
 
     def _update_target(self, target):
         current = self.target
-        if current is not None and target.sequence <= current.sequence:
+        if current is not None and not self._is_later(target, current):
             return
         if target.leaving and not (current and current.leaving):
             log.info("target leaving id=%s", target.incarnation_id)
@@ -189,6 +193,21 @@
             self._adopt_requested.set()
         self._owner.target_changed()
 
+    def _is_later(self, target, current):
+        """Return whether one announcement of an incarnation was sent after another.
+
+        The clock of the incarnation decides, since its readings can be checked; the
+        sequence numbers only order announcements of the same millisecond.
+        """
+        if self.takeover is not None and self._is_clock_wrong(target):
+            exc = ValueError(f"clock reading {target.clock_ms} is ahead of the clock")
+            REJECTIONS.record("announcement", target.incarnation_id, exc)
+            return False
+        return (target.clock_ms, target.sequence) > (current.clock_ms, current.sequence)
+
+    def _is_clock_wrong(self, target):
+        return target.clock_ms > self._driver.clock_ms + MAX_CLOCK_LEAD_MS
+
     def handle_departure(self, incarnation_id):
         """Handle the departure of the target with this id."""
         candidate = self._candidate
@@ -374,6 +393,9 @@
                 self._fencing_token = min(2 * self._fencing_token, MAX_FENCING_TOKEN)
                 raise
         if self.target is not None and self.target.identity == target.identity:
+            if self._is_clock_wrong(self.target):
+                # The next announcement must not be taken for an earlier one.
+                self.target = replace(self.target, clock_ms=0, sequence=0)
             self._last_acknowledged = acknowledged
             self._adopt(takeover)
 
--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -234,6 +234,11 @@
             Reading of its clock, made just now.
         """
 
+    @property
+    @abc.abstractmethod
+    def clock_ms(self):
+        """Return the estimated reading, in ms, of the clock in use."""
+
     @abc.abstractmethod
     def open_channel(self, incarnation, fencing_token):
         """Return a `TargetChannel` whose calls carry the fencing token `fencing_token`.
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -157,6 +157,10 @@
     def follow_clock(self, incarnation, clock_ms):
         pass
 
+    @property
+    def clock_ms(self):
+        return trio.current_time() * 1000
+
     def open_channel(self, incarnation, fencing_token):
         return SimulatedChannel(self, incarnation.started_ms)
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -46,6 +46,10 @@
         return sock.getsockname()[1]
 
 
+def put_value(store, key, value):
+    store.put(key, base64.b64encode(value).decode())
+
+
 def write_settings(path, store, inner_port, **fields):
     lines = {
         "node": path.stem,
@@ -77,15 +81,16 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(tmp_path):
+async def deployment(tmp_path, store=None, control=None):
     """Run an entry, an agent and the fakes.
 
     Yields the fake target, an HTTP connection pool, the URL for callers, the entry
     process and the agent process.
     """
-    store, target = FakeStore(), FakeTarget()
-    store.put("op/config", base64.b64encode(json.dumps(CONFIG).encode()).decode())
-    front, ready, inner, control = (free_port() for _ in range(4))
+    store, target = store or FakeStore(), FakeTarget()
+    put_value(store, "op/config", json.dumps(CONFIG).encode())
+    front, ready, inner = (free_port() for _ in range(3))
+    control = control or free_port()
     async with contextlib.AsyncExitStack() as stack:
         store_address = await stack.enter_async_context(serving(store))
         target_address = await stack.enter_async_context(serving(target))
@@ -183,3 +188,67 @@
     assert result.returncode == 2
     assert message in result.stderr.decode()
     assert b"Traceback" not in result.stderr
+
+
+ODD_VALUES = [
+    b"[" * 100_000 + b"]" * 100_000,
+    b"\xff\x00",
+    b"127.0.0.1:99999999999 perth",
+    b"127.0.0.1 perth",
+    b":7 perth",
+    b"",
+    b'{"version": 99999999999999999999999, "routes": []}',
+    b'{"version": 4, "routes": [{"name": 7}]}',
+]
+ODD_HEARTBEATS = [
+    ("i-1", b"[" * 100_000 + b"]" * 100_000),
+    ("i-1", {"seq": 2**52}),
+    ("i-1", {"seq": 2**52, "clockMs": 2**52}),
+    ("i-1", {"capacity": {"cpu": 2**40, "memMb": 1}}),
+    ("i-2", {"born": 2**52}),
+    ("i-2", {"born": 2**52, "clockMs": 2**52, "address": "nowhere:0"}),
+    ("i-1", {"born": 2**52}),
+]
+HEARTBEAT = {
+    "service": "order-desk",
+    "state": "ready",
+    "seq": 1,
+    "capacity": {"cpu": 8000, "memMb": 4096},
+    "labels": [],
+    "clockMs": 1,
+    "born": 1,
+}
+
+
+async def test_odd_entries_of_another_writer_end_no_process(tmp_path):
+    """Guards against one odd entry that ends the processes that read the list.
+
+    The values are in the store when the processes start, and come again while they run.
+    """
+    store, control = FakeStore(), free_port()
+    prefix = "hornbeamshore/platform/entries/"
+
+    def put_odd_values():
+        for number, value in enumerate(ODD_VALUES):
+            put_value(store, f"{prefix}odd-{number}", value)
+
+    put_odd_values()
+    async with deployment(tmp_path, store, control) as (_, pool, url, entry, agent):
+        with trio.fail_after(TIMEOUT_S):
+            assert (await submit(pool, url, "0" * 16))[0] == 200
+            put_odd_values()
+            for value in ODD_VALUES:
+                put_value(store, "op/config", value)
+                # Long enough for the watch to read each value.
+                await trio.sleep(0.1)
+            for number, (incarnation_id, change) in enumerate(ODD_HEARTBEATS):
+                content = change
+                if isinstance(change, dict):
+                    content = json.dumps({**HEARTBEAT, **change}).encode()
+                path = f"/hornbeamshore/instances/{incarnation_id}"
+                address = f"http://127.0.0.1:{control}{path}"
+                await pool.request("PUT", address, content=content)
+                await trio.sleep(0.3)
+                answer = await submit(pool, url, f"{number + 1:016x}")
+                assert answer == (200, {"state": "completed"}), (number, answer)
+            assert entry.returncode is agent.returncode is None
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -101,6 +101,10 @@
     def follow_clock(self, incarnation, clock_ms):
         self.followed_identity = incarnation.identity
 
+    @property
+    def clock_ms(self):
+        return TARGET.clock_ms + (trio.current_time() - self.restarted_at) * 1000
+
     def open_channel(self, incarnation, fencing_token):
         return FakeChannel(self, incarnation, fencing_token)
 
@@ -199,7 +203,7 @@
         await self._begin_call()
         target = self._target
         if self._fencing_token < target.fencing_token:
-            raise TargetFenced("token is too low", self._clock_ms)
+            raise TargetFenced("token is too low", target.clock_ms)
         target.fencing_token = max(target.fencing_token, self._fencing_token)
         target.polls += 1
         if renew:
@@ -216,14 +220,9 @@
         return TargetState(
             tuple(ActiveRun(*key, target.percent(key)) for key in target.running_runs),
             tuple(end for end in target.ends if end.number > acknowledged),
-            self._clock_ms,
+            target.clock_ms,
         )
 
-    @property
-    def _clock_ms(self):
-        elapsed_s = trio.current_time() - self._target.restarted_at
-        return TARGET.clock_ms + elapsed_s * 1000
-
     async def aclose(self):
         pass
 
--- a/tests/runner/test_restarts.py
+++ b/tests/runner/test_restarts.py
@@ -121,3 +121,37 @@
     runner.supervisor.handle_announcement(announcement())
     await trio.sleep(5.0)
     assert runner.state().accepting
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"sequence": 2**50},
+        {"sequence": 2**50, "clock_ms": 2**50},
+        {"clock_ms": 2**50},
+        {"clock_ms": 60_000},
+    ],
+    ids=["sequence", "sequence and clock", "clock", "clock a minute ahead"],
+)
+@pytest.mark.parametrize("is_adopted", [True, False], ids=["adopted", "new"])
+async def test_an_odd_number_does_not_hide_later_announcements(
+    autojump_clock, nursery, target, changes, is_adopted
+):
+    """Guards against new runs on a target that says that it is leaving."""
+    runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
+    nursery.start_soon(runner.run)
+    if is_adopted:
+        runner.supervisor.handle_announcement(TARGET)
+        await trio.sleep(0.3)
+    runner.supervisor.handle_announcement(announcement(**{"sequence": 2, **changes}))
+    await trio.sleep(0.3)
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        clock_ms = round(target.clock_ms)
+        runner.supervisor.handle_announcement(
+            announcement(sequence=3, clock_ms=clock_ms, leaving=True)
+        )
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        await trio.sleep(0.1)
+        assert conn.ends[1].code == ResultCode.AGENT_LEAVING
+    assert target.started == []
