Count the silence of an agent from its reconnection, if that was unnoticed

Cause: when an agent connects again before its entry has found the earlier connection silent, the time at which the connection was lost stays what it was, so the entry takes the agent for one that has been away since then. If the check for lost agents runs before the first report on the new connection, it ends all runs of the agent and places their tasks again, though they go on.

Evidence: test_an_agent_that_reconnects_unnoticed_keeps_its_runs fails without the change: the run is ordered from another agent 0.3 s after the reconnection.

Change: the time counts from the reconnection in this case.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -384,7 +384,7 @@
         No run is ordered from it until its first complete report has been reconciled
         with the runs ordered earlier.
         """
-        view, replaced = self.fleet.connect(conn)
+        view, replaced = self.fleet.connect(conn, self._clock())
         if replaced is not None:
             view.inherit_runs(replaced, self._clock())
             self.assigner.remove_agent(view.agent_id)
--- a/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/fleet.py
@@ -79,8 +79,14 @@
         capacity = self.description.capacity.cpu_millis
         return 1.0 - self.free.cpu_millis / capacity if capacity else 1.0
 
-    def attach_connection(self, conn):
-        """Replace the connection by a new one, on which no report was received yet."""
+    def attach_connection(self, conn, now):
+        """Replace the connection by a new one, on which no report was received yet.
+
+        The time without a complete report counts from the end of the last connection,
+        or from time `now` if that was not noticed.
+        """
+        if self.conn is not None:
+            self.disconnected_at = now
         self.conn = conn
         self._clear_connection_state()
         self._unconfirmed.clear()
@@ -182,9 +188,16 @@
         self.agents = {}
         self.index = CapacityIndex(data_centre)
 
-    def connect(self, conn):
+    def connect(self, conn, now):
         """Attach a new connection to the view of its agent.
 
+        Parameters
+        ----------
+        conn : Connection
+            Connection to the agent.
+        now : float
+            Time on the coordinator's clock.
+
         Returns
         -------
         view : AgentView
@@ -195,10 +208,10 @@
         peer = conn.peer
         previous = self.agents.get(peer.process_id)
         if previous is not None and previous.incarnation == peer.incarnation:
-            previous.attach_connection(conn)
+            previous.attach_connection(conn, now)
             return previous, None
         view = AgentView(peer, self.index)
-        view.attach_connection(conn)
+        view.attach_connection(conn, now)
         self.agents[peer.process_id] = view
         return view, previous
 
--- a/tests/dispatch/test_capacity.py
+++ b/tests/dispatch/test_capacity.py
@@ -43,7 +43,7 @@
 def add_agent(index, number, free_cpu, data_centre="perth", labels=()):
     peer = Identity("test", "agent", f"agent-{number}", 1, data_centre)
     view = AgentView(peer, index)
-    view.attach_connection(OpenConnection())
+    view.attach_connection(OpenConnection(), 0.0)
     description = TargetDescription(f"t-{number}", QUEUE.service, labels, CAPACITY)
     free = Resources(free_cpu, CAPACITY.mem_mb, 0)
     view.apply_report(AgentReport(True, free, 0, (), True, (), description))
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -427,3 +427,24 @@
     assert (agent.orders == {}) == is_avoided
     await trio.sleep(0.2)
     assert len(agent.orders) == 1
+
+
+async def test_an_agent_that_reconnects_unnoticed_keeps_its_runs(
+    autojump_clock, nursery, coordinator, agent
+):
+    """Guards against a second run of what an agent reports a moment later.
+
+    The agent has found its connection silent before the entry has.
+    """
+    await trio.sleep(10.0)
+    Submission(nursery, coordinator, make_job(1, estimate_s=5.0))
+    await trio.sleep(0.02)
+    (run_id,) = agent.orders
+    other = FakeAgent(coordinator, "agent-2")
+    other.report(held=())
+    again = FakeAgent(coordinator, "agent-1")
+    await trio.sleep(0.3)
+    assert other.orders == {}
+    again.report(held=(run_id,))
+    await trio.sleep(3.0)
+    assert other.orders == {}
