Stop the runs of an entry whose process has ended without waiting for its lease

Cause: the agent waited for the lease of the entry (0.9 s) and was lost before it ended; its target went on with the runs for 1.0 s more. Together this is longer than the 1.3 s after which the callers submit their jobs again.

If the host of the entry refuses, no process listens there: the process that held the jobs has ended, and its runs are stopped at once. An entry listens from its start to its end, and a listener with a full queue drops a connection attempt and does not refuse it. A host that is silent says nothing, and the lease decides as before: an agent that is lost within 0.9 s after the host of an entry can still leave a run for longer than 1.3 s.

--- a/packages/runner/src/hornbeamshore/runner/links.py
+++ b/packages/runner/src/hornbeamshore/runner/links.py
@@ -4,7 +4,11 @@
 
 from hornbeamshore.base.hashing import rendezvous_order
 from hornbeamshore.base.logs import PartLogger
-from hornbeamshore.wire.connection import ConnectionLost, MessageHandler
+from hornbeamshore.wire.connection import (
+    ConnectionLost,
+    ConnectionRefused,
+    MessageHandler,
+)
 from hornbeamshore.wire.establish import open_connection
 from hornbeamshore.wire.handshake import HandshakeError
 from hornbeamshore.wire.messages import AckRuns, RunTasks, StopRuns
@@ -31,6 +35,14 @@
             "entry detached id=%s by_peer=%s", conn.peer.process_id, conn.closed_by_peer
         )
 
+    def entry_ended(self):
+        """Stop the runs of the entry, whose process has ended.
+
+        An entry listens from its start to its end, so a refused connection is certain.
+        """
+        if self._session is not None:
+            self._runner.entry_ended(self._session)
+
     def before_write(self, conn):
         """Send the results and changes since the last write as one report."""
         if self._session is not None and self._session.conn is conn:
@@ -122,17 +134,39 @@
             self._cancel_scopes.pop(address).cancel()
 
     async def _keep_connected(self, address, scope):
+        handler = None
         with scope:
             while True:
-                await self._connect_once(address)
+                try:
+                    handler = await self._connect_once(address) or handler
+                except ConnectionRefused:
+                    if handler is not None:
+                        handler.entry_ended()
                 await trio.sleep(self._runner.cfg.wire.redial_after)
 
     async def _connect_once(self, address):
+        """Run one connection to an entry.
+
+        Returns
+        -------
+        EntryHandler or None
+            Handler of the connection that has ended; None if there was none.
+
+        Raises
+        ------
+        ConnectionRefused
+            If no process listens at the address.
+        """
         cfg = self._runner.cfg.wire
+        handler = EntryHandler(self._runner)
         try:
             async with open_connection(
                 address, self._identity, self._secret, cfg
             ) as conn:
-                await conn.run(EntryHandler(self._runner))
+                await conn.run(handler)
+                return handler
+        except ConnectionRefused:
+            raise
         except (ConnectionLost, HandshakeError) as exc:
             log.debug("entry not connected address=%s: %s", address, exc)
+        return None
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -131,6 +131,15 @@
         self._expire_lease(session, self.clock())
         session.last_heard = max(session.last_heard, sent_at)
 
+    def entry_ended(self, session):
+        """Stop the runs of an entry whose process has ended.
+
+        If this agent is lost before the lease of the entry has expired, its target
+        would go on with them until its own lease expires.
+        """
+        if session.conn is None and session.runs:
+            self._stop_entry_runs(session, "entry ended")
+
     def send_pending_report(self, session):
         """Send an entry the results and changes that it was not sent yet."""
         self._reporter.send_pending(session)
--- a/tests/runner/test_links.py
+++ b/tests/runner/test_links.py
@@ -1,6 +1,7 @@
 """Tests of the connections of an agent to the entries."""
 
 import collections
+import contextlib
 
 import pytest
 import trio
@@ -8,8 +9,11 @@
 
 from hornbeamshore.runner import links
 from hornbeamshore.runner.settings import RunnerSettings
+from hornbeamshore.wire.connection import ConnectionLost, ConnectionRefused
 from hornbeamshore.wire.handshake import Identity
 
+from .conftest import FakeConnection, order_tasks
+
 
 class FakeRunner:
     cfg = RunnerSettings(max_entries=4)
@@ -80,3 +84,52 @@
     mean = agents.total() / 35
     assert 0.7 * mean <= min(agents.values())
     assert max(agents.values()) <= 1.3 * mean
+
+
+@pytest.mark.parametrize(
+    ("error", "is_stopped"),
+    [(ConnectionRefused("refused"), True), (ConnectionLost("timed out"), False)],
+    ids=["refused", "silent"],
+)
+async def test_the_runs_of_an_entry_that_has_ended_are_stopped(
+    autojump_clock, nursery, runner, target, monkeypatch, error, is_stopped
+):
+    """Guards against runs beside their copies if the agent is lost soon after an entry.
+
+    A target goes on for 1.0 s after the loss of its agent, and callers submit the jobs
+    of a lost entry again after 1.3 s.
+    """
+    conns = []
+
+    @contextlib.asynccontextmanager
+    async def open_connection(address, identity, secret, cfg):
+        if conns:
+            raise error
+        conns.append(ShortConnection())
+        yield conns[0]
+
+    monkeypatch.setattr(links, "open_connection", open_connection)
+    identity = Identity("test", "agent", "agent-1", 1, "glasgow")
+    entry_links = links.EntryLinks(runner, identity, b"")
+    entry_links.set_addresses(nursery, {"10.0.0.1:7720": "glasgow"})
+    await trio.sleep(0.05)
+    session = runner.sessions["entry-1"]
+    runner.order_runs(session, 1, order_tasks(1), runner.clock())
+    await trio.sleep(0.1)
+    assert target.running_runs
+    conns[0].ended.set()
+    await trio.sleep(0.3)
+    assert bool(target.running_runs) is not is_stopped
+
+
+class ShortConnection(FakeConnection):
+    """Connection that runs until the test ends it."""
+
+    def __init__(self):
+        super().__init__()
+        self.ended = trio.Event()
+
+    async def run(self, handler):
+        handler.opened(self)
+        await self.ended.wait()
+        handler.closed(self)
