Cancel a job wherever it runs

Cause: a cancellation was known only to the entry that runs the job, and a caller that has moved sends it over a new connection to another one.

Change: an entry that does not run the job asks all other entries, whose addresses it reads from the store at that moment. One task for each entry keeps a connection while there are requests and sends those that wait as one message. An entry that does not reply is asked again for 10 s, while the caller waits for 1 s at most. An id that was cancelled is remembered even if no job has it, since the submission may be read later. Connections of other entries come to the listener for agents; they are told apart by the kind of the peer.

Asking the agents instead would have needed no addresses, but a job that waits for capacity is known to no agent, and an agent has up to 16 entries.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -160,13 +160,17 @@
         return None
 
     def cancel(self, job_id):
-        """Cancel a job; return whether it was in progress."""
-        job = self.jobs.get(job_id)
-        if job is None or job.finished.is_set():
-            return False
+        """Cancel a job; return whether it was in progress.
+
+        A submission that arrives later is cancelled as well: it may be a duplicate, or
+        have been overtaken by the cancellation.
+        """
         self._cancelled[job_id] = None
         if len(self._cancelled) > MAX_CANCELLED_JOBS:
             self._cancelled.popitem(last=False)
+        job = self.jobs.get(job_id)
+        if job is None or job.finished.is_set():
+            return False
         self._finish(job, ResultCode.CANCELLED)
         return True
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -11,6 +11,7 @@
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.dispatch.coordinator import Coordinator
 from hornbeamshore.dispatch.metrics import DispatchMetrics
+from hornbeamshore.dispatch.peers import AcceptedPeers, EntryPeers
 from hornbeamshore.dispatch.presence import SocketPresence
 from hornbeamshore.dispatch.routing import RoutingReplica
 from hornbeamshore.dispatch.settings import DispatchSettings
@@ -101,7 +102,7 @@
         """
 
     @abc.abstractmethod
-    def caller_app(self, coordinator, routing):
+    def caller_app(self, coordinator, routing, peers):
         """Return the ASGI application for callers.
 
         Parameters
@@ -110,6 +111,8 @@
             Runs the jobs.
         routing : RoutingReplica
             Routing configuration in use.
+        peers : EntryPeers
+            Cancels jobs, also those that other entries run.
         """
 
     @abc.abstractmethod
@@ -148,6 +151,15 @@
     registration = Registration(
         store, registration_key, cfg.inner_address, cfg.dispatch.data_centre
     )
+    peers = EntryPeers(
+        coordinator,
+        store,
+        deployment_key(cfg.deployment, ENTRY_KEY_PREFIX),
+        cfg.inner_address,
+        _identity(cfg),
+        cfg.secret,
+        cfg.wire,
+    )
 
     def is_ready():
         can_serve = routing.current is not None and coordinator.is_connected
@@ -160,6 +172,7 @@
         metrics_listeners = await open_metrics_listeners(stack, cfg.metrics_address)
         nursery = await stack.enter_async_context(trio.open_nursery())
         nursery.start_soon(coordinator.run)
+        nursery.start_soon(peers.run)
         nursery.start_soon(
             routing.watch_store,
             store,
@@ -174,7 +187,7 @@
             _identity(cfg),
             cfg.secret,
             cfg.wire,
-            coordinator,
+            AcceptedPeers(coordinator),
         )
         nursery.start_soon(
             serve_until_cancelled, interface.ready_app(is_ready), ready_listeners
@@ -185,7 +198,7 @@
         nursery.start_soon(handle_signals, stopping, reload)
         nursery.start_soon(_finish_jobs_before_exit, cfg, coordinator, stopping)
         log.info("started id=%s", cfg.entry_id)
-        app = interface.caller_app(coordinator, routing)
+        app = interface.caller_app(coordinator, routing, peers)
         await serve_http(app, caller_listeners, _http_settings(cfg), stopping)
         with trio.move_on_after(cfg.exit_margin / 2):
             await registration.unregister()
--- a/packages/wire/idl/hornbeamshore.thrift
+++ b/packages/wire/idl/hornbeamshore.thrift
@@ -111,6 +111,9 @@
 struct RunTasks { 1: string job_id, 2: string spec, 3: list<RunOrder> orders, 4: string queue }
 struct StopRuns { 1: list<i64> run_ids }
 struct AckRuns { 1: list<i64> run_ids }
+// Between entries: a caller may cancel a job at another entry than the one that runs it.
+struct CancelJobs { 1: list<string> job_ids }
+struct CancelJobsReply { 1: list<string> found }
 struct RunEnd { 1: i64 run_id, 2: i32 code, 3: i32 run_state, 4: i64 run_time_us, 5: string detail }
 struct TargetDescription {
   1: string target, 2: string service_name, 3: list<string> labels, 4: Resources capacity
@@ -147,7 +150,8 @@
   56: optional Renew renew, 57: optional RenewReply renew_reply,
   58: optional FenceRecords fence_records,
   60: optional RunTasks run_tasks, 61: optional StopRuns stop_runs,
-  62: optional AckRuns ack_runs, 63: optional AgentReport agent_report
+  62: optional AckRuns ack_runs, 63: optional AgentReport agent_report,
+  64: optional CancelJobs cancel_jobs, 65: optional CancelJobsReply cancel_jobs_reply
 }
 // Clocks in milliseconds, 0 if unknown: that of the sender, and a lower bound of that of
 // the receiver.
--- a/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
+++ b/packages/wire/src/hornbeamshore/wire/gen/hornbeamshore/ttypes.py
@@ -5511,6 +5511,158 @@
         return not (self == other)
 
 
+class CancelJobs(object):
+    """
+    Attributes:
+     - job_ids
+
+    """
+
+    __slots__ = (
+        'job_ids',
+    )
+
+
+    def __init__(self, job_ids=None,):
+        self.job_ids = job_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.job_ids = []
+                    (_etype157, _size154) = iprot.readListBegin()
+                    for _i158 in range(_size154):
+                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.job_ids.append(_elem159)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelJobs')
+        if self.job_ids is not None:
+            oprot.writeFieldBegin('job_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.job_ids))
+            for iter160 in self.job_ids:
+                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CancelJobsReply(object):
+    """
+    Attributes:
+     - found
+
+    """
+
+    __slots__ = (
+        'found',
+    )
+
+
+    def __init__(self, found=None,):
+        self.found = found
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.found = []
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.found.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CancelJobsReply')
+        if self.found is not None:
+            oprot.writeFieldBegin('found', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.found))
+            for iter167 in self.found:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RunEnd(object):
     """
     Attributes:
@@ -5673,10 +5825,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.labels = []
-                    (_etype157, _size154) = iprot.readListBegin()
-                    for _i158 in range(_size154):
-                        _elem159 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.labels.append(_elem159)
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels.append(_elem173)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5707,8 +5859,8 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.labels))
-            for iter160 in self.labels:
-                oprot.writeString(iter160.encode('utf-8') if sys.version_info[0] == 2 else iter160)
+            for iter174 in self.labels:
+                oprot.writeString(iter174.encode('utf-8') if sys.version_info[0] == 2 else iter174)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -5919,11 +6071,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.runs = []
-                    (_etype164, _size161) = iprot.readListBegin()
-                    for _i165 in range(_size161):
-                        _elem166 = LostRun()
-                        _elem166.read(iprot)
-                        self.runs.append(_elem166)
+                    (_etype178, _size175) = iprot.readListBegin()
+                    for _i179 in range(_size175):
+                        _elem180 = LostRun()
+                        _elem180.read(iprot)
+                        self.runs.append(_elem180)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -5952,8 +6104,8 @@
         if self.runs is not None:
             oprot.writeFieldBegin('runs', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.runs))
-            for iter167 in self.runs:
-                iter167.write(oprot)
+            for iter181 in self.runs:
+                iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6045,11 +6197,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype171, _size168) = iprot.readListBegin()
-                    for _i172 in range(_size168):
-                        _elem173 = RunEnd()
-                        _elem173.read(iprot)
-                        self.ends.append(_elem173)
+                    (_etype185, _size182) = iprot.readListBegin()
+                    for _i186 in range(_size182):
+                        _elem187 = RunEnd()
+                        _elem187.read(iprot)
+                        self.ends.append(_elem187)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6061,10 +6213,10 @@
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.held = []
-                    (_etype177, _size174) = iprot.readListBegin()
-                    for _i178 in range(_size174):
-                        _elem179 = iprot.readI64()
-                        self.held.append(_elem179)
+                    (_etype191, _size188) = iprot.readListBegin()
+                    for _i192 in range(_size188):
+                        _elem193 = iprot.readI64()
+                        self.held.append(_elem193)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6077,11 +6229,11 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype183, _size180) = iprot.readListBegin()
-                    for _i184 in range(_size180):
-                        _elem185 = TargetLoss()
-                        _elem185.read(iprot)
-                        self.losses.append(_elem185)
+                    (_etype197, _size194) = iprot.readListBegin()
+                    for _i198 in range(_size194):
+                        _elem199 = TargetLoss()
+                        _elem199.read(iprot)
+                        self.losses.append(_elem199)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6110,8 +6262,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter186 in self.ends:
-                iter186.write(oprot)
+            for iter200 in self.ends:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.complete is not None:
@@ -6121,8 +6273,8 @@
         if self.held is not None:
             oprot.writeFieldBegin('held', TType.LIST, 10)
             oprot.writeListBegin(TType.I64, len(self.held))
-            for iter187 in self.held:
-                oprot.writeI64(iter187)
+            for iter201 in self.held:
+                oprot.writeI64(iter201)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.description is not None:
@@ -6132,8 +6284,8 @@
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter188 in self.losses:
-                iter188.write(oprot)
+            for iter202 in self.losses:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -6206,6 +6358,8 @@
      - stop_runs
      - ack_runs
      - agent_report
+     - cancel_jobs
+     - cancel_jobs_reply
 
     """
 
@@ -6252,10 +6406,12 @@
         'stop_runs',
         'ack_runs',
         'agent_report',
+        'cancel_jobs',
+        'cancel_jobs_reply',
     )
 
 
-    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None, fence_records=None, run_tasks=None, stop_runs=None, ack_runs=None, agent_report=None,):
+    def __init__(self, id=None, reply_to=None, hello=None, challenge=None, proof=None, welcome=None, reject=None, heartbeat=None, announce=None, start=None, task_done=None, acknowledge=None, cancel_tasks=None, fence=None, fence_reply=None, release=None, reconcile=None, reconcile_reply=None, copy_records=None, copy_records_reply=None, roster_update=None, leave=None, leave_reply=None, submit=None, submit_reply=None, job_query=None, job_cancel=None, handover=None, handover_reply=None, table_update=None, owner_notice=None, config_pull=None, config_update=None, status_query=None, status_reply=None, renew=None, renew_reply=None, fence_records=None, run_tasks=None, stop_runs=None, ack_runs=None, agent_report=None, cancel_jobs=None, cancel_jobs_reply=None,):
         self.id = id
         self.reply_to = reply_to
         self.hello = hello
@@ -6298,6 +6454,8 @@
         self.stop_runs = stop_runs
         self.ack_runs = ack_runs
         self.agent_report = agent_report
+        self.cancel_jobs = cancel_jobs
+        self.cancel_jobs_reply = cancel_jobs_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -6558,6 +6716,18 @@
                     self.agent_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 64:
+                if ftype == TType.STRUCT:
+                    self.cancel_jobs = CancelJobs()
+                    self.cancel_jobs.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 65:
+                if ftype == TType.STRUCT:
+                    self.cancel_jobs_reply = CancelJobsReply()
+                    self.cancel_jobs_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -6736,6 +6906,14 @@
             oprot.writeFieldBegin('agent_report', TType.STRUCT, 63)
             self.agent_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.cancel_jobs is not None:
+            oprot.writeFieldBegin('cancel_jobs', TType.STRUCT, 64)
+            self.cancel_jobs.write(oprot)
+            oprot.writeFieldEnd()
+        if self.cancel_jobs_reply is not None:
+            oprot.writeFieldBegin('cancel_jobs_reply', TType.STRUCT, 65)
+            self.cancel_jobs_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -6794,11 +6972,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.messages = []
-                    (_etype192, _size189) = iprot.readListBegin()
-                    for _i193 in range(_size189):
-                        _elem194 = Message()
-                        _elem194.read(iprot)
-                        self.messages.append(_elem194)
+                    (_etype206, _size203) = iprot.readListBegin()
+                    for _i207 in range(_size203):
+                        _elem208 = Message()
+                        _elem208.read(iprot)
+                        self.messages.append(_elem208)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -6825,8 +7003,8 @@
         if self.messages is not None:
             oprot.writeFieldBegin('messages', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.messages))
-            for iter195 in self.messages:
-                iter195.write(oprot)
+            for iter209 in self.messages:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sender_ms is not None:
@@ -7264,6 +7442,16 @@
     None,  # 0
     (1, TType.LIST, 'run_ids', (TType.I64, None, False), None, ),  # 1
 )
+all_structs.append(CancelJobs)
+CancelJobs.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'job_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(CancelJobsReply)
+CancelJobsReply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'found', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
 all_structs.append(RunEnd)
 RunEnd.thrift_spec = (
     None,  # 0
@@ -7381,6 +7569,8 @@
     (61, TType.STRUCT, 'stop_runs', [StopRuns, None], None, ),  # 61
     (62, TType.STRUCT, 'ack_runs', [AckRuns, None], None, ),  # 62
     (63, TType.STRUCT, 'agent_report', [AgentReport, None], None, ),  # 63
+    (64, TType.STRUCT, 'cancel_jobs', [CancelJobs, None], None, ),  # 64
+    (65, TType.STRUCT, 'cancel_jobs_reply', [CancelJobsReply, None], None, ),  # 65
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -537,6 +537,20 @@
     run_ids: tuple[int, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class CancelJobs:
+    """Request of an entry to another one to cancel the jobs that it runs."""
+
+    job_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CancelJobsReply:
+    """Ids of the requested jobs that were in progress."""
+
+    found: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class AckRuns:
     """Acknowledges the `RunEnd` of runs, which the agent then stops reporting."""
@@ -709,6 +723,8 @@
     StopRuns: "stop_runs",
     AckRuns: "ack_runs",
     AgentReport: "agent_report",
+    CancelJobs: "cancel_jobs",
+    CancelJobsReply: "cancel_jobs_reply",
 }
 
 
--- a/tests/platform/test_departed_callers.py
+++ b/tests/platform/test_departed_callers.py
@@ -66,7 +66,7 @@
         replica = RoutingReplica()
         replica.update(Routing(1, (QUEUE,)))
         listeners = await open_http_listeners("127.0.0.1", 0)
-        app = IngressApi(coordinator, replica)
+        app = IngressApi(coordinator, replica, None)
 
         def serve():
             nursery.start_soon(coordinator.run)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -47,7 +47,7 @@
                 self.cancelled.set()
         return self.outcome
 
-    def cancel(self, job_id):
+    async def cancel(self, job_id):
         return job_id == "known"
 
     def count_unstarted_jobs(self, queue):
@@ -60,7 +60,7 @@
     if is_configured:
         replica.update(Routing(1, (Queue("q", "desk.example", "/p/", "s"),)))
     async with (
-        serving(IngressApi(coordinator, replica)) as address,
+        serving(IngressApi(coordinator, replica, coordinator)) as address,
         httpcore.AsyncConnectionPool() as pool,
     ):
 
@@ -82,7 +82,7 @@
     """Guards against refusing requests while an entry is starting."""
     replica, statuses = RoutingReplica(), []
     async with (
-        serving(IngressApi(FakeCoordinator(), replica)) as address,
+        serving(IngressApi(FakeCoordinator(), replica, None)) as address,
         httpcore.AsyncConnectionPool() as pool,
         trio.open_nursery() as nursery,
     ):
