Take a target back that goes on after a departure of another process

By reading, what callers would have seen: after a departure that another writer sent under the id of a target, the target got no work until it started again, since announcements of a departed incarnation were ignored for good.

Change: only announcements from before the departure are ignored, by the clock of the target. One that is later brings the target back once it has answered. The new row of test_a_departed_target_is_not_used_again fails before.

--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -147,19 +147,12 @@
     coordinator = Coordinator(cfg.dispatch, metrics, presence=SocketPresence())
     routing = RoutingReplica()
     metrics.register_gauges(coordinator, routing)
-    registration_key = deployment_key(cfg.deployment, ENTRY_KEY_PREFIX + cfg.entry_id)
+    prefix = deployment_key(cfg.deployment, ENTRY_KEY_PREFIX)
     registration = Registration(
-        store, registration_key, cfg.inner_address, cfg.dispatch.data_centre
-    )
-    peers = EntryPeers(
-        coordinator,
-        store,
-        deployment_key(cfg.deployment, ENTRY_KEY_PREFIX),
-        cfg.inner_address,
-        _identity(cfg),
-        cfg.secret,
-        cfg.wire,
+        store, prefix + cfg.entry_id, cfg.inner_address, cfg.dispatch.data_centre
     )
+    identity = _make_identity(cfg)
+    peers = EntryPeers(cfg, coordinator, store, prefix, identity)
 
     def is_ready():
         can_serve = routing.current is not None and coordinator.is_connected
@@ -184,7 +177,7 @@
         nursery.start_soon(
             serve_connections,
             agent_listeners,
-            _identity(cfg),
+            identity,
             cfg.secret,
             cfg.wire,
             AcceptedPeers(coordinator),
@@ -206,7 +199,7 @@
     log.info("stopped id=%s", cfg.entry_id)
 
 
-def _identity(cfg):
+def _make_identity(cfg):
     return Identity(
         cfg.deployment,
         ProcessKind.ENTRY,
--- a/packages/dispatch/src/hornbeamshore/dispatch/peers.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/peers.py
@@ -96,21 +96,18 @@
 
     Parameters
     ----------
+    cfg : EntryProcessSettings
+        Settings of this entry.
     address : str
-        Address of the entry for its peers.
+        Address of the other entry for its peers.
     identity : Identity
         Identity of this entry.
-    secret : bytes
-        Secret shared by all processes of the deployment.
-    cfg : WireSettings
-        Settings of the connection.
     """
 
-    def __init__(self, address, identity, secret, cfg):
+    def __init__(self, cfg, address, identity):
+        self._cfg = cfg
         self._address = address
         self._identity = identity
-        self._secret = secret
-        self._cfg = cfg
         self._requests = []
         self._requested = trio.Event()
 
@@ -128,7 +125,7 @@
             try:
                 async with (
                     open_connection(
-                        self._address, self._identity, self._secret, self._cfg
+                        self._address, self._identity, self._cfg.secret, self._cfg.wire
                     ) as conn,
                     trio.open_nursery() as nursery,
                 ):
@@ -141,7 +138,7 @@
             except (ConnectionLost, HandshakeError) as exc:
                 log.info("entry not asked address=%s: %s", self._address, exc)
             self._drop_requests(trio.current_time())
-            await trio.sleep(self._cfg.redial_after)
+            await trio.sleep(self._cfg.wire.redial_after)
 
     async def _wait_requested(self):
         while not self._requests:
@@ -179,28 +176,24 @@
 
     Parameters
     ----------
+    cfg : EntryProcessSettings
+        Settings of this entry.
     coordinator : Coordinator
         Runs the jobs of this entry.
     store : Store
         Store in which entries register their addresses.
     prefix : str
         Prefix of the keys of these registrations.
-    own_address : str
-        Address of this entry.
     identity : Identity
         Identity of this entry.
-    secret : bytes
-        Secret shared by all processes of the deployment.
-    cfg : WireSettings
-        Settings of the connections.
     """
 
-    def __init__(self, coordinator, store, prefix, own_address, identity, secret, cfg):
+    def __init__(self, cfg, coordinator, store, prefix, identity):
+        self._cfg = cfg
         self._coordinator = coordinator
         self._store = store
         self._prefix = prefix
-        self._own_address = own_address
-        self._peer_args = identity, secret, cfg
+        self._identity = identity
         self._peers = {}
         self._nursery = None
         self._read_at = -ADDRESSES_VALIDITY_S
@@ -258,6 +251,7 @@
         except ValueError as exc:
             REJECTIONS.record("directory", item.key, exc)
             return
-        if address != self._own_address and address not in self._peers:
-            peer = self._peers[address] = EntryPeer(address, *self._peer_args)
+        if address != self._cfg.inner_address and address not in self._peers:
+            peer = EntryPeer(self._cfg, address, self._identity)
+            self._peers[address] = peer
             self._nursery.start_soon(peer.run)
--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -4,8 +4,8 @@
 
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.runner.channels import TARGET_RETRY_PAUSE_S, ChannelCache
 from hornbeamshore.runner.runs import MAX_REMEMBERED_TASKS, RunPhase
-from hornbeamshore.runner.supervisor import TARGET_RETRY_PAUSE_S, ChannelCache
 from hornbeamshore.runner.target import (
     StartResult,
     TargetReplaced,
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -17,7 +17,8 @@
 from hornbeamshore.runner.reports import Reporter, RunnerState
 from hornbeamshore.runner.runs import Run, RunPhase, RunTable
 from hornbeamshore.runner.sessions import Session
-from hornbeamshore.runner.supervisor import LossReason, Supervisor, TargetEvents
+from hornbeamshore.runner.supervisor import Supervisor
+from hornbeamshore.runner.takeover import LossReason, TargetEvents
 from hornbeamshore.runner.target import RunOutcome
 from hornbeamshore.wire.messages import Resources, TargetDescription
 
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -1,115 +1,39 @@
 """Takeover of a target, renewal of its lease, and detection of its loss."""
 
-import abc
 import contextlib
-import enum
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import trio
 
 from hornbeamshore.base.decoding import REJECTIONS
 from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.runner.channels import (
+    TARGET_RETRY_PAUSE_S,
+    ChannelCache,
+    read_clock,
+    stop_leftover_runs,
+)
+from hornbeamshore.runner.takeover import LossReason, Takeover
 from hornbeamshore.runner.target import (
     TargetFenced,
     TargetGone,
-    TargetIncarnation,
     TargetReplaced,
     TargetRestarted,
     TargetUnresponsive,
 )
 
-# Pause before the next call to a target that did not answer or is still stopping runs.
-TARGET_RETRY_PAUSE_S = 0.05
 # An announcement whose clock reading is further ahead of the target's clock is wrong:
 # the network only makes it older, and the estimate of the clock is not slow.
 MAX_CLOCK_LEAD_MS = 2000
+# A target that goes on after a departure announces itself again within seconds; the
+# estimate of its clock may be a little behind the last announcement before it.
+DEPARTURE_MARGIN_MS = 1000
 # Targets hold the token in a signed 64-bit integer.
 MAX_FENCING_TOKEN = 2**62
 
 log = PartLogger("agent")
 
 
-@dataclass(frozen=True, slots=True)
-class Takeover:
-    """Exclusive control of a target incarnation by this agent.
-
-    Attributes
-    ----------
-    target : TargetIncarnation
-        Incarnation, as announced when it was taken over.
-    fencing_token : int
-        Fencing token; the target ignores calls with the lower token of an earlier
-        takeover.
-    """
-
-    target: TargetIncarnation
-    fencing_token: int
-
-
-class LossReason(enum.Enum):
-    """Sign by which the loss of a target was noticed."""
-
-    REFUSED = "connections refused"
-    EXPIRED = "target lease expired"
-    REPLACED = "target replaced"
-    RESTARTED = "target restarted under its id"
-    MISDIRECTED = "another incarnation answered"
-    DEPARTED = "target departed"
-
-    @property
-    def is_crash(self):
-        """Whether the target is certain to have ended without notice."""
-        return self not in (LossReason.EXPIRED, LossReason.DEPARTED)
-
-
-class TargetEvents(abc.ABC):
-    """Queries and notifications from a supervisor to the owner of the runs."""
-
-    @abc.abstractmethod
-    def has_runs(self):
-        """Return whether the target may be running anything."""
-
-    @abc.abstractmethod
-    def expected_runs(self):
-        """Return the runs that a poll sent now must report, running or ended."""
-
-    @abc.abstractmethod
-    def target_polled(self, ended, state, expected):
-        """Process the answer to a poll.
-
-        Parameters
-        ----------
-        ended : list of EndedRun
-            Ended runs that no earlier poll has reported.
-        state : TargetState
-            Answer of the target.
-        expected : list of Run
-            Result of `expected_runs` when the poll was sent; runs that the target does
-            not report are missing.
-        """
-
-    @abc.abstractmethod
-    def target_changed(self):
-        """Update the state after the target was announced, taken over or is leaving."""
-
-    @abc.abstractmethod
-    def target_lost(self, reason):
-        """End the runs that are certain not to be running at the target any more.
-
-        These are all runs, except after a restart under the same id: a run that no poll
-        has listed may have been started by the new incarnation.
-
-        Parameters
-        ----------
-        reason : LossReason
-            Sign by which the loss was noticed.
-        """
-
-    @abc.abstractmethod
-    def target_cleared(self):
-        """End the runs that are left after a loss; the target runs nothing any more."""
-
-
 class Supervisor:
     """Takes over the target of an agent and renews its lease.
 
@@ -152,8 +76,8 @@
         self._clock = clock
         # Another announced incarnation that has not answered a call yet.
         self._candidate = None
-        # Identity of the target that departed last; a delayed announcement of it must
-        # not bring it back.
+        # Last announcement of the target that departed last, with the clock reading at
+        # that moment; a delayed announcement must not bring it back.
         self._departed = None
         self._fencing_token = 0
         self._last_acknowledged = 0
@@ -174,14 +98,26 @@
         One of another incarnation than the one in use may be delayed as well, or come
         from another process. It takes effect once the target has confirmed it.
         """
-        if target.identity == self._departed:
+        if self._is_departed(target):
             log.info("announcement ignored departed=%s", target.incarnation_id)
         elif self.target is None or target.identity == self.target.identity:
             self._update_target(target)
         else:
+            known = self._candidate
+            if known is None or known.identity != target.identity:
+                log.info("target announced id=%s", target.incarnation_id)
             self._candidate = target
             self._adopt_requested.set()
 
+    def _is_departed(self, target):
+        """Return whether an announcement was sent before its target departed."""
+        departed = self._departed
+        return (
+            departed is not None
+            and target.identity == departed.identity
+            and target.clock_ms <= departed.clock_ms + DEPARTURE_MARGIN_MS
+        )
+
     def _update_target(self, target):
         current = self.target
         if current is not None and not self._is_later(target, current):
@@ -215,7 +151,10 @@
             self._candidate = None
         if self.target is not None and self.target.incarnation_id == incarnation_id:
             log.info("target departed id=%s", incarnation_id)
-            self._departed = self.target.identity
+            self._departed = self.target
+            if self.takeover is not None:
+                clock_ms = round(self._driver.clock_ms)
+                self._departed = replace(self.target, clock_ms=clock_ms)
             self._mark_lost(LossReason.DEPARTED)
             self.target = None
 
@@ -376,7 +315,7 @@
         acknowledged = self._last_acknowledged if is_same else 0
         # A call with the present token does not disturb the incarnation in use.
         async with self._open_channel(target) as channel:
-            clock_ms = await _read_clock(channel, acknowledged)
+            clock_ms = await read_clock(channel, acknowledged)
         if not is_same:
             self._replace_target(target)
         self._driver.follow_clock(target, clock_ms)
@@ -386,7 +325,7 @@
         takeover = Takeover(target, self._fencing_token)
         async with self._open_channel(target) as channel:
             try:
-                acknowledged = await _stop_leftover_runs(channel, acknowledged)
+                acknowledged = await stop_leftover_runs(channel, acknowledged)
             except TargetFenced:
                 # Only agents of this host call the target: the higher token is that of
                 # a predecessor.
@@ -430,60 +369,3 @@
         self.takeover = takeover
         self.has_adopted = True
         self._owner.target_changed()
-
-
-async def _read_clock(channel, acknowledged):
-    """Return a reading, in ms, of the clock of the incarnation that a channel expects.
-
-    Raises the errors of `TargetChannel.poll`, except `TargetFenced`.
-    """
-    try:
-        state = await channel.poll(0.0, acknowledged, renew=False)
-    except TargetFenced as exc:
-        return exc.clock_ms
-    return state.clock_ms
-
-
-async def _stop_leftover_runs(channel, acknowledged):
-    """Stop the runs of earlier agents and incarnations.
-
-    Returns
-    -------
-    int
-        Number of the last ended run that was acknowledged.
-
-    Raises
-    ------
-    TargetReplaced
-        If another incarnation answers.
-    TargetUnresponsive
-        If the target may still be running something.
-    """
-    while True:
-        state = await channel.poll(0.0, acknowledged, renew=False)
-        acknowledged = max([acknowledged, *(ended.number for ended in state.ended)])
-        if not state.running and not state.ended:
-            return acknowledged
-        for item in state.running:
-            await channel.stop(item.task, item.run)
-        await trio.sleep(TARGET_RETRY_PAUSE_S)
-
-
-class ChannelCache:
-    """Caches one channel to the target of the current takeover."""
-
-    def __init__(self, driver):
-        self._driver = driver
-        self._takeover = None
-        self._channel = None
-
-    async def open(self, takeover):
-        """Return the channel of a takeover, after closing that of an earlier one."""
-        if takeover != self._takeover:
-            if self._channel is not None:
-                await self._channel.aclose()
-            self._channel = self._driver.open_channel(
-                takeover.target, takeover.fencing_token
-            )
-            self._takeover = takeover
-        return self._channel
--- a/tests/dispatch/test_peers.py
+++ b/tests/dispatch/test_peers.py
@@ -6,8 +6,10 @@
 import trio
 
 from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.base.settings import Duration
 from hornbeamshore.dispatch import peers
 from hornbeamshore.dispatch.coordinator import Coordinator
+from hornbeamshore.dispatch.daemon import EntryProcessSettings
 from hornbeamshore.dispatch.metrics import DispatchMetrics
 from hornbeamshore.dispatch.settings import DispatchSettings
 from hornbeamshore.store.base import KeyValue, Snapshot, StoreUnavailable
@@ -44,8 +46,20 @@
         self.address = f"127.0.0.1:{port}"
         self.identity = Identity("test", "entry", name, 1, "perth")
         self.coordinator = Coordinator(DispatchSettings("perth"), DispatchMetrics())
+        cfg = EntryProcessSettings(
+            deployment="test",
+            entry_id=name,
+            secret=SECRET,
+            caller_address="",
+            ready_address="",
+            inner_address=self.address,
+            metrics_address="",
+            dispatch=DispatchSettings("perth"),
+            wire=CFG,
+            stop_grace=Duration(6.0),
+        )
         self.peers = peers.EntryPeers(
-            self.coordinator, store, PREFIX, self.address, self.identity, SECRET, CFG
+            cfg, self.coordinator, store, PREFIX, self.identity
         )
         self.listeners = listeners
         store.values[name] = f"{self.address} perth".encode()
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -4,7 +4,7 @@
 import trio
 
 from hornbeamshore.base.codes import ResultCode, RunState
-from hornbeamshore.runner.supervisor import LossReason
+from hornbeamshore.runner.takeover import LossReason
 from hornbeamshore.wire.messages import Resources, RunOrder, RunTasks
 
 from .conftest import FakeConnection, announcement, attached, order_tasks
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -597,13 +597,20 @@
 
 @pytest.mark.parametrize(
     ("changes", "is_used"),
-    [({"sequence": 2}, False), ({"started_ms": 2000, "sequence": 1}, True)],
-    ids=["delayed announcement", "started again under its id"],
+    [
+        ({"sequence": 2}, False),
+        ({"started_ms": 2000, "sequence": 1}, True),
+        ({"sequence": 2, "clock_ms": 10_000}, True),
+    ],
+    ids=["delayed announcement", "started again under its id", "goes on"],
 )
 async def test_a_departed_target_is_not_used_again(
     autojump_clock, runner, target, changes, is_used
 ):
-    """Guards against a delayed announcement that brings back a target that left."""
+    """Guards against a delayed announcement that brings back a target that left.
+
+    A target that goes on has not left: the departure was that of another process.
+    """
     runner.supervisor.handle_departure("t-1")
     runner.supervisor.handle_announcement(announcement(**changes))
     await trio.sleep(0.3)
