Reject an announcement whose id is no name

By reading: the id of an announcement comes from the path, where line breaks can be escaped, and becomes a header of each call to the target. A second header or body could be written that way.

--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -41,13 +41,13 @@
         self.calls.append(incarnation_id)
 
 
-async def put_announcement(body):
+async def put_announcement(body, incarnation_id="i-1"):
     supervisor = FakeSupervisor()
     async with (
         serving(AnnouncementApi(supervisor)) as address,
         httpcore.AsyncConnectionPool() as pool,
     ):
-        url = f"http://{address}/hornbeamshore/instances/i-1"
+        url = f"http://{address}/hornbeamshore/instances/{incarnation_id}"
         response = await pool.request("PUT", url, content=body)
     return response.status, supervisor.calls
 
@@ -92,6 +92,15 @@
     assert (status, calls) == (400, [])
 
 
+@pytest.mark.parametrize(
+    "incarnation_id", ["", "i-1%0d%0aHost:x", "i%00", "%C3%A9", "a/b", "x" * 300]
+)
+async def test_an_id_that_is_no_name_is_rejected(incarnation_id):
+    """Guards against an id that changes the header of each call to the target."""
+    body = json.dumps(ANNOUNCEMENT).encode()
+    assert await put_announcement(body, incarnation_id) == (400, [])
+
+
 @pytest.mark.parametrize(
     "body",
     [b"\xff\x00", b"[" * 100_000, b'{"labels":' + b"[" * 50_000 + b"]" * 50_000 + b"}"],
