Try an announced incarnation once while another one is in use

An announcement that the target neither confirms nor denies was tried again each 0.1 s for as long as the target in use went on.

--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -286,6 +286,10 @@
                         break
                 except TargetUnresponsive as exc:
                     log.warning("target not adopted: %s", exc)
+                    if self.takeover is not None:
+                        # Tried again with the next announcement; the target in use
+                        # may answer nothing but calls to itself.
+                        self._drop_candidate(target)
                     await trio.sleep(self.cfg.takeover_retry)
 
     def _next_incarnation(self):
--- a/tests/runner/test_restarts.py
+++ b/tests/runner/test_restarts.py
@@ -155,3 +155,17 @@
         await trio.sleep(0.1)
         assert conn.ends[1].code == ResultCode.AGENT_LEAVING
     assert target.started == []
+
+
+async def test_an_incarnation_that_does_not_answer_is_not_tried_all_the_time(
+    autojump_clock, runner, target
+):
+    """Guards against calls in a loop for an announcement that cannot be confirmed."""
+    polls = target.polls
+    target.drops_poll_answers = True
+    runner.supervisor.handle_announcement(
+        announcement(incarnation_id="t-1", started_ms=1)
+    )
+    await trio.sleep(10.0)
+    assert target.polls == polls + 1
+    assert runner.supervisor.takeover is not None
