--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -524,21 +524,33 @@
         assert [conn.reports[-1].accepting for conn in conns] == [False] * 3
 
 
-async def test_a_replaced_target_is_described_again(autojump_clock, runner, target):
-    """Guards against placing tasks by the capacity of a target that was replaced."""
+@pytest.mark.parametrize("incarnation_id", ["t-1", "t-2"], ids=["same id", "other id"])
+async def test_a_replaced_target_is_described_again(
+    autojump_clock, runner, target, incarnation_id
+):
+    """Guards against placing tasks by what a target was before it was replaced."""
     conn = FakeConnection()
     with attached(runner, conn):
-        target.incarnation_id = "t-2"
+        target.incarnation_id = incarnation_id
+        target.restart(2000)
         larger = Resources(16000, 2048, 0)
         runner.supervisor.handle_announcement(
-            announcement(incarnation_id="t-2", started_ms=2000, capacity=larger)
+            announcement(
+                incarnation_id=incarnation_id,
+                started_ms=2000,
+                capacity=larger,
+                service="die-orders",
+                labels=("gpu",),
+            )
         )
         await trio.sleep(0.3)
         descriptions = [
             report.description for report in conn.reports if report.description
         ]
-        assert [item.target for item in descriptions] == ["t-1", "t-2"]
+        assert [item.target for item in descriptions] == ["t-1", incarnation_id]
         assert descriptions[-1].capacity == conn.reports[-1].free == larger
+        assert descriptions[-1].service == "die-orders"
+        assert descriptions[-1].labels == ("gpu",)
 
 
 async def test_a_connection_is_active_while_runs_or_results_depend_on_it(
