Log the steps of a planned stop and the requests that it cuts

Callers lost answers around a planned stop, and the logs could not say why: a request that the process cut had the same line as one whose caller left, one that was never read had none, and no line told when listeners and idle connections were closed.

The steps of a stop are logged with the number of open requests and connections, by the part "process", which the many lines about jobs cannot crowd out. A request that is cancelled by the process has a line of its own, and the end of the stop counts them. Behaviour is unchanged.

--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -34,6 +34,7 @@
 ENTRY_KEY_PREFIX = "entries/"
 
 log = PartLogger("entry")
+process_log = PartLogger("process")
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,6 +214,7 @@
     """Finish the remaining jobs shortly before the grace period ends."""
     await stopping.wait()
     await trio.sleep(cfg.stop_grace - 2 * cfg.exit_margin)
+    process_log.info("jobs finished as draining jobs=%d", len(coordinator.jobs))
     coordinator.finish_all()
 
 
--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -29,6 +29,8 @@
 SOCKET_STATE = "socket"
 
 _log = PartLogger("entry")
+# Lines about requests, of which there may be many, must not crowd out those of a stop.
+_process_log = PartLogger("process")
 
 
 async def open_http_listeners(host, port):
@@ -85,13 +87,24 @@
             accept_nursery.cancel_scope.cancel()
         for listener in listeners:
             await listener.aclose()
+        _process_log.info(
+            "listeners closed connections=%d open_requests=%d",
+            len(connection_nursery.child_tasks),
+            request_counter.open_requests,
+        )
         connection_nursery.cancel_scope.deadline = (
             trio.current_time() + cfg.graceful_timeout
         )
         # Hypercorn 0.18 closes an HTTP/2 connection before the last frame of an answer
         # if its context is terminated while the request is in flight.
         await request_counter.wait_idle()
+        _process_log.info(
+            "idle connections closed connections=%d",
+            len(connection_nursery.child_tasks),
+        )
         await worker_context.terminated.set()
+    if request_counter.cut_requests:
+        _process_log.warning("requests cut requests=%d", request_counter.cut_requests)
 
 
 class _RequestCounter:
@@ -99,12 +112,19 @@
 
     During a shutdown, it adds ``Connection: close`` to answers over HTTP/1.1, so that
     the caller opens a new connection for its next request.
+
+    Attributes
+    ----------
+    open_requests : int
+        Number of requests that have not been answered.
+    cut_requests : int
+        Number of requests that were cancelled before they were answered.
     """
 
     def __init__(self, app, stopping):
         self._app = app
         self._stopping = stopping
-        self._open_requests = 0
+        self.open_requests = self.cut_requests = 0
         self._changed = trio.Event()
 
     async def __call__(self, scope, receive, send):
@@ -117,16 +137,27 @@
                 message = {**message, "headers": headers}
             await send(message)
 
-        self._open_requests += 1
+        self.open_requests += 1
+        opened_at = trio.current_time()
         try:
             await self._app(scope, receive, send_with_close)
+        except BaseException as exc:
+            # Cancelled, or a group with it from a nursery of the application.
+            if not isinstance(exc, Exception):
+                self.cut_requests += 1
+                _log.warning(
+                    "request cut path=%s open_ms=%.0f",
+                    scope.get("path"),
+                    (trio.current_time() - opened_at) * 1000,
+                )
+            raise
         finally:
-            self._open_requests -= 1
+            self.open_requests -= 1
             self._changed.set()
 
     async def wait_idle(self):
         """Wait until no request is open."""
-        while self._open_requests:
+        while self.open_requests:
             self._changed = trio.Event()
             await self._changed.wait()
 
@@ -145,6 +176,8 @@
             _log.debug("connection closed error=%r", exc_group.exceptions[0])
 
     async def _initiate_server_close(self):
+        if getattr(self.protocol.protocol, "stream", None) is not None:
+            _log.warning("connection closed with an open request")
         buffers = getattr(self.protocol.protocol, "stream_buffers", None)
         with trio.move_on_after(FLUSH_TIMEOUT_S):
             # Polls, since hypercorn has no event for the removal of a buffer.
