--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -81,13 +81,13 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(tmp_path, store=None, control=None):
+async def deployment(tmp_path, store=None, control=None, target=None):
     """Run an entry, an agent and the fakes.
 
     Yields the fake target, an HTTP connection pool, the URL for callers, the entry
     process and the agent process.
     """
-    store, target = store or FakeStore(), FakeTarget()
+    store, target = store or FakeStore(), target or FakeTarget()
     put_value(store, "op/config", json.dumps(CONFIG).encode())
     front, ready, inner = (free_port() for _ in range(3))
     control = control or free_port()
