Ask the state of a planned stop whenever a request is taken

Callers saw: requests sent from 4.1 s after SIGTERM on were taken and started, and got 504 at 5.0 s; those that were read from 5.0 s on were started and cut off at 5.5 s without an answer (251 of 360 in a burst, 20 of 40 and 104 of 160 in the regression test).

Cause: the stop consisted of moments, each of which ended what was there: one the jobs, one the listeners, one the connections. What came in after the moment for the jobs met none of them, and waits that were not jobs in progress (a copy of a job whose runs are stopping, a body that is still being sent, the replies of other entries, the first routing) met the last moment only. The moments also ran on a clock that stands still while the host is suspended, unlike the grace period.

Evidence: the test of the stop with real processes fails before and passes now.

--- a/packages/bench/src/hornbeamshore/bench/baseline.py
+++ b/packages/bench/src/hornbeamshore/bench/baseline.py
@@ -17,6 +17,7 @@
 from hornbeamshore.base.codes import ResultCode
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.shutdown import Shutdown
 
 COUNTERS_PATH = "/counters"
 
@@ -192,7 +193,7 @@
         app = Baseline(targets, slots, seed, nursery)
         port = listeners[0].socket.getsockname()[1]
         print(f"127.0.0.1:{port}", flush=True)
-        await serve_http(app, listeners, HttpSettings(), trio.Event())
+        await serve_http(app, listeners, HttpSettings(), Shutdown())
 
 
 if __name__ == "__main__":
--- a/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
@@ -170,6 +170,11 @@
         ends_at = now + self._placement.expected_run_time_s(task, view)
         return view if ends_at <= task.job.due_at else None
 
+    def fastest_run_time_s(self, job):
+        """Return the expected run time of a job on the fastest agent, in seconds."""
+        agents = self._fleet.usable_agents(job.queue.service)
+        return self._placement.fastest_run_time_s(job, agents, trio.current_time())
+
     def rejection_reason(self, job):
         """Return why a job that has not started must be rejected, or None.
 
--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -1,5 +1,6 @@
 """Execution of jobs at an entry, from submission to answer."""
 
+import contextlib
 import itertools
 import math
 from collections import OrderedDict, defaultdict
@@ -15,6 +16,7 @@
 from hornbeamshore.dispatch.jobs import Job, Run, TaskPhase
 from hornbeamshore.dispatch.model import JobOutcome
 from hornbeamshore.dispatch.presence import AssumedPresence
+from hornbeamshore.serving.shutdown import AnswersDue, Shutdown
 from hornbeamshore.wire.connection import MessageHandler
 from hornbeamshore.wire.messages import (
     AckRuns,
@@ -50,6 +52,8 @@
     presence : CallerPresence or None
         Detects callers that have closed their connections; None if callers always
         cancel their calls.
+    shutdown : Shutdown or None
+        Planned stop of the process; None if it is never stopped.
 
     Attributes
     ----------
@@ -63,11 +67,12 @@
         Assigns waiting tasks to agents.
     """
 
-    def __init__(self, cfg, metrics, clock=boot_time_s, presence=None):
+    def __init__(self, cfg, metrics, clock=boot_time_s, presence=None, shutdown=None):
         self.cfg = cfg
         self.metrics = metrics
         self._clock = clock
         self._presence = presence or AssumedPresence()
+        self._shutdown = shutdown or Shutdown(clock=clock)
         self.fleet = Fleet(cfg.data_centre)
         self.jobs = {}
         self.evidence = RecentStarts(cfg.containment)
@@ -100,7 +105,8 @@
         """Run a job until it ends or its deadline passes.
 
         A duplicate of a job in progress shares the outcome of that job. At the
-        deadline, or if the call is cancelled, the runs of the job are stopped.
+        deadline, when a planned stop demands the answer, or if the call is cancelled,
+        the runs of the job are stopped.
 
         Parameters
         ----------
@@ -120,26 +126,46 @@
             Outcome to report to the caller.
         """
         job = Job(spec, queue, trio.current_time(), caller)
-        with trio.move_on_after(deadline_s):
+        with self._until_answer_is_due(deadline_s):
             shared_outcome = await self._await_duplicate(spec.job_id)
             if shared_outcome is not None:
                 return shared_outcome
             self._register_job(job)
         if not job.is_registered:
-            # Waited for a duplicate until the deadline; its tasks may have run.
+            # Waited for a duplicate, whose tasks may have run.
             job.may_have_run = True
-            job.finish(ResultCode.DEADLINE_EXCEEDED)
+            self._end_unanswered(job)
             return job.outcome
         try:
             remaining_s = deadline_s - (trio.current_time() - job.received_at)
-            with trio.move_on_after(remaining_s):
+            with self._until_answer_is_due(remaining_s):
                 await job.finished.wait()
-            self._abandon(job, ResultCode.DEADLINE_EXCEEDED)
+            self._end_unanswered(job)
         finally:
             self._abandon(job, ResultCode.CANCELLED)
             self._close_job(job)
         return job.outcome
 
+    @contextlib.contextmanager
+    def _until_answer_is_due(self, deadline_s):
+        """End the block at a deadline, or when a planned stop demands all answers."""
+        with (
+            contextlib.suppress(AnswersDue),
+            self._shutdown.bounded(),
+            trio.move_on_after(deadline_s),
+        ):
+            yield
+
+    def _end_unanswered(self, job):
+        """Finish a job whose answer is due.
+
+        At its deadline, duplicates with a later one run the job again.
+        """
+        if self._shutdown.are_answers_due:
+            self._finish(job, ResultCode.DRAINING)
+        else:
+            self._abandon(job, ResultCode.DEADLINE_EXCEEDED)
+
     async def _await_duplicate(self, job_id):
         """Wait for a job in progress with the same id, if there is one.
 
@@ -174,11 +200,6 @@
         self._finish(job, ResultCode.CANCELLED)
         return True
 
-    def finish_all(self):
-        """Finish all jobs as DRAINING, since the process is about to exit."""
-        for job in self.jobs.values():
-            self._finish(job, ResultCode.DRAINING)
-
     def count_unstarted_jobs(self, queue):
         """Return the number of jobs of a queue that have not started."""
         return sum(
@@ -203,13 +224,19 @@
                 self._give_up(job)
                 return
         self.assigner.add_job(job)
+        if self._shutdown.begun.is_set():
+            self._reject_if_stopping(job, self.assigner.fastest_run_time_s(job))
         self.place_tasks()
         self._reject_if_late(job)
 
     def _finish(self, job, code):
         """Set the outcome of a job and remove its waiting tasks."""
         self.assigner.remove_job(job)
-        job.finish(code, self.assigner.retry_after_s(job))
+        retry_after_s = self.assigner.retry_after_s(job)
+        if code is ResultCode.DRAINING:
+            # Other entries may have an agent for the job at once.
+            retry_after_s = self._shutdown.retry_after_s
+        job.finish(code, retry_after_s)
 
     def _has_proven_task(self, job):
         return any(
@@ -309,9 +336,37 @@
 
     def _reject_late_jobs(self):
         """Reject unstarted jobs that cannot be placed and can no longer end in time."""
-        if self.assigner.has_waiting_tasks:
-            for job in list(self.jobs.values()):
-                self._reject_if_late(job)
+        if not self.assigner.has_waiting_tasks:
+            return
+        for job in list(self.jobs.values()):
+            self._reject_if_late(job)
+            if self._shutdown.begun.is_set():
+                self._reject_if_stopping(job, self.assigner.fastest_run_time_s(job))
+
+    def _reject_if_stopping(self, job, run_time_s):
+        """Reject an unstarted job that is not expected to end in a planned stop.
+
+        Parameters
+        ----------
+        job : Job
+            Job.
+        run_time_s : float
+            Expected run time of the job, if it is started now.
+        """
+        time_left_s = self._shutdown.time_left_s
+        needed_s = run_time_s + self.cfg.overhead
+        if needed_s <= time_left_s or job.has_placed_task or job.finished.is_set():
+            return
+        self._finish(job, ResultCode.DRAINING)
+        log.info(
+            "job refused id=%s queue=%s waited_ms=%.0f stopping left_ms=%.0f"
+            " needed_ms=%.0f",
+            job.spec.job_id,
+            job.queue.name,
+            (trio.current_time() - job.received_at) * 1000,
+            time_left_s * 1000,
+            needed_s * 1000,
+        )
 
     def _reject_if_late(self, job):
         if job.may_have_started or job.finished.is_set():
@@ -340,6 +395,8 @@
             if task.job not in checked_jobs:
                 checked_jobs.add(task.job)
                 self._abandon_departed([task.job])
+                slowness = expected_run_time_s / task.step_spec.estimate_s
+                self._reject_if_stopping(task.job, task.job.critical_path_s * slowness)
             if not task.job.finished.is_set():
                 self._order_run(task, view, expected_run_time_s)
         self._flush_orders()
--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -24,6 +24,7 @@
     serve_until_cancelled,
 )
 from hornbeamshore.serving.metrics_api import MetricsApi
+from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
 from hornbeamshore.store.base import deployment_key
 from hornbeamshore.store.directory import Registration
 from hornbeamshore.wire.connection import WireSettings
@@ -34,7 +35,6 @@
 ENTRY_KEY_PREFIX = "entries/"
 
 log = PartLogger("entry")
-process_log = PartLogger("process")
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +103,7 @@
         """
 
     @abc.abstractmethod
-    def caller_app(self, coordinator, routing, peers):
+    def caller_app(self, coordinator, routing, peers, shutdown):
         """Return the ASGI application for callers.
 
         Parameters
@@ -114,6 +114,8 @@
             Routing configuration in use.
         peers : EntryPeers
             Cancels jobs, also those that other entries run.
+        shutdown : Shutdown
+            Planned stop; the application answers each request before its end.
         """
 
     @abc.abstractmethod
@@ -143,9 +145,11 @@
     prebound_sockets : PreboundSockets
         Listening sockets bound at process start.
     """
-    stopping = trio.Event()
+    shutdown = Shutdown(_shutdown_settings(cfg))
     metrics = DispatchMetrics()
-    coordinator = Coordinator(cfg.dispatch, metrics, presence=SocketPresence())
+    coordinator = Coordinator(
+        cfg.dispatch, metrics, presence=SocketPresence(), shutdown=shutdown
+    )
     routing = RoutingReplica()
     metrics.register_gauges(coordinator, routing)
     prefix = deployment_key(cfg.deployment, ENTRY_KEY_PREFIX)
@@ -157,7 +161,7 @@
 
     def is_ready():
         can_serve = routing.current is not None and coordinator.is_connected
-        return can_serve and not stopping.is_set()
+        return can_serve and not shutdown.begun.is_set()
 
     async with contextlib.AsyncExitStack() as stack:
         caller_listeners = await listen(stack, cfg.caller_address, prebound_sockets)
@@ -189,11 +193,11 @@
         nursery.start_soon(
             serve_until_cancelled, MetricsApi(metrics.registry), metrics_listeners
         )
-        nursery.start_soon(handle_signals, stopping, reload)
-        nursery.start_soon(_finish_jobs_before_exit, cfg, coordinator, stopping)
+        nursery.start_soon(handle_signals, shutdown.begin, reload)
+        nursery.start_soon(shutdown.run)
         log.info("started id=%s", cfg.entry_id)
-        app = interface.caller_app(coordinator, routing, peers)
-        await serve_http(app, caller_listeners, _http_settings(cfg), stopping)
+        app = interface.caller_app(coordinator, routing, peers, shutdown)
+        await serve_http(app, caller_listeners, HttpSettings(), shutdown)
         with trio.move_on_after(cfg.exit_margin / 2):
             await registration.unregister()
         nursery.cancel_scope.cancel()
@@ -210,16 +214,11 @@
     )
 
 
-async def _finish_jobs_before_exit(cfg, coordinator, stopping):
-    """Finish the remaining jobs shortly before the grace period ends."""
-    await stopping.wait()
-    await trio.sleep(cfg.stop_grace - 2 * cfg.exit_margin)
-    process_log.info("jobs finished as draining jobs=%d", len(coordinator.jobs))
-    coordinator.finish_all()
-
-
-def _http_settings(cfg):
-    graceful_s = cfg.stop_grace - cfg.readiness_delay - cfg.exit_margin
-    return HttpSettings(
-        linger=cfg.readiness_delay, graceful_timeout=Duration(graceful_s)
+def _shutdown_settings(cfg):
+    answer_until = cfg.stop_grace - 2 * cfg.exit_margin
+    return ShutdownSettings(
+        accept_until=cfg.readiness_delay,
+        answer_until=Duration(answer_until),
+        read_until=Duration(answer_until + cfg.exit_margin / 2),
+        exit_until=Duration(answer_until + cfg.exit_margin),
     )
--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -23,6 +23,7 @@
 from hornbeamshore.serving.http_server import serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
 from hornbeamshore.serving.lifecycle import listen
+from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
 from hornbeamshore.serving.sockets import PreboundSockets
 from hornbeamshore.store.base import StoreError
 from hornbeamshore.store.etcd import EtcdStore
@@ -62,12 +63,12 @@
         self.secret = read_secret(cfg.secret_file)
         self.http_address = self.peer_address = ""
         self.entry = None
-        self._stopping = trio.Event()
+        self._shutdown = Shutdown(_shutdown_settings(cfg))
         self._http_stopped = trio.Event()
 
     def stop(self):
         """Begin a graceful shutdown."""
-        self._stopping.set()
+        self._shutdown.begin()
 
     async def listen(self, stack):
         """Bind the listen addresses; `stack` closes the listeners on exit.
@@ -94,7 +95,7 @@
             self._start_tasks(nursery, store)
             task_status.started(self)
             log.info("Serving HTTP requests at %s.", self.http_address)
-            await self._stopping.wait()
+            await self._shutdown.begun.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
 
@@ -127,7 +128,7 @@
         )
         self.submission_router = SubmissionRouter(self.entry)
         observer = EntryObserver(metrics, windows, self.submission_router)
-        http_cfg = HttpSettings(graceful_timeout=cfg.drain_timeout)
+        http_cfg = HttpSettings()
         self.api = HttpApi(self.submission_router, nursery, observer, http_cfg)
         self._http_cfg = http_cfg
 
@@ -155,7 +156,7 @@
         nursery.start_soon(self._serve_callers)
 
     async def _serve_callers(self):
-        await serve_http(self.api, self._http_listeners, self._http_cfg, self._stopping)
+        await serve_http(self.api, self._http_listeners, self._http_cfg, self._shutdown)
         self._http_stopped.set()
 
     def _peer_addresses(self):
@@ -229,6 +230,12 @@
                 nursery.cancel_scope.cancel()
 
 
+def _shutdown_settings(cfg):
+    """Return the phases of a stop that ends within the drain timeout."""
+    end = cfg.drain_timeout
+    return ShutdownSettings(answer_until=end, read_until=end, exit_until=end)
+
+
 async def _listen(stack, address):
     try:
         return await listen(stack, address, PreboundSockets())
--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -128,7 +128,7 @@
         nursery.start_soon(
             serve_until_cancelled, MetricsApi(metrics.registry), metrics_listeners
         )
-        nursery.start_soon(handle_signals, stopping, reload)
+        nursery.start_soon(handle_signals, stopping.set, reload)
         log.info("started id=%s", cfg.agent_id)
         await stopping.wait()
         await _finish_runs(runner)
--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -6,7 +6,8 @@
 import trio
 from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.events import Closed, RawData, Updated
+from hypercorn.trio.tcp_server import MAX_RECV, TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ConnectionState
 
@@ -39,9 +40,9 @@
 
 
 async def serve_http(
-    app, listeners, cfg, stopping, task_status=trio.TASK_STATUS_IGNORED
+    app, listeners, cfg, shutdown, task_status=trio.TASK_STATUS_IGNORED
 ):
-    """Serve an ASGI application until its graceful shutdown has ended.
+    """Serve an ASGI application until its planned stop has ended.
 
     Parameters
     ----------
@@ -49,117 +50,165 @@
         ASGI application. The state of its scopes holds the socket of the connection
         under `SOCKET_STATE`.
     listeners : list of trio.SocketListener
-        Listeners; they are closed ``cfg.linger`` after `stopping` is set.
+        Listeners; they are closed when the stop ends the accepting of connections.
     cfg : HttpSettings
         Timeouts and limits.
-    stopping : trio.Event
-        Begins the shutdown: after ``cfg.linger``, no connection is accepted, and
-        requests in flight are completed within ``cfg.graceful_timeout``. Idle
-        connections are closed once no request is open.
+    shutdown : Shutdown
+        Planned stop. Each request that has been read is answered before its connection
+        is closed, unless its caller does not take the answer. The application ends
+        each request by the time at which the stop demands it.
     """
-    worker_context = WorkerContext(None)
-    request_counter = _RequestCounter(app, stopping)
-    config = _hypercorn_config(cfg)
     _set_send_timeout(listeners, cfg.send_timeout)
-
-    async def serve_connection(stream):
-        await _ConnectionServer(
-            ASGIWrapper(request_counter),
-            config,
-            worker_context,
-            ConnectionState({SOCKET_STATE: stream.socket}),
-            stream,
-        ).run()
-
-    async with trio.open_nursery() as connection_nursery:
+    connections = _Connections(app, cfg, shutdown)
+    async with trio.open_nursery() as nursery:
         async with trio.open_nursery() as accept_nursery:
             accept_nursery.start_soon(
                 partial(
                     trio.serve_listeners,
-                    serve_connection,
+                    connections.serve,
                     listeners,
-                    handler_nursery=connection_nursery,
+                    handler_nursery=nursery,
                 )
             )
             task_status.started()
-            await stopping.wait()
-            await trio.sleep(cfg.linger)
+            await shutdown.sleep_until(shutdown.cfg.accept_until)
             accept_nursery.cancel_scope.cancel()
         for listener in listeners:
             await listener.aclose()
-        _process_log.info(
-            "listeners closed connections=%d open_requests=%d",
-            len(connection_nursery.child_tasks),
-            request_counter.open_requests,
-        )
-        connection_nursery.cancel_scope.deadline = (
-            trio.current_time() + cfg.graceful_timeout
-        )
-        # Hypercorn 0.18 closes an HTTP/2 connection before the last frame of an answer
-        # if its context is terminated while the request is in flight.
-        await request_counter.wait_idle()
-        _process_log.info(
-            "idle connections closed connections=%d",
-            len(connection_nursery.child_tasks),
-        )
-        await worker_context.terminated.set()
-    if request_counter.cut_requests:
-        _process_log.warning("requests cut requests=%d", request_counter.cut_requests)
+        _process_log.info("listeners closed %s", connections)
+        await _wait_until(connections.wait_idle, shutdown, shutdown.cfg.read_until)
+        _process_log.info("idle connections closed %s", connections)
+        connections.closing.set()
+        await _wait_until(connections.wait_closed, shutdown, shutdown.cfg.read_until)
+        connections.stop_reading()
+        await _wait_until(connections.wait_closed, shutdown, shutdown.cfg.exit_until)
+        await connections.cut()
+        nursery.cancel_scope.cancel()
+
+
+async def _wait_until(wait, shutdown, offset_s):
+    """Call `wait`, but end the call at a time since the signal of a stop."""
+    async with trio.open_nursery() as nursery:
 
+        async def end_at_time():
+            await shutdown.sleep_until(offset_s)
+            nursery.cancel_scope.cancel()
 
-class _RequestCounter:
-    """ASGI middleware that counts the open requests.
+        nursery.start_soon(end_at_time)
+        await wait()
+        nursery.cancel_scope.cancel()
 
-    During a shutdown, it adds ``Connection: close`` to answers over HTTP/1.1, so that
-    the caller opens a new connection for its next request.
+
+class _Connections:
+    """Connections that are being served.
+
+    Parameters
+    ----------
+    app, cfg, shutdown
+        Parameters of `serve_http`.
 
     Attributes
     ----------
-    open_requests : int
-        Number of requests that have not been answered.
-    cut_requests : int
-        Number of requests that were cancelled before they were answered.
+    closing : trio.Event
+        Set when connections without an open request are to be closed.
+    is_reading : bool
+        Whether further requests are to be read.
     """
 
-    def __init__(self, app, stopping):
-        self._app = app
-        self._stopping = stopping
-        self.open_requests = self.cut_requests = 0
+    def __init__(self, app, cfg, shutdown):
+        self.closing = trio.Event()
+        self.is_reading = True
+        self._app = ASGIWrapper(_AnsweringApp(app, shutdown))
+        self._config = _hypercorn_config(cfg)
+        self._context = WorkerContext(None)
+        self._servers = set()
         self._changed = trio.Event()
 
+    def __str__(self):
+        busy = sum(server.is_busy for server in self._servers)
+        return f"connections={len(self._servers)} open_requests={busy}"
+
+    async def serve(self, stream):
+        """Serve one connection until it is closed."""
+        state = ConnectionState({SOCKET_STATE: stream.socket})
+        server = _ConnectionServer(
+            self._app, self._config, self._context, state, stream, self
+        )
+        self._servers.add(server)
+        try:
+            await server.run()
+        finally:
+            self._servers.discard(server)
+            self.notify_changed()
+
+    def notify_changed(self):
+        """Wake the waits for a change of the connections."""
+        self._changed.set()
+
+    async def wait_idle(self):
+        """Wait until no request is open."""
+        await self._wait_while(lambda: any(item.is_busy for item in self._servers))
+
+    async def wait_closed(self):
+        """Wait until all connections are closed."""
+        await self._wait_while(lambda: self._servers)
+
+    async def _wait_while(self, condition):
+        while condition():
+            self._changed = trio.Event()
+            await self._changed.wait()
+
+    def stop_reading(self):
+        """Read no further requests; close each connection once it has none open."""
+        self.is_reading = False
+        for server in self._servers:
+            server.stop_reading()
+
+    async def cut(self):
+        """Close all connections.
+
+        Writes to callers that do not read are shielded from cancellation, and end
+        with the stream.
+        """
+        if self._servers:
+            _process_log.warning("connections cut %s", self)
+        for server in list(self._servers):
+            await trio.aclose_forcefully(server.stream)
+
+
+class _AnsweringApp:
+    """ASGI middleware that closes connections during a stop and logs cut requests.
+
+    During a stop, it adds ``Connection: close`` to answers over HTTP/1.1, so that the
+    caller opens a new connection for its next request.
+    """
+
+    def __init__(self, app, shutdown):
+        self._app = app
+        self._shutdown = shutdown
+
     async def __call__(self, scope, receive, send):
         async def send_with_close(message):
             close_connection = (
-                self._stopping.is_set() and scope["http_version"][0] == "1"
+                self._shutdown.begun.is_set() and scope["http_version"][0] == "1"
             )
             if message["type"] == "http.response.start" and close_connection:
                 headers = [*message["headers"], (b"connection", b"close")]
                 message = {**message, "headers": headers}
             await send(message)
 
-        self.open_requests += 1
         opened_at = trio.current_time()
         try:
             await self._app(scope, receive, send_with_close)
         except BaseException as exc:
             # Cancelled, or a group with it from a nursery of the application.
             if not isinstance(exc, Exception):
-                self.cut_requests += 1
                 _log.warning(
                     "request cut path=%s open_ms=%.0f",
                     scope.get("path"),
                     (trio.current_time() - opened_at) * 1000,
                 )
             raise
-        finally:
-            self.open_requests -= 1
-            self._changed.set()
-
-    async def wait_idle(self):
-        """Wait until no request is open."""
-        while self.open_requests:
-            self._changed = trio.Event()
-            await self._changed.wait()
 
 
 class _ConnectionServer(TCPServer):
@@ -167,17 +216,76 @@
 
     Hypercorn 0.18 raises KeyError for data of an HTTP/2 stream that was answered
     before its end; uncaught, the exception would end the whole process.
+
+    Attributes
+    ----------
+    is_busy : bool
+        Whether the head of a request has been read that is not answered yet.
     """
 
+    def __init__(self, app, config, context, state, stream, connections):
+        super().__init__(app, config, context, state, stream)
+        self.is_busy = False
+        self._connections = connections
+        self._receive_scope = trio.CancelScope()
+        self._answered = trio.Event()
+
     async def run(self):
+        """Serve the connection until it is closed."""
         try:
             await super().run()
         except* Exception as exc_group:
             _log.debug("connection closed error=%r", exc_group.exceptions[0])
 
+    def stop_reading(self):
+        """Read no further data."""
+        self._receive_scope.cancel()
+
+    async def protocol_send(self, event):
+        """Send or apply an event of the protocol; notes when requests are open."""
+        if isinstance(event, Updated):
+            self._set_busy(not event.idle)
+        elif isinstance(event, Closed):
+            self._set_busy(False)
+        await super().protocol_send(event)
+
+    def _set_busy(self, is_busy):
+        self.is_busy = is_busy
+        if not is_busy:
+            self._answered.set()
+            self._connections.notify_changed()
+
+    async def _read_data(self):
+        while data := await self._receive():
+            await self.protocol.handle(RawData(bytes(data)))
+        if not self._connections.is_reading:
+            await self._wait_answered()
+        await self.protocol.handle(Closed())
+
+    async def _receive(self):
+        """Return received data; empty at its end or if no more is to be read."""
+        if not self._connections.is_reading:
+            return b""
+        with trio.CancelScope() as self._receive_scope:
+            try:
+                return await self.stream.receive_some(MAX_RECV)
+            except (trio.ClosedResourceError, trio.BrokenResourceError):
+                return b""
+        return b""
+
+    async def _wait_answered(self):
+        while self.is_busy:
+            self._answered = trio.Event()
+            await self._answered.wait()
+
+    async def _idle_timeout(self):
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self._connections.closing.wait()
+        # Cancelled when the connection gets busy; a close that has begun is completed.
+        with trio.CancelScope(shield=True):
+            await self._initiate_server_close()
+
     async def _initiate_server_close(self):
-        if getattr(self.protocol.protocol, "stream", None) is not None:
-            _log.warning("connection closed with an open request")
         buffers = getattr(self.protocol.protocol, "stream_buffers", None)
         with trio.move_on_after(FLUSH_TIMEOUT_S):
             # Polls, since hypercorn has no event for the removal of a buffer.
--- a/packages/serving/src/hornbeamshore/serving/http_settings.py
+++ b/packages/serving/src/hornbeamshore/serving/http_settings.py
@@ -26,13 +26,6 @@
     send_timeout : Duration
         Time for which sent bytes may stay unacknowledged before the connection is
         closed.
-    linger : Duration
-        Time for which new connections are still accepted after a shutdown began.
-        Callers and load balancers that do not know of it yet still send requests,
-        which a closed listener would drop unread.
-    graceful_timeout : Duration
-        Time to complete requests in flight after the listeners are closed; longer
-        than the longest deadline, so that no request is cut off.
     """
 
     max_header_bytes: ByteSize = ByteSize(16 * 1024)
@@ -41,5 +34,3 @@
     body_budget: ByteSize = ByteSize(256 * 1024 * 1024)
     idle_timeout: Duration = Duration(75.0)
     send_timeout: Duration = Duration(30.0)
-    linger: Duration = Duration(0.5)
-    graceful_timeout: Duration = Duration(65.0)
--- a/packages/serving/src/hornbeamshore/serving/lifecycle.py
+++ b/packages/serving/src/hornbeamshore/serving/lifecycle.py
@@ -8,6 +8,7 @@
 from hornbeamshore.base.settings import SettingsError
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.serving.sockets import PreboundSockets
 
 log = PartLogger("process")
@@ -54,7 +55,7 @@
 async def serve_until_cancelled(app, listeners):
     """Serve an ASGI application until cancelled; return if there are no listeners."""
     if listeners:
-        await serve_http(app, listeners, HttpSettings(), trio.Event())
+        await serve_http(app, listeners, HttpSettings(), Shutdown())
 
 
 async def call_periodically(function, interval_s):
@@ -64,13 +65,13 @@
         function()
 
 
-async def handle_signals(stopping, reload):
-    """Set `stopping` on SIGTERM and SIGINT; call `reload` on SIGHUP.
+async def handle_signals(stop, reload):
+    """Call `stop` on SIGTERM and SIGINT, and `reload` on SIGHUP.
 
     Parameters
     ----------
-    stopping : trio.Event
-        Begins the shutdown.
+    stop : callable
+        Begins the planned stop.
     reload : callable
         Reloads the settings; may raise `SettingsError`.
     """
@@ -79,7 +80,7 @@
         async for signum in signals:
             if signum != signal.SIGHUP:
                 log.info("stopping signal=%d", signum)
-                stopping.set()
+                stop()
                 continue
             try:
                 reload()
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -7,12 +7,14 @@
 
 from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.base.settings import Duration
 from hornbeamshore.dispatch import coordinator as coordinator_module
 from hornbeamshore.dispatch.coordinator import Coordinator
 from hornbeamshore.dispatch.metrics import DispatchMetrics
 from hornbeamshore.dispatch.model import JobSpec, Queue, Step
 from hornbeamshore.dispatch.presence import CallerPresence
 from hornbeamshore.dispatch.settings import DispatchSettings
+from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import (
     AgentReport,
@@ -37,6 +39,12 @@
     stretch=1.6,
     objective_s=0.06,
 )
+SHUTDOWN = ShutdownSettings(
+    accept_until=Duration(2.3),
+    answer_until=Duration(5.0),
+    read_until=Duration(5.25),
+    exit_until=Duration(5.5),
+)
 
 
 class FakeAgent:
@@ -199,11 +207,21 @@
 
 
 @pytest.fixture
-async def coordinator(autojump_clock, nursery, presence):
+async def shutdown(autojump_clock):
+    return Shutdown(SHUTDOWN, trio.current_time)
+
+
+@pytest.fixture
+async def coordinator(autojump_clock, nursery, presence, shutdown):
     coordinator = Coordinator(
-        DispatchSettings("perth"), DispatchMetrics(), trio.current_time, presence
+        DispatchSettings("perth"),
+        DispatchMetrics(),
+        trio.current_time,
+        presence,
+        shutdown,
     )
     nursery.start_soon(coordinator.run)
+    nursery.start_soon(shutdown.run)
     return coordinator
 
 
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -162,13 +162,15 @@
 
 
 async def test_no_task_of_rejected_job_is_ordered(
-    autojump_clock, nursery, coordinator, agent
+    autojump_clock, nursery, coordinator, agent, shutdown
 ):
     """Guards against runs that are ordered after their job was rejected."""
     agent.report(free=Resources())
-    Submission(nursery, coordinator, make_job(1))
+    submission = Submission(nursery, coordinator, make_job(1))
+    await trio.sleep(0.02)
+    shutdown.begin(signalled_at=trio.current_time() - shutdown.cfg.answer_until)
     await trio.sleep(0.02)
-    coordinator.finish_all()
+    assert submission.outcome.code is ResultCode.DRAINING
     agent.report()
     assert agent.orders == {}
 
--- a/tests/entry/conftest.py
+++ b/tests/entry/conftest.py
@@ -15,6 +15,7 @@
 from hornbeamshore.entry.service import SubmissionService
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.shutdown import Shutdown
 
 TOKEN = "order-desk"
 SETTINGS = HttpSettings(discard_timeout=0.05)
@@ -47,7 +48,7 @@
         self.released = trio.Event()
         self.media_type = "application/json"
         self.draining = False
-        self.stopping = trio.Event()
+        self.shutdown = Shutdown()
         self.failure = None
 
     async def submit(self, request, timeout_s):
@@ -117,7 +118,7 @@
 @pytest.fixture
 async def port(app, service, nursery):
     listeners = await open_http_listeners("127.0.0.1", 0)
-    await nursery.start(serve_http, app, listeners, SETTINGS, service.stopping)
+    await nursery.start(serve_http, app, listeners, SETTINGS, service.shutdown)
     return listeners[0].socket.getsockname()[1]
 
 
--- a/tests/entry/test_http_api.py
+++ b/tests/entry/test_http_api.py
@@ -14,7 +14,6 @@
 from hornbeamshore.base.types import Header, JobAnswer, JobKey
 from hornbeamshore.entry.http_body import BodyBudget
 from hornbeamshore.entry.http_errors import RequestRefused
-from hornbeamshore.serving.http_settings import HttpSettings
 
 TOKEN = "order-desk"
 BODIES = [{"n": 1.10}, "text", None, [1, 2]]
@@ -178,6 +177,12 @@
     assert (await send_request("GET", "/healthz"))[0] == 200
 
 
+async def repeat(send, *args):
+    while True:
+        await send(*args)
+        await trio.sleep(0.05)
+
+
 @pytest.mark.parametrize("http2", [False, True])
 async def test_shutdown_completes_open_requests(send_request, service, http2):
     """Guards against a shutdown that drops open requests or accepts new ones."""
@@ -190,11 +195,10 @@
         nursery.start_soon(submit)
         while not service.requests:
             await trio.testing.wait_all_tasks_blocked()
-        service.stopping.set()
-        # The server accepts new connections until `linger` has passed.
-        await trio.testing.wait_all_tasks_blocked(HttpSettings().linger + 0.1)
+        service.shutdown.begin()
+        # The server accepts new connections until `accept_until`.
         with pytest.raises(httpcore.ConnectError):
-            await send_request("GET", "/healthz")
+            await repeat(send_request, "GET", "/healthz")
         service.released.set()
     assert statuses == [200]
 
--- a/tests/platform/scripted_http.py
+++ b/tests/platform/scripted_http.py
@@ -5,12 +5,10 @@
 
 import trio
 
-from hornbeamshore.base.settings import Duration
 from hornbeamshore.platform.asgi import read_body, send_response
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
-
-CFG = HttpSettings(linger=Duration(0.0), graceful_timeout=Duration(0.1))
+from hornbeamshore.serving.shutdown import Shutdown
 
 
 class ScriptedApp:
@@ -52,7 +50,7 @@
     """Serve an application and yield its ``host:port``."""
     async with trio.open_nursery() as nursery:
         listeners = await open_http_listeners("127.0.0.1", 0)
-        await nursery.start(serve_http, app, listeners, CFG, trio.Event())
+        await nursery.start(serve_http, app, listeners, HttpSettings(), Shutdown())
         port = listeners[0].socket.getsockname()[1]
         yield f"127.0.0.1:{port}"
         nursery.cancel_scope.cancel()
--- a/tests/platform/test_departed_callers.py
+++ b/tests/platform/test_departed_callers.py
@@ -16,10 +16,11 @@
 from hornbeamshore.dispatch.settings import DispatchSettings
 from hornbeamshore.platform.ingress import IngressApi
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.wire.messages import RunTasks
 
 from ..dispatch.conftest import FakeAgent
-from .scripted_http import CFG
 from .test_ingress import JOB
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -66,11 +67,12 @@
         replica = RoutingReplica()
         replica.update(Routing(1, (QUEUE,)))
         listeners = await open_http_listeners("127.0.0.1", 0)
-        app = IngressApi(coordinator, replica, None)
+        shutdown = Shutdown()
+        app = IngressApi(coordinator, replica, None, shutdown)
 
         def serve():
             nursery.start_soon(coordinator.run)
-            nursery.start_soon(serve_http, app, listeners, CFG, trio.Event())
+            nursery.start_soon(serve_http, app, listeners, HttpSettings(), shutdown)
 
         yield serve, agent, listeners[0].socket.getsockname()
         nursery.cancel_scope.cancel()
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -20,6 +20,7 @@
     decode_job,
 )
 from hornbeamshore.platform.routing import decode_routing
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.wire.messages import Resources
 
 from .scripted_http import serving
@@ -35,6 +36,7 @@
     def __init__(self):
         self.outcome = JobOutcome.of(ResultCode.OK)
         self.jobs = {"known": None}
+        self.hangs = False
         self.submitted = []
         self.cancelled = trio.Event()
 
@@ -48,6 +50,8 @@
         return self.outcome
 
     async def cancel(self, job_id):
+        if self.hangs:
+            await trio.sleep_forever()
         return job_id == "known"
 
     def count_unstarted_jobs(self, queue):
@@ -55,12 +59,14 @@
 
 
 @contextlib.asynccontextmanager
-async def ingress(coordinator, *, is_configured=True):
+async def ingress(coordinator, *, is_configured=True, shutdown=None):
     replica = RoutingReplica()
     if is_configured:
         replica.update(Routing(1, (Queue("q", "desk.example", "/p/", "s"),)))
     async with (
-        serving(IngressApi(coordinator, replica, coordinator)) as address,
+        serving(
+            IngressApi(coordinator, replica, coordinator, shutdown or Shutdown())
+        ) as address,
         httpcore.AsyncConnectionPool() as pool,
     ):
 
@@ -82,7 +88,7 @@
     """Guards against refusing requests while an entry is starting."""
     replica, statuses = RoutingReplica(), []
     async with (
-        serving(IngressApi(FakeCoordinator(), replica, None)) as address,
+        serving(IngressApi(FakeCoordinator(), replica, None, Shutdown())) as address,
         httpcore.AsyncConnectionPool() as pool,
         trio.open_nursery() as nursery,
     ):
@@ -264,3 +270,76 @@
         response = await call("POST", "/p/", JOB)
     assert response.status == 400
     assert coordinator.submitted == []
+
+
+DRAINING = {"error": "draining"}
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body"),
+    [
+        ("POST", "/p/5c0e7a21d94b36f8", JOB),
+        ("GET", "/p/", None),
+        ("GET", "/p/known", None),
+        ("DELETE", "/p/known", None),
+        ("GET", "/other/", None),
+    ],
+)
+@pytest.mark.parametrize("is_configured", [True, False])
+async def test_requests_after_the_end_of_a_stop_are_refused_at_once(
+    is_configured, method, path, body
+):
+    """Guards against requests that are taken when all others have been ended."""
+    coordinator, shutdown = FakeCoordinator(), Shutdown()
+    shutdown.begin(signalled_at=-1e9)
+    call_settings = {"is_configured": is_configured, "shutdown": shutdown}
+    async with ingress(coordinator, **call_settings) as call:
+        response = await call(method, path, body)
+    assert (response.status, json.loads(response.content)) == (503, DRAINING)
+    assert (b"retry-after", b"0") in response.headers
+    assert coordinator.submitted == []
+
+
+class UnfinishedRequest:
+    """Request whose body does not end, and the answer to it."""
+
+    def __init__(self, method, path):
+        self.answer = []
+        self.scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [(b"host", b"desk.example")],
+        }
+
+    async def receive(self):
+        await trio.sleep_forever()
+
+    async def send(self, message):
+        self.answer.append(message)
+
+
+@pytest.mark.parametrize(
+    ("method", "is_configured"),
+    [("POST", True), ("DELETE", True), ("POST", False)],
+    ids=["body", "replies of other entries", "routing"],
+)
+async def test_a_request_that_waits_is_refused_when_answers_are_due(
+    autojump_clock, nursery, method, is_configured
+):
+    """Guards against connections that end with a request that was taken."""
+    coordinator, replica = FakeCoordinator(), RoutingReplica()
+    coordinator.hangs = True
+    if is_configured:
+        replica.update(Routing(1, (Queue("q", "desk.example", "/p/", "s"),)))
+    shutdown = Shutdown(clock=trio.current_time)
+    nursery.start_soon(shutdown.run)
+    request = UnfinishedRequest(method, "/p/5c0e7a21d94b36f8")
+    app = IngressApi(coordinator, replica, coordinator, shutdown)
+    shutdown.begin(signalled_at=trio.current_time() - shutdown.cfg.answer_until + 0.1)
+    started_at = trio.current_time()
+    await app(request.scope, request.receive, request.send)
+    assert trio.current_time() - started_at == pytest.approx(0.1)
+    assert request.answer[0]["status"] == 503
+    assert json.loads(request.answer[1]["body"]) == DRAINING
+    assert coordinator.submitted == []
--- /dev/null
+++ b/tests/serving/test_http_server.py
@@ -0,0 +1,145 @@
+"""Tests of connections and requests around the planned stop of an HTTP server."""
+
+import contextlib
+import select
+import socket
+
+import trio
+
+from hornbeamshore.base.settings import Duration
+from hornbeamshore.serving.http_server import open_http_listeners, serve_http
+from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+OK = b"HTTP/1.1 200 \r\n"
+TIMEOUT_S = 30.0
+# Idle connections are closed as soon as the stop begins.
+CLOSE_AT_ONCE = ShutdownSettings(accept_until=Duration(0.0))
+# Nothing is idle in this time, however slow the machine is.
+END_SOON = ShutdownSettings(
+    accept_until=Duration(0.0),
+    answer_until=Duration(0.2),
+    read_until=Duration(0.2),
+    exit_until=Duration(60.0),
+)
+CUT_SOON = ShutdownSettings(
+    accept_until=Duration(0.0),
+    answer_until=Duration(0.2),
+    read_until=Duration(0.2),
+    exit_until=Duration(0.4),
+)
+
+
+class GatedApp:
+    """ASGI application that answers requests once its gate is open.
+
+    Attributes
+    ----------
+    taken_first : trio.Event
+        Set when the first request has been taken.
+    """
+
+    def __init__(self, body=b"done"):
+        self.gate = trio.Event()
+        self.taken_first = trio.Event()
+        self._body = body
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] != "http":
+            return
+        self.taken_first.set()
+        await self.gate.wait()
+        headers = [(b"content-length", b"%d" % len(self._body))]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": self._body})
+
+
+class Server:
+    """Server in the background, and its callers, whose calls do not block the loop."""
+
+    def __init__(self, app, shutdown, listeners):
+        self.app, self.shutdown = app, shutdown
+        self.address = listeners[0].socket.getsockname()
+        self.ended = trio.Event()
+
+    def connect(self):
+        sock = socket.create_connection(self.address)
+        sock.settimeout(TIMEOUT_S)
+        return sock
+
+
+@contextlib.asynccontextmanager
+async def serving(app, shutdown_cfg):
+    """Serve an application; yield the `Server`."""
+    async with trio.open_nursery() as nursery:
+        listeners = await open_http_listeners("127.0.0.1", 0)
+        shutdown = Shutdown(shutdown_cfg)
+        server = Server(app, shutdown, listeners)
+
+        async def serve():
+            await serve_http(app, listeners, HttpSettings(), shutdown)
+            server.ended.set()
+
+        nursery.start_soon(shutdown.run)
+        nursery.start_soon(serve)
+        yield server
+        nursery.cancel_scope.cancel()
+
+
+def is_readable(sock):
+    """Return whether data or the end of a connection can be read."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def read_all(sock):
+    """Return what a caller receives until the end of its connection."""
+
+    def read():
+        parts = []
+        with contextlib.suppress(ConnectionResetError):
+            while data := sock.recv(65536):
+                parts.append(data)
+        return b"".join(parts)
+
+    return await trio.to_thread.run_sync(read)
+
+
+async def exchange(sock):
+    """Send a request on a connection that stays open, and read the answer."""
+    await trio.to_thread.run_sync(sock.sendall, REQUEST)
+    answer = b""
+    while not answer.endswith(b"done"):
+        answer += await trio.to_thread.run_sync(sock.recv, 65536)
+
+
+async def test_what_was_read_is_answered_after_the_end_of_reading():
+    """Guards against requests that are cut because their answers come last."""
+    app = GatedApp()
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(app, END_SOON) as server:
+            with server.connect() as conn:
+                conn.sendall(REQUEST)
+                await app.taken_first.wait()
+                server.shutdown.begin()
+                await server.shutdown.sleep_until(END_SOON.read_until)
+                await trio.testing.wait_all_tasks_blocked()
+                app.gate.set()
+                answer = await read_all(conn)
+                await server.ended.wait()
+    assert answer.count(b"HTTP/1.1 200") == 1
+
+
+async def test_a_caller_that_does_not_read_does_not_hold_up_the_end():
+    """Guards against a process that outlasts its grace period in a blocked write."""
+    app = GatedApp(b"x" * 50_000_000)
+    app.gate.set()
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(app, CUT_SOON) as server:
+            with server.connect() as conn:
+                conn.sendall(REQUEST)
+                await app.taken_first.wait()
+                server.shutdown.begin()
+                await server.ended.wait()
