Answer requests that arrive when idle connections are closed

Callers saw a connection that was closed while their request was read.

The task that closes an idle connection now lets the task that reads it handle what has arrived, and leaves a connection with an open request to its answer. The test sends requests in each of the first twelve turns after the begin of a stop; it fails in two of them without this change. What is still on its way when a connection is closed cannot be known to the server.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server that runs hypercorn's protocols on trio listeners."""
 
+import select
 import socket
 from functools import partial
 
@@ -25,6 +26,8 @@
 # A stream that was reset keeps its buffer, so the wait for empty buffers is bounded.
 FLUSH_TIMEOUT_S = 1.0
 FLUSH_POLL_INTERVAL_S = 0.005
+# Turns of the event loop within which the task of a connection reads what has arrived.
+READ_TURNS = 10
 
 # Key of the connection's socket in the state of an ASGI scope.
 SOCKET_STATE = "socket"
@@ -99,6 +102,13 @@
         nursery.cancel_scope.cancel()
 
 
+def _is_readable(sock):
+    """Return whether data, a connection or an end can be read from a socket."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class _Connections:
     """Connections that are being served.
 
@@ -286,6 +296,9 @@
             await self._initiate_server_close()
 
     async def _initiate_server_close(self):
+        if await self._has_request():
+            # The answer ends the connection, or begins a new idle time.
+            return
         buffers = getattr(self.protocol.protocol, "stream_buffers", None)
         with trio.move_on_after(FLUSH_TIMEOUT_S):
             # Polls, since hypercorn has no event for the removal of a buffer.
@@ -293,6 +306,14 @@
                 await trio.sleep(FLUSH_POLL_INTERVAL_S)
         await super()._initiate_server_close()
 
+    async def _has_request(self):
+        """Return whether a request is open, after what has arrived has been read."""
+        for _ in range(READ_TURNS):
+            if self.is_busy or not _is_readable(self.stream.socket):
+                break
+            await trio.lowlevel.checkpoint()
+        return self.is_busy
+
 
 def _hypercorn_config(cfg):
     config = Config()
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -4,6 +4,7 @@
 import select
 import socket
 
+import pytest
 import trio
 
 from hornbeamshore.base.settings import Duration
@@ -115,6 +116,47 @@
         answer += await trio.to_thread.run_sync(sock.recv, 65536)
 
 
+class LateRequests(trio.abc.Instrument):
+    """Sends requests on open connections in one turn of the event loop.
+
+    Attributes
+    ----------
+    sent_on : list of socket.socket
+        Connections that the server had not closed by then.
+    """
+
+    def __init__(self, conns, turn):
+        self.sent_on = []
+        self._conns, self._turns_left = conns, turn
+
+    def before_io_wait(self, timeout):
+        if self._turns_left == 0:
+            self.sent_on = [conn for conn in self._conns if not is_readable(conn)]
+            for conn in self.sent_on:
+                conn.sendall(REQUEST)
+        self._turns_left -= 1
+
+
+@pytest.mark.parametrize("turn", range(12))
+async def test_requests_that_arrive_when_idle_connections_are_closed_are_answered(turn):
+    """Guards against requests on idle connections that a stop closes unanswered."""
+    app = GatedApp()
+    app.gate.set()
+    with contextlib.ExitStack() as stack, trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            conns = [stack.enter_context(server.connect()) for _ in range(10)]
+            for conn in conns:
+                await exchange(conn)
+            late_requests = LateRequests(conns, turn)
+            trio.lowlevel.add_instrument(late_requests)
+            server.shutdown.begin()
+            await server.ended.wait()
+            trio.lowlevel.remove_instrument(late_requests)
+            answers = [await read_all(conn) for conn in late_requests.sent_on]
+    assert [answer[:15] for answer in answers if answer[:15] != OK] == []
+    assert all(b"connection: close" in answer for answer in answers)
+
+
 async def test_what_was_read_is_answered_after_the_end_of_reading():
     """Guards against requests that are cut because their answers come last."""
     app = GatedApp()
