Accept what waits in the queue of a listener before it is closed

A process that gets too little processor time has connections in the queue of its listener, with requests that were sent long before. In a stop it closed the listener and so reset them. They are accepted now and answered like all others.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -28,6 +28,8 @@
 FLUSH_POLL_INTERVAL_S = 0.005
 # Turns of the event loop within which the task of a connection reads what has arrived.
 READ_TURNS = 10
+# A connection that a caller has given up is gone from the queue of a listener.
+ACCEPT_TIMEOUT_S = 0.1
 
 # Key of the connection's socket in the state of an ASGI scope.
 SOCKET_STATE = "socket"
@@ -69,7 +71,7 @@
                 partial(
                     trio.serve_listeners,
                     connections.serve,
-                    listeners,
+                    [_KeptOpen(listener) for listener in listeners],
                     handler_nursery=nursery,
                 )
             )
@@ -77,6 +79,7 @@
             await shutdown.sleep_until(shutdown.cfg.accept_until)
             accept_nursery.cancel_scope.cancel()
         for listener in listeners:
+            await _accept_queued(listener, connections, nursery)
             await listener.aclose()
         _process_log.info("listeners closed %s", connections)
         await _wait_until(connections.wait_idle, shutdown, shutdown.cfg.read_until)
@@ -89,6 +92,29 @@
         nursery.cancel_scope.cancel()
 
 
+class _KeptOpen(trio.abc.Listener):
+    """Listener that stays open when the task that accepts connections is cancelled."""
+
+    def __init__(self, listener):
+        self._listener = listener
+
+    async def accept(self):
+        return await self._listener.accept()
+
+    async def aclose(self):
+        await trio.lowlevel.checkpoint()
+
+
+async def _accept_queued(listener, connections, nursery):
+    """Accept the connections in the queue of a listener, which its close would reset.
+
+    They wait there if the process does not get the processor.
+    """
+    while _is_readable(listener.socket):
+        with trio.move_on_after(ACCEPT_TIMEOUT_S):
+            nursery.start_soon(connections.serve, await listener.accept())
+
+
 async def _wait_until(wait, shutdown, offset_s):
     """Call `wait`, but end the call at a time since the signal of a stop."""
     async with trio.open_nursery() as nursery:
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -157,6 +157,25 @@
     assert all(b"connection: close" in answer for answer in answers)
 
 
+@pytest.mark.parametrize("connections", [1, 100])
+async def test_connections_that_wait_when_the_listener_is_closed_are_served(
+    connections,
+):
+    """Guards against the reset of requests that a busy process has not accepted."""
+    app = GatedApp()
+    app.gate.set()
+    with contextlib.ExitStack() as stack, trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            await trio.testing.wait_all_tasks_blocked()
+            server.shutdown.begin()
+            conns = [stack.enter_context(server.connect()) for _ in range(connections)]
+            for conn in conns:
+                conn.sendall(REQUEST)
+            answers = [await read_all(conn) for conn in conns]
+            await server.ended.wait()
+    assert [answer[:15] for answer in answers] == [OK] * connections
+
+
 async def test_what_was_read_is_answered_after_the_end_of_reading():
     """Guards against requests that are cut because their answers come last."""
     app = GatedApp()
