Answer pipelined requests before a stop closes their connection

During a stop, each answer over HTTP/1.1 carries Connection: close, so a further request that had been read behind it was dropped with the connection. The header is left out while such data has been read; the last answer carries it. The test with three requests got one answer without this change.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -31,8 +31,9 @@
 # A connection that a caller has given up is gone from the queue of a listener.
 ACCEPT_TIMEOUT_S = 0.1
 
-# Key of the connection's socket in the state of an ASGI scope.
+# Keys of the connection's socket and server in the state of an ASGI scope.
 SOCKET_STATE = "socket"
+_SERVER_STATE = "server"
 
 _log = PartLogger("entry")
 # Lines about requests, of which there may be many, must not crowd out those of a stop.
@@ -170,6 +171,7 @@
         server = _ConnectionServer(
             self._app, self._config, self._context, state, stream, self
         )
+        state[_SERVER_STATE] = server
         self._servers.add(server)
         try:
             await server.run()
@@ -216,7 +218,8 @@
     """ASGI middleware that closes connections during a stop and logs cut requests.
 
     During a stop, it adds ``Connection: close`` to answers over HTTP/1.1, so that the
-    caller opens a new connection for its next request.
+    caller opens a new connection for its next request. Requests that the caller has
+    sent without waiting for an answer are answered first.
     """
 
     def __init__(self, app, shutdown):
@@ -226,7 +229,9 @@
     async def __call__(self, scope, receive, send):
         async def send_with_close(message):
             close_connection = (
-                self._shutdown.begun.is_set() and scope["http_version"][0] == "1"
+                self._shutdown.begun.is_set()
+                and scope["http_version"][0] == "1"
+                and not scope["state"][_SERVER_STATE].has_pipelined_data
             )
             if message["type"] == "http.response.start" and close_connection:
                 headers = [*message["headers"], (b"connection", b"close")]
@@ -273,6 +278,11 @@
         except* Exception as exc_group:
             _log.debug("connection closed error=%r", exc_group.exceptions[0])
 
+    @property
+    def has_pipelined_data(self):
+        """Whether data behind the current request over HTTP/1.1 has been read."""
+        return bool(self.protocol.protocol.connection.trailing_data[0])
+
     def stop_reading(self):
         """Read no further data."""
         self._receive_scope.cancel()
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -176,13 +176,14 @@
     assert [answer[:15] for answer in answers] == [OK] * connections
 
 
-async def test_what_was_read_is_answered_after_the_end_of_reading():
+@pytest.mark.parametrize("requests", [1, 3], ids=["one", "pipelined"])
+async def test_what_was_read_is_answered_after_the_end_of_reading(requests):
     """Guards against requests that are cut because their answers come last."""
     app = GatedApp()
     with trio.fail_after(TIMEOUT_S):
         async with serving(app, END_SOON) as server:
             with server.connect() as conn:
-                conn.sendall(REQUEST)
+                conn.sendall(REQUEST * requests)
                 await app.taken_first.wait()
                 server.shutdown.begin()
                 await server.shutdown.sleep_until(END_SOON.read_until)
@@ -190,7 +191,7 @@
                 app.gate.set()
                 answer = await read_all(conn)
                 await server.ended.wait()
-    assert answer.count(b"HTTP/1.1 200") == 1
+    assert answer.count(b"HTTP/1.1 200") == requests
 
 
 async def test_a_caller_that_does_not_read_does_not_hold_up_the_end():
