Log which agents refuse a candidate's fence, and why

The candidate's line now has the last reply of each agent of the roster or of a connection, and an agent logs a refused fence with the code, the owner and its epoch, and for how long the owner was silent; once for each epoch, since a candidate repeats its fence every 0.23 s. Behaviour is unchanged.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -16,7 +16,7 @@
 from hornbeamshore.base.clock import new_incarnation, unix_ms
 from hornbeamshore.base.codes import ResultCode, RunState, refuse
 from hornbeamshore.base.logs import PartLogger, configure_logs
-from hornbeamshore.base.types import TaskResult
+from hornbeamshore.base.types import Epoch, TaskResult
 from hornbeamshore.wire.connection import (
     CallTimeout,
     ConnectionLost,
@@ -112,6 +112,7 @@
         self._conns = {}
         self._last_checked_at = self._last_connected_at = trio.current_time()
         self._owner_changed = trio.Event()
+        self._last_refusal = None
         self._handlers = {
             Start: self._handle_start,
             CancelTasks: self._handle_cancel,
@@ -325,6 +326,7 @@
         code = self.fencing.grant(fence, _entry_key(conn), now)
         epoch = self.fencing.epoch
         if code != ResultCode.OK:
+            self._log_refusal(conn, fence, code, now)
             reply = FenceReply(fence.partition, int(code), epoch)
         else:
             log.info(
@@ -338,6 +340,24 @@
             reply = FenceReply(fence.partition, int(code), epoch, records, self.roster)
         conn.send(reply, reply_to=message.id)
 
+    def _log_refusal(self, conn, fence, code, now):
+        """Log a refused fence, once for each epoch, as a candidate repeats it."""
+        refusal = (_entry_key(conn), fence.epoch, code)
+        if refusal == self._last_refusal:
+            return
+        self._last_refusal = refusal
+        log.info(
+            "Entry %s was refused partition %s at epoch %s: code %d; the owner %s at "
+            "epoch %s was silent for %.1f s.",
+            conn.peer.process_id,
+            fence.partition,
+            Epoch.unpack(fence.epoch),
+            code,
+            self.fencing.owner,
+            Epoch.unpack(self.fencing.epoch),
+            self.fencing.silence_s(now),
+        )
+
     def _handle_renew(self, conn, message, _now):
         body = message.body
         is_holder = self.fencing.holds_epoch(
--- a/packages/agent/src/hornbeamshore/agent/fencing.py
+++ b/packages/agent/src/hornbeamshore/agent/fencing.py
@@ -108,6 +108,10 @@
             and not self._released
         )
 
+    def silence_s(self, now):
+        """Return the seconds since the last message from the current owner."""
+        return now - self._last_message_at
+
     def is_owner(self, peer):
         """Return whether an entry is the current owner."""
         return self.owner is not None and peer == self.owner
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -81,6 +81,7 @@
         self._highest_epoch = NO_EPOCH
         self._leases = self._new_leases()
         self._grants = {}
+        self._refusals = {}
         # Id and incarnation of each agent that sent its start records with a grant
         # in this term. The records stay known after the agent disconnects.
         self._reported_agents = set()
@@ -193,6 +194,7 @@
         self._highest_epoch = self.epoch
         self._leases = self._new_leases()
         self._grants = {}
+        self._refusals = {}
         self._reported_agents = set()
         self._agents_with_lease_task = set()
         self._early_outcomes = []
@@ -232,7 +234,12 @@
             self._is_acquire_decided, self.cfg.acquire_timeout
         )
         if not is_decided:
-            log.info("No quorum for partition %s at epoch %s.", self.name, self.epoch)
+            log.info(
+                "No quorum for partition %s at epoch %s; replies of agents: %s.",
+                self.name,
+                self.epoch,
+                self._describe_replies(),
+            )
             return False
         # Submissions wait at their front ends meanwhile. Without this wait, keys from
         # before the takeover would be refused until the last agent sent its records.
@@ -252,6 +259,14 @@
         self._activate()
         return True
 
+    def _describe_replies(self):
+        """Return the code of each agent's last reply to the fence, as text for logs."""
+        replies = dict.fromkeys(rosters.live_ids(self.roster), "not connected")
+        for link in self.entry.links_of(self.partition):
+            replies[link.agent_id] = self._refusals.get(link.agent_id, "no reply")
+        replies |= dict.fromkeys(self._leases.incarnations, int(ResultCode.OK))
+        return ", ".join(f"{name} {reply}" for name, reply in sorted(replies.items()))
+
     def _is_acquire_decided(self):
         if self._highest_epoch > self.epoch:
             return True
@@ -445,6 +460,7 @@
                 reply = replace(reply, records=early_records + reply.records)
                 self._record_grant(link, reply, sent_at)
                 return True
+            self._refusals[link.agent_id] = reply.code
             if reply.code == ResultCode.STALE_EPOCH:
                 self.observe_epoch(Epoch.unpack(reply.epoch))
                 return False
