Count only renewals as a sign that an entry keeps its grant

Cause: an agent refused the fence of a candidate while it heard any message of the entry that held the grant, or saw it reconnect. The process of that entry can outlive its term. Its release is lost if the connections to the agents end with the term, and an agent that reads the fence after the term has ended grants it to nobody's benefit. From then on the heartbeats of an entry that claims nothing kept the grant for as long as the entry ran. The class of fault: the life of a process is taken for its claim to a role.

The lease is now renewed by a grant and by Renew alone, which is what the owner counts its leases by. The owner's lease ends 0.3 s before the agent's, as before, so no two owners are active at a time. A grant that nobody renews ends after suspect_after.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -158,7 +158,7 @@
         self._conns[conn.peer.process_id] = conn
         if previous is not None:
             previous.close()
-        self.fencing.connection_opened(_entry_key(conn), trio.current_time())
+        self.fencing.connection_opened(_entry_key(conn))
         # The heartbeat carries the revision and goes first, so that the entry does not
         # resend a configuration that is in force here.
         conn.try_send(self.heartbeat())
@@ -195,7 +195,6 @@
         self._check_pause(now)
         if not conn.is_open:
             return
-        self.fencing.message_received(_entry_key(conn), now)
         handler = self._handlers.get(type(message.body))
         if handler is not None:
             handler(conn, message, now)
@@ -348,7 +347,7 @@
         self._last_refusal = refusal
         log.info(
             "Entry %s was refused partition %s at epoch %s: code %d; the owner %s at "
-            "epoch %s was silent for %.1f s.",
+            "epoch %s last renewed %.1f s ago.",
             conn.peer.process_id,
             fence.partition,
             Epoch.unpack(fence.epoch),
@@ -358,12 +357,12 @@
             self.fencing.silence_s(now),
         )
 
-    def _handle_renew(self, conn, message, _now):
+    def _handle_renew(self, conn, message, now):
         body = message.body
-        is_holder = self.fencing.holds_epoch(
-            _entry_key(conn), body.partition, body.epoch
+        is_renewed = self.fencing.renew(
+            _entry_key(conn), body.partition, body.epoch, now
         )
-        code = ResultCode.OK if is_holder else ResultCode.STALE_EPOCH
+        code = ResultCode.OK if is_renewed else ResultCode.STALE_EPOCH
         conn.send(RenewReply(int(code), self.fencing.epoch), reply_to=message.id)
 
     def _handle_release(self, conn, message, _now):
--- a/packages/agent/src/hornbeamshore/agent/fencing.py
+++ b/packages/agent/src/hornbeamshore/agent/fencing.py
@@ -4,7 +4,7 @@
 
 
 class Fencing:
-    """Fencing epoch granted by the agent, and liveness of the entry that holds it.
+    """Fencing epoch granted by the agent, and the lease of the entry that holds it.
 
     All times are passed in, as seconds of one monotonic clock.
 
@@ -13,7 +13,7 @@
     service : str
         Service of the agent; fences for partitions of other services are refused.
     suspect_after : float
-        Seconds without a message from the owner after which another entry may be
+        Seconds after the last renewal by the owner from which another entry may be
         granted a fence.
     now : float
         Time at which the process started. A restarted agent does not know which
@@ -42,7 +42,7 @@
         self._released = False
         self._closed_by_owner = False
         self._owner_exited = False
-        self._last_message_at = 0.0
+        self._renewed_at = 0.0
         self._earliest_grant_at = now + suspect_after
 
     @property
@@ -50,11 +50,10 @@
         """Current owner; None before the first grant and after `invalidate_grant`."""
         return self.holder if self._grant_valid else None
 
-    def connection_opened(self, peer, now):
+    def connection_opened(self, peer):
         """Handle a new connection to an entry."""
         if peer == self.owner:
             self._closed_by_owner = self._owner_exited = False
-            self._last_message_at = now
         elif self.owner is not None and peer[0] == self.owner[0]:
             # A higher incarnation proves that the previous process has exited.
             self._owner_exited |= peer[1] > self.owner[1]
@@ -79,10 +78,16 @@
         if peer == self.owner and self._closed_by_owner:
             self._owner_exited = True
 
-    def message_received(self, peer, now):
-        """Record the time of a message from an entry."""
-        if peer == self.owner:
-            self._last_message_at = now
+    def renew(self, peer, partition, epoch, now):
+        """Renew the lease of an entry that holds the epoch; return whether it does.
+
+        Other messages and new connections renew nothing: the process of an entry
+        that has ended its term may live on, and its release may have been lost.
+        """
+        if not self.holds_epoch(peer, partition, epoch):
+            return False
+        self._renewed_at = now
+        return True
 
     def release(self, peer, partition, epoch):
         """Release the partition if the peer holds it; return whether it did."""
@@ -109,15 +114,15 @@
         )
 
     def silence_s(self, now):
-        """Return the seconds since the last message from the current owner."""
-        return now - self._last_message_at
+        """Return the seconds since the grant or its last renewal by the owner."""
+        return now - self._renewed_at
 
     def is_owner(self, peer):
         """Return whether an entry is the current owner."""
         return self.owner is not None and peer == self.owner
 
     def grant(self, fence, peer, now):
-        """Grant a `Fence` unless it is stale or the current owner is still alive.
+        """Grant a `Fence` unless it is stale or the current owner's lease holds.
 
         A fence that the holder repeats at its epoch is granted again: the first
         reply may have been lost, or the agent may have been paused.
@@ -134,7 +139,7 @@
             self._grant_valid = True
             self._released = False
             self._closed_by_owner = self._owner_exited = False
-            self._last_message_at = now
+            self._renewed_at = now
         return code
 
     def check(self, fence, peer, now):
@@ -155,5 +160,5 @@
             self.owner is None
             or self._released
             or self._owner_exited
-            or now - self._last_message_at >= self._suspect_after
+            or self.silence_s(now) >= self._suspect_after
         )
