Keep the connection to an entry that returns to the owner table

An entry that was removed from the owner table, and joined again, lost its connections to all agents 0.23 to 0.3 s later, and with them each lease that it held as an owner.

Cause: an agent keeps the connection to an entry that leaves the table, as an owner may still wait for results, but forgets it. When the entry was listed again, the agent opened a second connection, which closes the first.

Seen with real processes: entries removed from the table and written back by hand. The agent now resumes the connection that it kept; a new one is opened only if the kept one has ended or is being closed.

The first case of the test fails on the code before. tests/agent: 105 passed.

--- a/packages/agent/src/hornbeamshore/agent/uplink.py
+++ b/packages/agent/src/hornbeamshore/agent/uplink.py
@@ -67,6 +67,11 @@
         if self.conn is None or close:
             self._cancel_scope.cancel()
 
+    def resume(self):
+        """Take the retirement back while connected; return False if it has ended."""
+        self.retired = self.conn is None or self._cancel_scope.cancel_called
+        return not self.retired
+
     def reset(self):
         """Close the connection or abort a connection attempt, then reconnect."""
         self._cancel_scope.cancel()
@@ -109,6 +114,8 @@
         self._agent = agent
         self._nursery = nursery
         self._by_address = {}
+        # Uplinks whose task has not ended yet, most with an open connection.
+        self._retired = {}
 
     def select(self, addresses, unselected=()):
         """Replace the set of entries to connect to.
@@ -124,11 +131,24 @@
         for address, uplink in list(self._by_address.items()):
             if address not in addresses:
                 uplink.retire(close=address in unselected)
-                del self._by_address[address]
+                self._retired[address] = self._by_address.pop(address)
         for address in addresses:
             if address not in self._by_address:
-                self._by_address[address] = uplink = Uplink(self._agent, address)
-                self._nursery.start_soon(uplink.run)
+                self._by_address[address] = self._resume_or_start(address)
+
+    def _resume_or_start(self, address):
+        # A second connection to an entry that returns to the table would end the first,
+        # and with it the leases that the entry holds as an owner.
+        uplink = self._retired.pop(address, None)
+        if uplink is None or not uplink.resume():
+            uplink = Uplink(self._agent, address)
+            self._nursery.start_soon(self._run_uplink, uplink)
+        return uplink
+
+    async def _run_uplink(self, uplink):
+        await uplink.run()
+        if self._retired.get(uplink.address) is uplink:
+            del self._retired[uplink.address]
 
     def add(self, addresses):
         """Connect to additional entries."""
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -275,6 +275,29 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("is_closed", [False, True])
+async def test_entry_that_returns_to_the_table_keeps_its_connection(
+    agent_env, is_closed
+):
+    """Guards against an owner that loses its leases when it joins the table again."""
+    async with agent_env() as env:
+        conn, (address,) = await grant_fence(env), env.agent.cfg.entries
+        uplinks = env.agent.uplinks
+        uplink = uplinks._by_address[address]
+        uplinks.select((), (address,) if is_closed else ())
+        assert uplink.retired
+        uplinks.select((address,))
+        if is_closed:
+            await env.entry.wait_until(lambda: env.entry.conn is not conn)
+        assert (uplinks._by_address[address] is uplink) == (not is_closed)
+        # The connection is opened again after its end, whoever opened it first.
+        conn = await grant_fence(env)
+        conn.close()
+        await env.entry.wait_until(lambda: env.entry.conn is not conn)
+        assert list(uplinks._by_address) == [address]
+        assert not uplinks._retired
+
+
 SETTINGS_CASES = {
     "valid": ({}, ""),
     "slots above connections": ({"slots": 99}, "slots 99: at most connections (64)"),
