Release a partition at agents whose grant is not known yet

Cause: an entry that ends its term released the agents whose grant it had read. An agent that reads the fence later, or whose reply was lost with its connection, grants the epoch to an entry that has no term any more.

The release now goes to each agent that was sent the fence in this term. It follows the fence on the same connection, so it takes effect after the grant; an agent that does not hold the epoch ignores it.

--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -80,6 +80,7 @@
         self.has_ended = trio.Event()
         self._highest_epoch = NO_EPOCH
         self._leases = self._new_leases()
+        self._fenced_agents = set()
         self._grants = {}
         self._refusals = {}
         # Id and incarnation of each agent that sent its start records with a grant
@@ -193,6 +194,7 @@
         self.epoch = self._next_epoch()
         self._highest_epoch = self.epoch
         self._leases = self._new_leases()
+        self._fenced_agents = set()
         self._grants = {}
         self._refusals = {}
         self._reported_agents = set()
@@ -213,7 +215,8 @@
     def _end_term(self):
         was_active = self.dispatcher.is_active
         self.dispatcher.deactivate()
-        for agent_id in list(self._grants):
+        # The reply of an agent that granted the epoch may be lost or under way.
+        for agent_id in self._fenced_agents:
             link = self.entry.agents.get(agent_id)
             if link is not None:
                 link.conn.try_send(Release(self.name, self.epoch.pack()))
@@ -450,6 +453,7 @@
         """Fence an agent and return whether it granted the epoch."""
         while self._highest_epoch == self.epoch:
             sent_at = trio.current_time()
+            self._fenced_agents.add(link.agent_id)
             self._early_records[link.conn] = []
             body = Fence(self.name, self.epoch.pack(), takes_ahead=True)
             try:
--- a/tests/ownership/test_abandoned_grants.py
+++ b/tests/ownership/test_abandoned_grants.py
@@ -3,8 +3,11 @@
 import pytest
 import trio
 
+from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.wire.messages import Fence, Release
 from spec import ownership_steps as st
 from spec.ownership_state import Bounds
+from tests.spec.agents_under_test import PARTITION
 from tests.spec.system_under_test import SystemUnderTest, entry_id
 
 # Each advances the clock by more than `suspect_after`.
@@ -21,7 +24,7 @@
 
 
 async def answer_fences_late(system):
-    """End a candidate's term before the agents have read its fences."""
+    """End a candidate's term before the agents read its fences; lose its releases."""
     system.network.holds_messages = True
     await system.apply_step(st.Release(0, -1))
     await system.apply_step(st.Takeover(1))
@@ -30,10 +33,18 @@
     await system.network.run_until_idle()
     assert not owner.in_term
     for held in list(system.network.held):
-        await system._deliver(held)
+        if not _is_release_of(held, entry_id(1)):
+            await system._deliver(held)
+    system.network.held.clear()
     system.network.holds_messages = False
 
 
+def _is_release_of(held, process_id):
+    endpoint, message = held
+    sender = endpoint.remote.peer.process_id
+    return isinstance(message.body, Release) and sender == process_id
+
+
 async def send_heartbeats(system):
     """Send the heartbeats of all entries, which an in-memory connection does not."""
     while True:
@@ -69,3 +80,23 @@
             await system.advance_time()
         assert system.entries[2].owner.is_active
         nursery.cancel_scope.cancel()
+
+
+async def test_release_reaches_agents_whose_grant_is_under_way(mock_clock, monkeypatch):
+    """Guards against a pause without an owner after a term that ends early."""
+    async with trio.open_nursery() as nursery:
+        system = SystemUnderTest(Bounds(agents=4), mock_clock, monkeypatch, nursery)
+        await system.start()
+        await system.apply_step(st.Release(0, -1))
+        await system.apply_step(st.Takeover(1))
+        owner = system.entries[1].owner
+        owner.observe_epoch(owner._next_epoch())
+        await system.network.run_until_idle()
+        for held in list(system.network.held):
+            await system._deliver(held)
+        fencings = [agent.fencing for agent in system.agents.values()]
+        assert {fencing.owner[0] for fencing in fencings} == {entry_id(1)}
+        fence, now = Fence(PARTITION, owner._next_epoch().pack()), trio.current_time()
+        codes = {fencing.check(fence, ("entry-9", 1), now) for fencing in fencings}
+        assert codes == {ResultCode.OK}
+        nursery.cancel_scope.cancel()
