--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -80,7 +80,9 @@
         self.has_ended = trio.Event()
         self._highest_epoch = NO_EPOCH
         self._leases = self._new_leases()
+        self._fenced_agents = set()
         self._grants = {}
+        self._refusals = {}
         # Id and incarnation of each agent that sent its start records with a grant
         # in this term. The records stay known after the agent disconnects.
         self._reported_agents = set()
@@ -192,7 +194,9 @@
         self.epoch = self._next_epoch()
         self._highest_epoch = self.epoch
         self._leases = self._new_leases()
+        self._fenced_agents = set()
         self._grants = {}
+        self._refusals = {}
         self._reported_agents = set()
         self._agents_with_lease_task = set()
         self._early_outcomes = []
@@ -211,7 +215,8 @@
     def _end_term(self):
         was_active = self.dispatcher.is_active
         self.dispatcher.deactivate()
-        for agent_id in list(self._grants):
+        # The reply of an agent that granted the epoch may be lost or under way.
+        for agent_id in self._fenced_agents:
             link = self.entry.agents.get(agent_id)
             if link is not None:
                 link.conn.try_send(Release(self.name, self.epoch.pack()))
@@ -232,7 +237,12 @@
             self._is_acquire_decided, self.cfg.acquire_timeout
         )
         if not is_decided:
-            log.info("No quorum for partition %s at epoch %s.", self.name, self.epoch)
+            log.info(
+                "No quorum for partition %s at epoch %s; replies of agents: %s.",
+                self.name,
+                self.epoch,
+                self._describe_replies(),
+            )
             return False
         # Submissions wait at their front ends meanwhile. Without this wait, keys from
         # before the takeover would be refused until the last agent sent its records.
@@ -252,6 +262,14 @@
         self._activate()
         return True
 
+    def _describe_replies(self):
+        """Return the code of each agent's last reply to the fence, as text for logs."""
+        replies = dict.fromkeys(rosters.live_ids(self.roster), "not connected")
+        for link in self.entry.links_of(self.partition):
+            replies[link.agent_id] = self._refusals.get(link.agent_id, "no reply")
+        replies |= dict.fromkeys(self._leases.incarnations, int(ResultCode.OK))
+        return ", ".join(f"{name} {reply}" for name, reply in sorted(replies.items()))
+
     def _is_acquire_decided(self):
         if self._highest_epoch > self.epoch:
             return True
@@ -435,6 +453,7 @@
         """Fence an agent and return whether it granted the epoch."""
         while self._highest_epoch == self.epoch:
             sent_at = trio.current_time()
+            self._fenced_agents.add(link.agent_id)
             self._early_records[link.conn] = []
             body = Fence(self.name, self.epoch.pack(), takes_ahead=True)
             try:
@@ -445,6 +464,7 @@
                 reply = replace(reply, records=early_records + reply.records)
                 self._record_grant(link, reply, sent_at)
                 return True
+            self._refusals[link.agent_id] = reply.code
             if reply.code == ResultCode.STALE_EPOCH:
                 self.observe_epoch(Epoch.unpack(reply.epoch))
                 return False
