Record signals until a starting process handles them

Callers saw: a SIGTERM 0.25 to 0.9 s after the start of an entry reset the connections that waited in the queue of its listener, 20 of 20, after up to 0.8 s.

Cause: a process binds its addresses before it imports its libraries, so that connections wait instead of being refused, but handled signals only once its event loop ran. Until then SIGTERM, and SIGHUP as well, ended it by the default action.

Signals are recorded from before the addresses are bound. The event loop takes them over: a reload is done, and a stop begins at the time at which its signal was received, so that the start counts towards the grace period. The test with SIGTERM, SIGHUP and both fails without the change (three rows).

--- a/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/daemon.py
@@ -129,7 +129,7 @@
         """
 
 
-async def run_entry(cfg, store, interface, reload, prebound_sockets):
+async def run_entry(cfg, store, interface, reload, prebound_sockets, early_signals):
     """Serve callers until a stop signal, then shut down gracefully.
 
     Parameters
@@ -144,6 +144,8 @@
         Called on SIGHUP; raises `SettingsError` if the settings are invalid.
     prebound_sockets : PreboundSockets
         Listening sockets bound at process start.
+    early_signals : EarlySignals
+        Signals received since then.
     """
     shutdown = Shutdown(_shutdown_settings(cfg))
     metrics = DispatchMetrics()
@@ -193,7 +195,7 @@
         nursery.start_soon(
             serve_until_cancelled, MetricsApi(metrics.registry), metrics_listeners
         )
-        nursery.start_soon(handle_signals, shutdown.begin, reload)
+        nursery.start_soon(handle_signals, shutdown.begin, reload, early_signals)
         nursery.start_soon(shutdown.run)
         log.info("started id=%s", cfg.entry_id)
         app = interface.caller_app(coordinator, routing, peers, shutdown)
--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -75,7 +75,7 @@
         """Return the ASGI application at which the target announces itself."""
 
 
-async def run_agent(cfg, store, interface, load_seeds, prebound_sockets):
+async def run_agent(cfg, store, interface, load_seeds, prebound_sockets, early_signals):
     """Run tasks on the target of this host until a stop signal, then end the runs.
 
     Parameters
@@ -91,6 +91,8 @@
         and on SIGHUP, and raises `SettingsError` if the settings are invalid.
     prebound_sockets : PreboundSockets
         Listening sockets bound at process start.
+    early_signals : EarlySignals
+        Signals received since then.
 
     Raises
     ------
@@ -119,6 +121,9 @@
             seeds.update(loaded)
             update_links()
 
+        def stop(signalled_at=None):
+            stopping.set()
+
         update_links()
         nursery.start_soon(runner.run)
         nursery.start_soon(directory.watch, update_links)
@@ -128,7 +133,7 @@
         nursery.start_soon(
             serve_until_cancelled, MetricsApi(metrics.registry), metrics_listeners
         )
-        nursery.start_soon(handle_signals, stopping.set, reload)
+        nursery.start_soon(handle_signals, stop, reload, early_signals)
         log.info("started id=%s", cfg.agent_id)
         await stopping.wait()
         await _finish_runs(runner)
--- a/packages/serving/src/hornbeamshore/serving/lifecycle.py
+++ b/packages/serving/src/hornbeamshore/serving/lifecycle.py
@@ -1,11 +1,10 @@
 """Listeners, metrics servers and signal handling of the daemons."""
 
-import signal
-
 import trio
 
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import SettingsError
+from hornbeamshore.serving.early_signals import RELOAD_SIGNAL, STOP_SIGNALS
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
 from hornbeamshore.serving.shutdown import Shutdown
@@ -65,26 +64,42 @@
         function()
 
 
-async def handle_signals(stop, reload):
+async def handle_signals(stop, reload, early_signals=None):
     """Call `stop` on SIGTERM and SIGINT, and `reload` on SIGHUP.
 
     Parameters
     ----------
     stop : callable
-        Begins the planned stop.
+        Begins the planned stop. Called with the boot time, in seconds, of a signal that
+        was received before; without an argument for one that is received now.
     reload : callable
         Reloads the settings; may raise `SettingsError`.
+    early_signals : EarlySignals or None
+        Signals received during the start, which are handled first.
     """
-    signums = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*signums) as signals:
+    with trio.open_signal_receiver(*STOP_SIGNALS, RELOAD_SIGNAL) as signals:
+        if early_signals is not None:
+            _handle_early(stop, reload, early_signals)
         async for signum in signals:
-            if signum != signal.SIGHUP:
+            if signum == RELOAD_SIGNAL:
+                _reload(reload)
+            else:
                 log.info("stopping signal=%d", signum)
                 stop()
-                continue
-            try:
-                reload()
-            except SettingsError as exc:
-                log.error("settings not reloaded: %s", exc)
-            else:
-                log.info("settings reloaded")
+
+
+def _handle_early(stop, reload, early_signals):
+    if early_signals.is_reload_requested:
+        _reload(reload)
+    if early_signals.stopped_at is not None:
+        log.info("stopping signal received during the start")
+        stop(early_signals.stopped_at)
+
+
+def _reload(reload):
+    try:
+        reload()
+    except SettingsError as exc:
+        log.error("settings not reloaded: %s", exc)
+    else:
+        log.info("settings reloaded")
--- a/tests/platform/test_planned_stops.py
+++ b/tests/platform/test_planned_stops.py
@@ -8,8 +8,19 @@
 import pytest
 import trio
 
-from .fake_platform import FakeTarget
-from .test_processes import HEADERS, JOB, TIMEOUT_S, deployment
+from .fake_platform import FakeStore, FakeTarget
+from .scripted_http import serving
+from .test_processes import (
+    CONFIG,
+    HEADERS,
+    JOB,
+    TIMEOUT_S,
+    deployment,
+    free_port,
+    put_value,
+    running,
+    write_settings,
+)
 
 # Moments after the signal at which requests are sent. The process closes idle
 # connections once no request is open, so some are open all the time; answers are due
@@ -68,3 +79,44 @@
     started = {task.partition(".")[0] for task, _ in target.starts}
     assert started - answered == set()
     assert entry.returncode == 0
+
+
+async def connect_when_bound(address):
+    """Return a stream as soon as the address of a starting process is bound."""
+    while True:
+        with contextlib.suppress(OSError):
+            return await trio.open_tcp_stream(*address)
+        await trio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    "signums",
+    [(signal.SIGTERM,), (signal.SIGHUP,), (signal.SIGHUP, signal.SIGTERM)],
+    ids=["stop", "reload", "reload and stop"],
+)
+async def test_a_signal_during_the_start_resets_no_connection(tmp_path, signums):
+    """Guards against connections that end with a process that is still starting."""
+    store = FakeStore()
+    put_value(store, "op/config", json.dumps(CONFIG).encode())
+    settings, front = tmp_path / "entry.conf", free_port()
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(store) as store_address:
+            write_settings(
+                settings,
+                store_address,
+                free_port(),
+                **{
+                    "listen.front": f"127.0.0.1:{front}",
+                    "listen.ready": f"127.0.0.1:{free_port()}",
+                },
+            )
+            async with running("entry", settings) as process:
+                stream = await connect_when_bound(("127.0.0.1", front))
+                for signum in signums:
+                    process.send_signal(signum)
+                await stream.send_all(b"GET /q/ HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+                answer = await stream.receive_some()
+                if signal.SIGTERM in signums:
+                    await process.wait()
+                    assert process.returncode == 0
+    assert answer.startswith(b"HTTP/1.1 200 ")
