Show a stop that ends by an error without free file descriptors

With a connection in the queue of a listener and no free descriptor, the accept before the close of the listener raises OSError (EMFILE) out of serve_http, which ends the process and cuts all open requests. The accept loop of trio survives the same error. Before nothing was accepted at that moment.

--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of connections and requests around the planned stop of an HTTP server."""
 
 import contextlib
+import os
+import resource
 import select
 import socket
 
@@ -116,6 +118,29 @@
         answer += await trio.to_thread.run_sync(sock.recv, 65536)
 
 
+@contextlib.contextmanager
+def without_free_descriptors(stack, server):
+    """Leave a connection in the queue of a listener, and no descriptor to accept it.
+
+    Parameters
+    ----------
+    stack : contextlib.ExitStack
+        Closes the connection of the caller.
+    server : Server
+        Server of the listener.
+    """
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    stack.enter_context(server.connect())
+    highest = max(map(int, os.listdir("/proc/self/fd")))
+    with contextlib.ExitStack() as copies:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest, limits[1]))
+        copies.callback(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        with contextlib.suppress(OSError):
+            while True:
+                copies.callback(os.close, os.dup(0))
+        yield
+
+
 class LateRequests(trio.abc.Instrument):
     """Sends requests on open connections in one turn of the event loop.
 
@@ -205,3 +230,20 @@
                 await app.taken_first.wait()
                 server.shutdown.begin()
                 await server.ended.wait()
+
+
+async def test_a_process_without_free_descriptors_answers_what_is_open():
+    """Guards against a stop that ends the process while requests are open."""
+    app = GatedApp()
+    with contextlib.ExitStack() as stack, trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            conn = stack.enter_context(server.connect())
+            conn.sendall(REQUEST)
+            await app.taken_first.wait()
+            with without_free_descriptors(stack, server):
+                server.shutdown.begin()
+                await trio.sleep(0.3)
+            app.gate.set()
+            answer = await read_all(conn)
+            await server.ended.wait()
+    assert answer.startswith(OK)
