Show a refused run that is ordered again too late in a stop

Fails on this code. A job whose run an agent refused as not run counts as placed and is not asked again whether it can end before the answers are due: its run of 500 ms is ordered 100 ms before them, and its caller gets 504.

--- a/tests/dispatch/test_planned_stops.py
+++ b/tests/dispatch/test_planned_stops.py
@@ -138,3 +138,27 @@
     await trio.sleep(DUE_S + 0.2)
     assert duplicate.outcome.code is ResultCode.DRAINING
     assert duplicate.outcome.run_state is RunState.UNKNOWN
+
+
+@pytest.mark.parametrize("submitted_at", [0.1, 4.0])
+async def test_a_job_that_an_agent_refused_is_not_started_late_in_a_stop(
+    autojump_clock, nursery, coordinator, agent, shutdown, submitted_at
+):
+    """Guards against jobs that are started although they cannot end in time."""
+    shutdown.begin()
+    await trio.sleep(submitted_at)
+    queue = replace(QUEUE, objective_s=60.0)
+    spec = make_job(1, estimate_s=0.5)
+    submission = Submission(nursery, coordinator, spec, queue, deadline_s=60.0)
+    await trio.sleep(0.001)
+    agent.report(free=NO_CAPACITY)
+    agent.end_runs(ResultCode.NO_FREE_SLOT, RunState.NOT_RUN)
+    agent.report(free=NO_CAPACITY)
+    await trio.sleep(DUE_S - 0.1 - trio.current_time())
+    agent.sent.clear()
+    agent.report()
+    await trio.sleep(0.001)
+    assert agent.orders == {}
+    assert submission.outcome is not None
+    assert submission.outcome.code is ResultCode.DRAINING
+    assert submission.outcome.run_state is RunState.NOT_RUN
