Show a job that ends in an error when its deadline passes as it is ordered

If registering a job takes longer than the time that its caller waits, the time left is negative, trio raises ValueError, and the caller gets 500 after its runs were ordered. Deadlines of 0.1 ms and less do so on an idle machine, longer ones on a process that gets too little processor time.

--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -450,3 +450,19 @@
     again.report(held=(run_id,))
     await trio.sleep(3.0)
     assert other.orders == {}
+
+
+async def test_a_deadline_that_passes_while_runs_are_ordered_is_answered(
+    autojump_clock, nursery, coordinator, agent, monkeypatch
+):
+    """Guards against jobs that end in an error once their runs are ordered."""
+    send = agent.send
+
+    def send_slowly(body):
+        autojump_clock.jump(0.2)
+        return send(body)
+
+    monkeypatch.setattr(agent, "send", send_slowly)
+    outcome = await coordinator.submit(make_job(1), QUEUE, 0.1)
+    assert outcome.code is ResultCode.DEADLINE_EXCEEDED
+    assert outcome.run_state is RunState.UNKNOWN
