--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -247,3 +247,40 @@
             answer = await read_all(conn)
             await server.ended.wait()
     assert answer.startswith(OK)
+
+
+class ConnectEachTurn(trio.abc.Instrument):
+    """Opens a connection in each turn of the event loop.
+
+    Attributes
+    ----------
+    conns : list of socket.socket
+        Connections.
+    """
+
+    MAX_CONNS = 500
+
+    def __init__(self, server):
+        self.conns = []
+        self._server = server
+
+    def before_io_wait(self, timeout):
+        with contextlib.suppress(ConnectionRefusedError):
+            if len(self.conns) < self.MAX_CONNS:
+                self.conns.append(self._server.connect())
+
+
+async def test_callers_that_keep_connecting_do_not_hold_up_the_end():
+    """Guards against a stop that accepts for as long as connections arrive."""
+    app = GatedApp()
+    app.gate.set()
+    with contextlib.ExitStack() as stack, trio.fail_after(TIMEOUT_S):
+        async with serving(app, CUT_SOON) as server:
+            connects = ConnectEachTurn(server)
+            trio.lowlevel.add_instrument(connects)
+            stack.callback(trio.lowlevel.remove_instrument, connects)
+            server.shutdown.begin()
+            await server.ended.wait()
+        for conn in connects.conns:
+            stack.enter_context(conn)
+    assert len(connects.conns) < connects.MAX_CONNS
