Show an answer of a stop that a further request cuts off

Once an answer with Connection: close has begun, h11 takes data of the caller for a protocol error, and hypercorn closes the connection at once: an answer that still waits for its turn to be written is dropped, though its job has run.

--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -284,3 +284,45 @@
         for conn in connects.conns:
             stack.enter_context(conn)
     assert len(connects.conns) < connects.MAX_CONNS
+
+
+class InterruptedApp(GatedApp):
+    """ASGI application whose caller sends a further request before it is answered.
+
+    Parameters
+    ----------
+    turns : int
+        Turns of the event loop between the further request and the answer.
+    """
+
+    def __init__(self, turns):
+        super().__init__()
+        self.conn = None
+        self._turns = turns
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "http" and not self.taken_first.is_set():
+            self.taken_first.set()
+            await self.gate.wait()
+            self.conn.sendall(REQUEST)
+            for _ in range(self._turns):
+                await trio.lowlevel.checkpoint()
+        await super().__call__(scope, receive, send)
+
+
+@pytest.mark.parametrize("turns", range(6))
+async def test_an_answer_is_not_cut_by_a_further_request(turns):
+    """Guards against a stop that drops an answer when its caller sends more."""
+    app = InterruptedApp(turns)
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            with server.connect() as app.conn:
+                app.conn.sendall(REQUEST)
+                await app.taken_first.wait()
+                server.shutdown.begin()
+                await trio.testing.wait_all_tasks_blocked()
+                app.gate.set()
+                answer = await read_all(app.conn)
+                await server.ended.wait()
+    assert answer.startswith(OK)
+    assert answer.count(b"done") >= 1
