--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -1,6 +1,8 @@
 """Tests of connections and requests around the planned stop of an HTTP server."""
 
 import contextlib
+import os
+import resource
 import select
 import socket
 
@@ -116,6 +118,29 @@
         answer += await trio.to_thread.run_sync(sock.recv, 65536)
 
 
+@contextlib.contextmanager
+def without_free_descriptors(stack, server):
+    """Leave a connection in the queue of a listener, and no descriptor to accept it.
+
+    Parameters
+    ----------
+    stack : contextlib.ExitStack
+        Closes the connection of the caller.
+    server : Server
+        Server of the listener.
+    """
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    stack.enter_context(server.connect())
+    highest = max(map(int, os.listdir("/proc/self/fd")))
+    with contextlib.ExitStack() as copies:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (highest, limits[1]))
+        copies.callback(resource.setrlimit, resource.RLIMIT_NOFILE, limits)
+        with contextlib.suppress(OSError):
+            while True:
+                copies.callback(os.close, os.dup(0))
+        yield
+
+
 class LateRequests(trio.abc.Instrument):
     """Sends requests on open connections in one turn of the event loop.
 
@@ -205,3 +230,99 @@
                 await app.taken_first.wait()
                 server.shutdown.begin()
                 await server.ended.wait()
+
+
+async def test_a_process_without_free_descriptors_answers_what_is_open():
+    """Guards against a stop that ends the process while requests are open."""
+    app = GatedApp()
+    with contextlib.ExitStack() as stack, trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            conn = stack.enter_context(server.connect())
+            conn.sendall(REQUEST)
+            await app.taken_first.wait()
+            with without_free_descriptors(stack, server):
+                server.shutdown.begin()
+                await trio.sleep(0.3)
+            app.gate.set()
+            answer = await read_all(conn)
+            await server.ended.wait()
+    assert answer.startswith(OK)
+
+
+class ConnectEachTurn(trio.abc.Instrument):
+    """Opens a connection in each turn of the event loop.
+
+    Attributes
+    ----------
+    conns : list of socket.socket
+        Connections.
+    """
+
+    MAX_CONNS = 500
+
+    def __init__(self, server):
+        self.conns = []
+        self._server = server
+
+    def before_io_wait(self, timeout):
+        with contextlib.suppress(ConnectionRefusedError):
+            if len(self.conns) < self.MAX_CONNS:
+                self.conns.append(self._server.connect())
+
+
+async def test_callers_that_keep_connecting_do_not_hold_up_the_end():
+    """Guards against a stop that accepts for as long as connections arrive."""
+    app = GatedApp()
+    app.gate.set()
+    with contextlib.ExitStack() as stack, trio.fail_after(TIMEOUT_S):
+        async with serving(app, CUT_SOON) as server:
+            connects = ConnectEachTurn(server)
+            trio.lowlevel.add_instrument(connects)
+            stack.callback(trio.lowlevel.remove_instrument, connects)
+            server.shutdown.begin()
+            await server.ended.wait()
+        for conn in connects.conns:
+            stack.enter_context(conn)
+    assert len(connects.conns) < connects.MAX_CONNS
+
+
+class InterruptedApp(GatedApp):
+    """ASGI application whose caller sends a further request before it is answered.
+
+    Parameters
+    ----------
+    turns : int
+        Turns of the event loop between the further request and the answer.
+    """
+
+    def __init__(self, turns):
+        super().__init__()
+        self.conn = None
+        self._turns = turns
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "http" and not self.taken_first.is_set():
+            self.taken_first.set()
+            await self.gate.wait()
+            self.conn.sendall(REQUEST)
+            for _ in range(self._turns):
+                await trio.lowlevel.checkpoint()
+        await super().__call__(scope, receive, send)
+
+
+@pytest.mark.parametrize("turns", range(6))
+async def test_an_answer_is_not_cut_by_a_further_request(turns):
+    """Guards against a stop that drops an answer when its caller sends more."""
+    app = InterruptedApp(turns)
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            with server.connect() as app.conn:
+                app.conn.sendall(REQUEST)
+                await app.taken_first.wait()
+                server.shutdown.begin()
+                await trio.testing.wait_all_tasks_blocked()
+                app.gate.set()
+                answer = await read_all(app.conn)
+                await server.ended.wait()
+    assert answer.startswith(OK)
+    assert answer.count(b"done") >= 1
