Ask again whether a job that an agent refused can end in a stop

A job whose run an agent refused as not run counted as placed, and was not asked again: near the end of a stop its run was ordered, and its caller got 504 instead of an honest 503. Whether a task may have started decides now. The test (two rows) fails without the change.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -355,7 +355,7 @@
         """
         time_left_s = self._shutdown.time_left_s
         needed_s = run_time_s + self.cfg.overhead
-        if needed_s <= time_left_s or job.has_placed_task or job.finished.is_set():
+        if needed_s <= time_left_s or job.may_have_started or job.finished.is_set():
             return
         self._finish(job, ResultCode.DRAINING)
         log.info(
