Answer a job whose deadline passes while it is registered

If registering a job took longer than its caller waits, the time left was negative, trio raised ValueError, and the caller got 500 after runs had been ordered. Seen with deadlines of 0.1 ms on an idle machine, and by reading with longer ones on a process that gets too little processor time. The test fails without the change.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -137,7 +137,8 @@
             self._end_unanswered(job)
             return job.outcome
         try:
-            remaining_s = deadline_s - (trio.current_time() - job.received_at)
+            waited_s = trio.current_time() - job.received_at
+            remaining_s = max(0.0, deadline_s - waited_s)
             with self._until_answer_is_due(remaining_s):
                 await job.finished.wait()
             self._end_unanswered(job)
