Bound the accepting of queued connections at the end of a listener

The queue is emptied in one turn of the event loop now, at most as long as it can be, and an error ends only the accepting.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -28,8 +28,6 @@
 FLUSH_POLL_INTERVAL_S = 0.005
 # Turns of the event loop within which the task of a connection reads what has arrived.
 READ_TURNS = 10
-# A connection that a caller has given up is gone from the queue of a listener.
-ACCEPT_TIMEOUT_S = 0.1
 
 # Keys of the connection's socket and server in the state of an ASGI scope.
 SOCKET_STATE = "socket"
@@ -80,8 +78,7 @@
             await shutdown.sleep_until(shutdown.cfg.accept_until)
             accept_nursery.cancel_scope.cancel()
         for listener in listeners:
-            await _accept_queued(listener, connections, nursery)
-            await listener.aclose()
+            _accept_queued(listener, connections, nursery)
         _process_log.info("listeners closed %s", connections)
         await _wait_until(connections.wait_idle, shutdown, shutdown.cfg.read_until)
         _process_log.info("idle connections closed %s", connections)
@@ -106,14 +103,24 @@
         await trio.lowlevel.checkpoint()
 
 
-async def _accept_queued(listener, connections, nursery):
-    """Accept the connections in the queue of a listener, which its close would reset.
+def _accept_queued(listener, connections, nursery):
+    """Close a listener, but accept the connections in its queue before.
 
-    They wait there if the process does not get the processor.
+    They wait there if the process does not get the processor. No event is handled in
+    between, so that callers that keep connecting do not hold up the close.
     """
-    while _is_readable(listener.socket):
-        with trio.move_on_after(ACCEPT_TIMEOUT_S):
-            nursery.start_soon(connections.serve, await listener.accept())
+    with socket.socket(fileno=listener.socket.detach()) as sock:
+        sock.setblocking(False)
+        for _ in range(BACKLOG):
+            try:
+                conn, _ = sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                _process_log.warning("connections not accepted: %s", exc)
+                return
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(conn))
+            nursery.start_soon(connections.serve, stream)
 
 
 async def _wait_until(wait, shutdown, offset_s):
