Read nothing more once a stop has announced the end of a connection

After an answer with Connection: close has begun, h11 takes further data for an error, and hypercorn closed the connection before the answer was written: a caller that sent a further request lost the answer to the one before, whose job had run. The connection is not read any more from that moment on.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server that runs hypercorn's protocols on trio listeners."""
 
+import contextlib
 import select
 import socket
 from functools import partial
@@ -235,14 +236,18 @@
 
     async def __call__(self, scope, receive, send):
         async def send_with_close(message):
+            server = scope["state"][_SERVER_STATE]
             close_connection = (
                 self._shutdown.begun.is_set()
                 and scope["http_version"][0] == "1"
-                and not scope["state"][_SERVER_STATE].has_pipelined_data
+                and not server.has_pipelined_data
             )
             if message["type"] == "http.response.start" and close_connection:
                 headers = [*message["headers"], (b"connection", b"close")]
                 message = {**message, "headers": headers}
+                # h11 would take further data for an error and close the connection
+                # before the answer is sent.
+                server.stop_reading()
             await send(message)
 
         opened_at = trio.current_time()
@@ -275,6 +280,7 @@
         super().__init__(app, config, context, state, stream)
         self.is_busy = False
         self._connections = connections
+        self._is_reading = True
         self._receive_scope = trio.CancelScope()
         self._answered = trio.Event()
 
@@ -291,7 +297,8 @@
         return bool(self.protocol.protocol.connection.trailing_data[0])
 
     def stop_reading(self):
-        """Read no further data."""
+        """Read no further data; end the connection once no request is open."""
+        self._is_reading = False
         self._receive_scope.cancel()
 
     async def protocol_send(self, event):
@@ -311,20 +318,21 @@
     async def _read_data(self):
         while data := await self._receive():
             await self.protocol.handle(RawData(bytes(data)))
-        if not self._connections.is_reading:
+        if not self._is_reading:
             await self._wait_answered()
         await self.protocol.handle(Closed())
 
     async def _receive(self):
         """Return received data; empty at its end or if no more is to be read."""
-        if not self._connections.is_reading:
-            return b""
+        data = b""
         with trio.CancelScope() as self._receive_scope:
-            try:
-                return await self.stream.receive_some(MAX_RECV)
-            except (trio.ClosedResourceError, trio.BrokenResourceError):
-                return b""
-        return b""
+            if not self._is_reading or not self._connections.is_reading:
+                self.stop_reading()
+            with contextlib.suppress(
+                trio.ClosedResourceError, trio.BrokenResourceError
+            ):
+                data = await self.stream.receive_some(MAX_RECV)
+        return data if self._is_reading else b""
 
     async def _wait_answered(self):
         while self.is_busy:
