Answer open requests before the drain of a partition owner ends

Callers saw: requests that were still in flight 30 s after SIGTERM (the drain timeout) were cut off without an answer.

Cause: the stop of this entry had one moment for all of its phases, and nothing that a request waits for asked the stop: neither the call of the owner, nor the wait for an owner, nor the reading of a body.

The router asks the stop before it sends a copy, and its calls end when the answers are due. The front end bounds what it waits for itself, the body. The last tenth of the drain timeout is left for sending the answers.

--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -7,7 +7,7 @@
 
 from hornbeamshore.base.clock import new_incarnation
 from hornbeamshore.base.logs import PartLogger
-from hornbeamshore.base.settings import read_secret
+from hornbeamshore.base.settings import Duration, read_secret
 from hornbeamshore.config.replica import ConfigReplica
 from hornbeamshore.entry.handler import EntryHandler
 from hornbeamshore.entry.http_api import HttpApi
@@ -34,6 +34,8 @@
 WATCH_RETRY_S = 1.0
 # Time for the last messages to reach peers and agents before connections close.
 SHUTDOWN_NOTICE_S = 0.2
+# Share of the drain timeout in which the last requests are answered.
+SEND_SHARE = 0.1
 
 log = PartLogger("entry")
 
@@ -126,10 +128,12 @@
         self.entry.membership = EntryMembership(
             store, cfg, own_entry, self.entry.adopt_table
         )
-        self.submission_router = SubmissionRouter(self.entry)
+        self.submission_router = SubmissionRouter(self.entry, self._shutdown)
         observer = EntryObserver(metrics, windows, self.submission_router)
         http_cfg = HttpSettings()
-        self.api = HttpApi(self.submission_router, nursery, observer, http_cfg)
+        self.api = HttpApi(
+            self.submission_router, nursery, observer, http_cfg, self._shutdown
+        )
         self._http_cfg = http_cfg
 
     def _start_tasks(self, nursery, store):
@@ -154,6 +158,7 @@
         nursery.start_soon(entry.run_owners, nursery)
         nursery.start_soon(update_metrics, entry)
         nursery.start_soon(self._serve_callers)
+        nursery.start_soon(self._shutdown.run)
 
     async def _serve_callers(self):
         await serve_http(self.api, self._http_listeners, self._http_cfg, self._shutdown)
@@ -232,8 +237,12 @@
 
 def _shutdown_settings(cfg):
     """Return the phases of a stop that ends within the drain timeout."""
-    end = cfg.drain_timeout
-    return ShutdownSettings(answer_until=end, read_until=end, exit_until=end)
+    send_s = cfg.drain_timeout * SEND_SHARE
+    return ShutdownSettings(
+        answer_until=Duration(cfg.drain_timeout - send_s),
+        read_until=Duration(cfg.drain_timeout - send_s / 2),
+        exit_until=cfg.drain_timeout,
+    )
 
 
 async def _listen(stack, address):
--- a/packages/entry/src/hornbeamshore/entry/http_api.py
+++ b/packages/entry/src/hornbeamshore/entry/http_api.py
@@ -1,5 +1,6 @@
 """ASGI application that serves the HTTP interface for callers."""
 
+import contextlib
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from urllib.parse import quote, unquote
@@ -23,6 +24,7 @@
     target_response,
 )
 from hornbeamshore.serving.http_settings import HttpSettings
+from hornbeamshore.serving.shutdown import AnswersDue, Shutdown
 
 JOBS_PATH = "/v1/jobs"
 SERVICES_PREFIX = "/v1/services/"
@@ -90,13 +92,17 @@
         Notified of the code and response time of each answered submission.
     cfg : HttpSettings
         Size and time limits; the defaults if None.
+    shutdown : Shutdown or None
+        Planned stop of the process, which ends the reading of bodies; None if it is
+        never stopped. The service answers in time by itself.
     """
 
-    def __init__(self, service, nursery, observer, cfg=None):
+    def __init__(self, service, nursery, observer, cfg=None, shutdown=None):
         self._service = service
         self._nursery = nursery
         self._observer = observer
         self._cfg = cfg or HttpSettings()
+        self._shutdown = shutdown or Shutdown()
         self._budget = BodyBudget(self._cfg.body_budget)
 
     async def __call__(self, scope, receive, send):
@@ -115,6 +121,11 @@
             length = exchange.head.header_int("content-length")
             body = RequestBody(receive, length, self._budget, self._cfg)
             response = await self._route(exchange, body)
+        except AnswersDue:
+            refusal = refuse(
+                ResultCode.DRAINING, retry_after_s=self._shutdown.retry_after_s
+            )
+            response = refusal_response(refusal)
         except RequestRefused as exc:
             response = refusal_response(
                 exc.refusal, status=exc.status, headers=exc.headers
@@ -130,7 +141,8 @@
 
     async def _send_response(self, response, method, body, send):
         body.release()
-        await body.discard()
+        with contextlib.suppress(AnswersDue), self._shutdown.bounded():
+            await body.discard()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(body.discard_until_disconnect)
             await send_response(send, response, method)
@@ -195,7 +207,8 @@
         exchange.is_submission = True
         deployment, caller = self._authenticate(exchange.head)
         limit = http_requests.job_body_limit(deployment, caller)
-        content = await body.read(limit)
+        with self._shutdown.bounded():
+            content = await body.read(limit)
         request = http_requests.parse_job(exchange.head, content, deployment, caller)
         exchange.set_labels(request.key.service, request.kind)
         if exchange.head.prefers_async():
@@ -220,7 +233,8 @@
             head, (service, kind_name, subpath), kind, caller
         )
         limit = min(http_requests.MAX_BODY_BYTES, kind.max_body)
-        content = await body.read(limit)
+        with self._shutdown.bounded():
+            content = await body.read(limit)
         request = http_requests.with_body(request, content)
         return target_response(await self._submit(exchange, request))
 
--- a/packages/entry/src/hornbeamshore/entry/submission_router.py
+++ b/packages/entry/src/hornbeamshore/entry/submission_router.py
@@ -8,6 +8,7 @@
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import JobAnswer, partition_of
 from hornbeamshore.entry.service import SubmissionService
+from hornbeamshore.serving.shutdown import AnswersDue, Shutdown
 from hornbeamshore.wire.connection import CallTimeout, ConnectionLost, NotSent
 from hornbeamshore.wire.messages import JobCancel, JobQuery, Submit
 
@@ -37,10 +38,14 @@
     ----------
     entry : EntryState
         Shared state of the process.
+    shutdown : Shutdown or None
+        Planned stop of the process, which demands all answers before its end; None if
+        it is never stopped.
     """
 
-    def __init__(self, entry):
+    def __init__(self, entry, shutdown=None):
         self._entry = entry
+        self._shutdown = shutdown or Shutdown()
         self._load_refused_until = {}
 
     def deployment(self):
@@ -72,13 +77,17 @@
             answer = None
             if self._was_recently_refused(flow):
                 answer = await self._call_owner(
-                    request.key, lambda: make_body(()), deadline + ANSWER_GRACE_S
+                    request.key,
+                    lambda: make_body(()),
+                    deadline + ANSWER_GRACE_S,
+                    may_have_run=False,
                 )
             if answer is None or answer.code == ResultCode.SEND_TASKS:
                 answer = await self._call_owner(
                     request.key,
                     lambda: make_body(request.tasks),
                     deadline + ANSWER_GRACE_S,
+                    may_have_run=False,
                 )
         self._record_load_refusal(flow, answer)
         return answer
@@ -106,20 +115,37 @@
         deadline = trio.current_time() + RETRY_AFTER_S
         return await self._call_owner(key, lambda: JobCancel(key), deadline)
 
-    async def _call_owner(self, key, make_body, deadline):
+    async def _call_owner(self, key, make_body, deadline, *, may_have_run=True):
+        """Return the answer of the owner of a key, or a refusal without one.
+
+        Parameters
+        ----------
+        key : JobKey
+            Key of the job.
+        make_body : callable
+            Returns the message to send; called for each copy.
+        deadline : float
+            Trio time by which an answer is needed.
+        may_have_run : bool
+            Whether the job may have run even if no copy of the message is sent.
+        """
         service = self._entry.deployment().services.get(key.service)
         if service is None:
             return JobAnswer.refused(key, refuse(ResultCode.UNKNOWN_SERVICE))
         partition = partition_of(key, service.partitions)
         has_unanswered_copy = False
-        while trio.current_time() < deadline:
+        while trio.current_time() < deadline and not self._shutdown.are_answers_due:
             owner = self._entry.owner_of(partition)
             if owner is not None:
                 log.debug("Sending job %s to owner %s.", key.job_id, owner.entry_id)
                 try:
-                    answer = await self._call_entry(
-                        owner.entry_id, partition, make_body(), deadline
-                    )
+                    with self._shutdown.bounded():
+                        answer = await self._call_entry(
+                            owner.entry_id, partition, make_body(), deadline
+                        )
+                except AnswersDue:
+                    has_unanswered_copy = True
+                    break
                 except (ConnectionLost, CallTimeout) as exc:
                     log.info(
                         "Owner %s of %s failed: %s", owner.entry_id, partition, exc
@@ -130,8 +156,14 @@
                     log.debug("Owner answered job %s: %d.", key.job_id, answer.code)
                     return _downgrade_not_run(answer, has_unanswered_copy)
             await self._wait_for_other_owner(partition, owner, deadline)
-        refusal = refuse(ResultCode.OWNER_UNREACHABLE, retry_after_s=RETRY_AFTER_S)
-        return JobAnswer.refused(key, refusal)
+        return self._refuse_unanswered(key, may_have_run or has_unanswered_copy)
+
+    def _refuse_unanswered(self, key, may_have_run):
+        if self._shutdown.are_answers_due and not may_have_run:
+            code, retry_after_s = ResultCode.DRAINING, self._shutdown.retry_after_s
+        else:
+            code, retry_after_s = ResultCode.OWNER_UNREACHABLE, RETRY_AFTER_S
+        return JobAnswer.refused(key, refuse(code, retry_after_s=retry_after_s))
 
     async def _call_entry(self, entry_id, partition, body, deadline):
         """Return an entry's answer, or None if it is unreachable or not the owner."""
@@ -154,10 +186,10 @@
 
     async def _wait_for_other_owner(self, partition, owner, deadline):
         """Wait for another owner to become known, for 0.1 s at most."""
-        remaining_s = max(0.0, deadline - trio.current_time())
+        remaining_s = min(deadline - trio.current_time(), self._shutdown.time_left_s)
         await self._entry.owners_changed.wait_until(
             lambda: self._entry.owner_of(partition) not in (None, owner),
-            min(remaining_s, 0.1),
+            min(max(0.0, remaining_s), 0.1),
         )
 
 
