Count the phases of an agent's stop from the signal, including suspension

What entries would see: an agent that was suspended during its planned stop went on with its runs for as long as it had been suspended, although the grace period of its process does not stand still, so that it would be killed beside runs that nobody had stopped.

Cause: the two waits of the stop were timeouts on the clock of trio, which does not run during a suspension.

The agent now has a `Shutdown` too: runs are stopped `leave_timeout` after the signal. The wait that ends at a time since the signal, which the HTTP server had for itself, has moved to `Shutdown`.

In a process, the leases of entries expire in a suspension of more than 0.9 s, and the runs are stopped after it for this reason; several shorter suspensions add up, and the process went on for as long.

--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -21,6 +21,7 @@
     serve_until_cancelled,
 )
 from hornbeamshore.serving.metrics_api import MetricsApi
+from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
 from hornbeamshore.store.base import deployment_key
 from hornbeamshore.store.directory import AddressDirectory
 from hornbeamshore.wire.handshake import Identity
@@ -97,7 +98,7 @@
     OSError
         If the announcement address cannot be bound.
     """
-    stopping = trio.Event()
+    shutdown = Shutdown(shutdown_settings(cfg.runner))
     metrics = RunnerMetrics()
     runner = Runner(cfg.runner, interface.driver, metrics)
     metrics.register_gauges(runner)
@@ -128,10 +129,10 @@
         nursery.start_soon(
             serve_until_cancelled, MetricsApi(metrics.registry), metrics_listeners
         )
-        nursery.start_soon(handle_signals, stopping.set, reload)
+        nursery.start_soon(handle_signals, shutdown.begin, reload)
+        nursery.start_soon(shutdown.run)
         log.info("started id=%s", cfg.agent_id)
-        await stopping.wait()
-        await _finish_runs(runner)
+        await finish_runs(runner, shutdown)
         nursery.cancel_scope.cancel()
     log.info("stopped id=%s", cfg.agent_id)
 
@@ -146,11 +147,29 @@
     )
 
 
-async def _finish_runs(runner):
-    """Wait for runs to end, then stop those that exceed the timeout."""
+def shutdown_settings(cfg):
+    """Return the phases of the stop of an agent with these `RunnerSettings`."""
+    return ShutdownSettings(
+        accept_until=Duration(0.0),
+        answer_until=cfg.leave_timeout,
+        read_until=cfg.leave_timeout,
+        exit_until=Duration(cfg.leave_timeout + cfg.lease.stop_time),
+    )
+
+
+async def finish_runs(runner, shutdown):
+    """Wait for runs to end in a planned stop, then stop those that are left.
+
+    Parameters
+    ----------
+    runner : Runner
+        Runner that is stopped.
+    shutdown : Shutdown
+        Planned stop of the process. Runs that are left when answers are due are
+        stopped.
+    """
+    await shutdown.begun.wait()
     runner.leave()
-    with trio.move_on_after(runner.cfg.leave_timeout):
-        await runner.wait_idle()
+    await shutdown.run_until(shutdown.cfg.answer_until, runner.wait_idle)
     runner.stop_all_runs()
-    with trio.move_on_after(runner.cfg.lease.stop_time):
-        await runner.wait_idle()
+    await shutdown.run_until(shutdown.cfg.exit_until, runner.wait_idle)
--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -83,12 +83,12 @@
             await _accept_queued(listener, connections, nursery)
             await listener.aclose()
         _process_log.info("listeners closed %s", connections)
-        await _wait_until(connections.wait_idle, shutdown, shutdown.cfg.read_until)
+        await shutdown.run_until(shutdown.cfg.read_until, connections.wait_idle)
         _process_log.info("idle connections closed %s", connections)
         connections.closing.set()
-        await _wait_until(connections.wait_closed, shutdown, shutdown.cfg.read_until)
+        await shutdown.run_until(shutdown.cfg.read_until, connections.wait_closed)
         connections.stop_reading()
-        await _wait_until(connections.wait_closed, shutdown, shutdown.cfg.exit_until)
+        await shutdown.run_until(shutdown.cfg.exit_until, connections.wait_closed)
         await connections.cut()
         nursery.cancel_scope.cancel()
 
@@ -116,19 +116,6 @@
             nursery.start_soon(connections.serve, await listener.accept())
 
 
-async def _wait_until(wait, shutdown, offset_s):
-    """Call `wait`, but end the call at a time since the signal of a stop."""
-    async with trio.open_nursery() as nursery:
-
-        async def end_at_time():
-            await shutdown.sleep_until(offset_s)
-            nursery.cancel_scope.cancel()
-
-        nursery.start_soon(end_at_time)
-        await wait()
-        nursery.cancel_scope.cancel()
-
-
 def _is_readable(sock):
     """Return whether data, a connection or an end can be read from a socket."""
     poll = select.poll()
--- a/packages/serving/src/hornbeamshore/serving/shutdown.py
+++ b/packages/serving/src/hornbeamshore/serving/shutdown.py
@@ -142,6 +142,27 @@
         while (left_s := self._time_until_s(offset_s)) > 0:  # noqa: ASYNC110
             await trio.sleep(min(max(left_s, MIN_SLEEP_S), CLOCK_CHECK_INTERVAL_S))
 
+    async def run_until(self, offset_s, wait):
+        """Call `wait`, but end the call at a time since the signal.
+
+        Returns
+        -------
+        bool
+            Whether the call has returned before that time.
+        """
+        has_returned = False
+        async with trio.open_nursery() as nursery:
+
+            async def end_at_time():
+                await self.sleep_until(offset_s)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(end_at_time)
+            await wait()
+            has_returned = True
+            nursery.cancel_scope.cancel()
+        return has_returned
+
     @contextlib.contextmanager
     def bounded(self):
         """Return a context manager that ends its block when answers are due.
