Let an idle agent stay until entries know that it stops

Entries saw: an agent without runs ended in the same turn in which its planned stop began, before the report that it accepts nothing more was written. An order that had been sent to it got no answer; its entry gives the agent up 2.1 s later and must treat the run as one that may have started, so that the job is late, or ends as unknown.

Cause: the state `leaving` refuses orders, but nothing kept the process there to be asked; it ended at the first moment without runs.

The agent now stays for `leave_notice` (0.2 s, the time that entries give their own last messages), refuses what arrives as not run, and then waits for its runs and for the acknowledgement of all results, the refusals among them.

Evidence: orders that arrive 20 ms and 100 ms after the begin of the stop fail the test without the wait, since the process has ended; they are refused now.

--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -150,7 +150,7 @@
 def shutdown_settings(cfg):
     """Return the phases of the stop of an agent with these `RunnerSettings`."""
     return ShutdownSettings(
-        accept_until=Duration(0.0),
+        accept_until=cfg.leave_notice,
         answer_until=cfg.leave_timeout,
         read_until=cfg.leave_timeout,
         exit_until=Duration(cfg.leave_timeout + cfg.lease.stop_time),
@@ -165,11 +165,12 @@
     runner : Runner
         Runner that is stopped.
     shutdown : Shutdown
-        Planned stop of the process. Runs that are left when answers are due are
-        stopped.
+        Planned stop of the process. Orders that arrive while it still accepts are
+        refused; runs that are left when answers are due are stopped.
     """
     await shutdown.begun.wait()
     runner.leave()
+    await shutdown.sleep_until(shutdown.cfg.accept_until)
     await shutdown.run_until(shutdown.cfg.answer_until, runner.wait_idle)
     runner.stop_all_runs()
     await shutdown.run_until(shutdown.cfg.exit_until, runner.wait_idle)
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -70,6 +70,10 @@
         longest deadline of a job.
     takeover_retry : Duration
         Pause between attempts to take over a target.
+    leave_notice : Duration
+        Time for which an agent without runs goes on after a planned stop has begun.
+        Entries learn of the stop meanwhile, and the orders that they have sent before
+        are refused; they could not rule out the start of an unanswered order.
     leave_timeout : Duration
         Time that runs have to end after a planned stop of the agent has begun;
         shorter than the 6 s after which the platform kills the process.
@@ -87,4 +91,5 @@
     loss_retention: Duration = Duration(60.0)
     end_retention: Duration = Duration(20.0)
     takeover_retry: Duration = Duration(0.1)
+    leave_notice: Duration = Duration(0.2)
     leave_timeout: Duration = Duration(4.5)
--- a/tests/runner/test_planned_stops.py
+++ b/tests/runner/test_planned_stops.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from hornbeamshore.base.codes import ResultCode
+from hornbeamshore.base.codes import ResultCode, RunState
 from hornbeamshore.runner.daemon import finish_runs, shutdown_settings
 from hornbeamshore.runner.settings import RunnerSettings
 from hornbeamshore.serving.shutdown import Shutdown
@@ -75,3 +75,22 @@
         assert stop.ended.is_set()
         assert not target.running_runs
         assert conn.ends[1].code == ResultCode.CANCELLED
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.1])
+async def test_an_order_that_crosses_the_notice_of_an_idle_agent_is_refused(
+    autojump_clock, nursery, runner, target, stop, delay_s
+):
+    """Guards against orders whose outcome is unknown because their agent has ended."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        nursery.start_soon(acknowledge_results, runner, session, conn)
+        stop.shutdown.begin()
+        await trio.sleep(delay_s)
+        assert not stop.ended.is_set()
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        assert conn.ends[1].code == ResultCode.AGENT_LEAVING
+        assert conn.ends[1].run_state == RunState.NOT_RUN
+        await trio.sleep(1.0)
+        assert stop.ended.is_set()
+        assert target.started == []
