Ask the planned stop itself whether an agent takes an order

Entries saw: an order that was read in the same turn as the signal was admitted or refused by chance, depending on which task ran first.

Cause: the agent kept a state of its own, `leaving`, which was set when the task that waits for the stop ran. An admitted run was still served in the time that runs have, so nothing was lost by this alone.

The runner asks the `Shutdown` now. Its tests run it on the clock of the stop, with suspensions after which the leases of entries have not expired.

--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -100,7 +100,7 @@
     """
     shutdown = Shutdown(shutdown_settings(cfg.runner))
     metrics = RunnerMetrics()
-    runner = Runner(cfg.runner, interface.driver, metrics)
+    runner = Runner(cfg.runner, interface.driver, metrics, shutdown=shutdown)
     metrics.register_gauges(runner)
     links = EntryLinks(runner, _make_identity(cfg), cfg.secret)
     prefix = deployment_key(cfg.deployment, cfg.entries_prefix)
@@ -169,7 +169,7 @@
         refused; runs that are left when answers are due are stopped.
     """
     await shutdown.begun.wait()
-    runner.leave()
+    runner.announce_stop()
     await shutdown.sleep_until(shutdown.cfg.accept_until)
     await shutdown.run_until(shutdown.cfg.answer_until, runner.wait_idle)
     runner.stop_all_runs()
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -20,6 +20,7 @@
 from hornbeamshore.runner.supervisor import Supervisor
 from hornbeamshore.runner.takeover import LossReason, TargetEvents
 from hornbeamshore.runner.target import RunOutcome
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.wire.messages import Resources, TargetDescription
 
 # Interval of the lease checks while runs are left or the target is unavailable.
@@ -50,6 +51,9 @@
     clock : callable
         Returns the time in seconds by which leases are measured; it includes the time
         for which the host is suspended.
+    shutdown : Shutdown or None
+        Planned stop of the process, in which runs are refused; None if it is never
+        stopped.
 
     Attributes
     ----------
@@ -59,21 +63,19 @@
         Sends starts and stops to the target.
     sessions : dict of str to Session
         Sessions of entries, by entry id.
-    leaving : bool
-        Whether a planned stop of this agent has begun.
     runs_refused : int
         Number of runs that were refused or cancelled before they were started.
     """
 
-    def __init__(self, cfg, driver, metrics, clock=boot_time_s):
+    def __init__(self, cfg, driver, metrics, clock=boot_time_s, shutdown=None):
         self.cfg = cfg
         self.metrics = metrics
         self.clock = clock
         self.supervisor = Supervisor(cfg, driver, self, clock)
         self.call_workers = CallWorkers(self, driver, self.supervisor)
         self.sessions = {}
-        self.leaving = False
         self.runs_refused = 0
+        self._shutdown = shutdown or Shutdown(clock=clock)
         self._table = RunTable()
         self._health = ConsecutiveFailures(cfg.health)
         self._probe_needs = Resources()
@@ -205,9 +207,8 @@
         session.acknowledge(run_ids)
         self._notify_changed()
 
-    def leave(self):
-        """Refuse new runs from now on."""
-        self.leaving = True
+    def announce_stop(self):
+        """Tell entries that the planned stop has begun, which refuses new runs."""
         self._notify_changed()
 
     async def wait_idle(self):
@@ -239,7 +240,7 @@
     def _unavailable_code(self):
         """Return the code with which all runs are refused, or None if some may run."""
         target = self.supervisor.target
-        if self.leaving or target is None or target.leaving:
+        if self._shutdown.begun.is_set() or target is None or target.leaving:
             return ResultCode.AGENT_LEAVING
         if self.supervisor.takeover is None or self._health.is_ejected(self.clock()):
             return ResultCode.TARGET_UNREACHABLE
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from hornbeamshore.runner.daemon import shutdown_settings
 from hornbeamshore.runner.metrics import RunnerMetrics
 from hornbeamshore.runner.runner import Runner
 from hornbeamshore.runner.settings import RunnerSettings
@@ -25,6 +26,7 @@
     TargetState,
     TargetUnresponsive,
 )
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.wire.handshake import Identity
 from hornbeamshore.wire.messages import (
     AgentReport,
@@ -46,6 +48,16 @@
 TASK_CPU_MILLIS = 3000
 
 
+class SuspendableClock:
+    """Clock that includes suspensions, during which the timers of trio stand still."""
+
+    def __init__(self):
+        self.suspended_s = 0.0
+
+    def __call__(self):
+        return trio.current_time() + self.suspended_s
+
+
 class FakeTarget(TargetDriver):
     """Target whose runs end on request of the test, or when their lease expires.
 
@@ -289,8 +301,18 @@
 
 
 @pytest.fixture
-async def runner(autojump_clock, nursery, target):
-    runner = Runner(RunnerSettings(), target, RunnerMetrics(), trio.current_time)
+async def clock(autojump_clock):
+    return SuspendableClock()
+
+
+@pytest.fixture
+async def shutdown(clock):
+    return Shutdown(shutdown_settings(RunnerSettings()), clock)
+
+
+@pytest.fixture
+async def runner(autojump_clock, nursery, target, clock, shutdown):
+    runner = Runner(RunnerSettings(), target, RunnerMetrics(), clock, shutdown)
     nursery.start_soon(runner.run)
     nursery.start_soon(receive_heartbeats, runner)
     runner.supervisor.handle_announcement(TARGET)
--- a/tests/runner/test_planned_stops.py
+++ b/tests/runner/test_planned_stops.py
@@ -4,9 +4,8 @@
 import trio
 
 from hornbeamshore.base.codes import ResultCode, RunState
-from hornbeamshore.runner.daemon import finish_runs, shutdown_settings
+from hornbeamshore.runner.daemon import finish_runs
 from hornbeamshore.runner.settings import RunnerSettings
-from hornbeamshore.serving.shutdown import Shutdown
 
 from .conftest import FakeConnection, attached, order_tasks
 
@@ -14,37 +13,30 @@
 STOP_AT_S = CFG.leave_timeout
 
 
-class SuspendableClock:
-    """Clock that includes suspensions, during which the timers of trio stand still."""
-
-    def __init__(self):
-        self.suspended_s = 0.0
-
-    def __call__(self):
-        return trio.current_time() + self.suspended_s
-
-
 class Stop:
-    """Planned stop of an agent, with the time at which its process would end."""
+    """Planned stop of an agent.
+
+    Attributes
+    ----------
+    ended : trio.Event
+        Set when the process would end.
+    """
 
-    def __init__(self, runner, clock):
-        self.runner = runner
-        self.shutdown = Shutdown(shutdown_settings(runner.cfg), clock)
+    def __init__(self, runner, shutdown):
         self.ended = trio.Event()
+        self._runner, self._shutdown = runner, shutdown
+
+    def begin(self):
+        self._shutdown.begin()
 
     async def run(self):
-        await finish_runs(self.runner, self.shutdown)
+        await finish_runs(self._runner, self._shutdown)
         self.ended.set()
 
 
 @pytest.fixture
-async def clock(autojump_clock):
-    return SuspendableClock()
-
-
-@pytest.fixture
-async def stop(runner, clock, nursery):
-    stop = Stop(runner, clock)
+async def stop(runner, shutdown, nursery):
+    stop = Stop(runner, shutdown)
     nursery.start_soon(stop.run)
     return stop
 
@@ -56,9 +48,9 @@
         runner.acknowledge_ends(session, list(conn.ends))
 
 
-@pytest.mark.parametrize("suspended_s", [0.0, 2.0, 3.4])
-async def test_a_suspension_does_not_delay_the_stop_of_runs(
-    autojump_clock, nursery, runner, target, stop, clock, suspended_s
+@pytest.mark.parametrize("suspensions_s", [(), (0.6,), (0.6, 0.7, 0.8)])
+async def test_suspensions_do_not_delay_the_stop_of_runs(
+    autojump_clock, nursery, runner, target, stop, clock, suspensions_s
 ):
     """Guards against an agent that is killed with runs that nobody has stopped."""
     conn = FakeConnection()
@@ -66,10 +58,12 @@
         nursery.start_soon(acknowledge_results, runner, session, conn)
         runner.order_runs(session, 1, order_tasks(1), runner.clock())
         await trio.sleep(0.1)
-        stop.shutdown.begin()
-        await trio.sleep(1.0)
-        clock.suspended_s = suspended_s
-        await trio.sleep(STOP_AT_S - 1.0 - suspended_s - 0.05)
+        stop.begin()
+        for suspended_s in suspensions_s:
+            await trio.sleep(0.4)
+            clock.suspended_s += suspended_s
+        stops_after_s = STOP_AT_S - 0.4 * len(suspensions_s) - sum(suspensions_s)
+        await trio.sleep(stops_after_s - 0.05)
         assert target.running_runs
         await trio.sleep(0.25)
         assert stop.ended.is_set()
@@ -85,7 +79,7 @@
     conn = FakeConnection()
     with attached(runner, conn) as session:
         nursery.start_soon(acknowledge_results, runner, session, conn)
-        stop.shutdown.begin()
+        stop.begin()
         await trio.sleep(delay_s)
         assert not stop.ended.is_set()
         runner.order_runs(session, 1, order_tasks(1), runner.clock())
