Keep a stopping agent for results of entries that may reconnect

Entries saw: a run ended while the connection of its entry was lost for a moment during the planned stop of the agent; the agent ended at once, and the result with it. Its entry gives the agent up later and must treat the run as unknown, although it had ended.

Cause: the stop asked, at the moment at which the last run ended, for results of entries that were connected then. An entry whose lease has not expired keeps its runs and may connect again.

The agent now waits for the acknowledgement of results of such entries too, until their leases expire (0.9 s), within the time that runs have.

Evidence: entries that are away for 0.3 s and 0.8 s fail the test before; they get the result now. An agent does not wait for one that is away for longer.

--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -131,7 +131,7 @@
         sent_at : float
             Time on the clock at or after which the entry has sent the message.
         """
-        self._expire_lease(session, self.clock())
+        self._expire_lease(session)
         session.last_heard = max(session.last_heard, sent_at)
 
     def entry_ended(self, session):
@@ -212,11 +212,19 @@
         self._notify_changed()
 
     async def wait_idle(self):
-        """Wait until no run is left and connected entries acknowledged all results."""
-        while any(session.is_busy for session in self.sessions.values()):
+        """Wait until no run is left and all results are acknowledged.
+
+        Results for an entry that is not connected are kept for its lease, in which it
+        may connect again.
+        """
+        while any(self._is_busy(session) for session in self.sessions.values()):
             self._state_changed = trio.Event()
             await self._state_changed.wait()
 
+    def _is_busy(self, session):
+        is_awaited = session.conn is not None or not self._is_lease_expired(session)
+        return bool(session.runs) or (is_awaited and bool(session.ends))
+
     def stop_all_runs(self):
         """Stop the runs of all entries."""
         for session in self.sessions.values():
@@ -449,18 +457,21 @@
             self.supervisor.end_lapsed_runs()
             for session in list(self.sessions.values()):
                 self._check_session(session, now)
-            # An ejection expires without any event that would trigger a report.
-            self._reporter.announce_changes()
+            # No other event follows the end of an ejection or of a lease.
+            self._notify_changed()
 
     def _check_session(self, session, now):
-        self._expire_lease(session, now)
+        self._expire_lease(session)
         is_expired = now - session.last_heard > self.cfg.end_retention
         if session.conn is None and is_expired and not session.runs:
             del self.sessions[session.entry_id]
 
-    def _expire_lease(self, session, now):
+    def _is_lease_expired(self, session):
+        return self.clock() - session.last_heard > self.cfg.lease.entry_lease
+
+    def _expire_lease(self, session):
         """Stop the runs of an entry whose lease has expired."""
-        if session.runs and now - session.last_heard > self.cfg.lease.entry_lease:
+        if session.runs and self._is_lease_expired(session):
             self._stop_entry_runs(session, "entry lease expired")
 
     def _stop_entry_runs(self, session, reason):
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -80,11 +80,6 @@
         if self.conn is not None:
             self.conn.set_active(bool(self.runs or self.ends))
 
-    @property
-    def is_busy(self):
-        """Return whether runs are left, or results for a connected entry."""
-        return bool(self.runs) or (self.conn is not None and bool(self.ends))
-
     @property
     def needs_report(self):
         """Return whether a report is to be sent with the next write."""
--- a/tests/runner/test_planned_stops.py
+++ b/tests/runner/test_planned_stops.py
@@ -88,3 +88,29 @@
         await trio.sleep(1.0)
         assert stop.ended.is_set()
         assert target.started == []
+
+
+@pytest.mark.parametrize(
+    ("away_s", "is_told"),
+    [(0.3, True), (0.8, True), (1.2, False)],
+    ids=["briefly", "almost for its lease", "beyond its lease"],
+)
+async def test_an_agent_waits_for_entries_that_may_reconnect_for_their_results(
+    autojump_clock, nursery, runner, target, stop, away_s, is_told
+):
+    """Guards against results that are lost because a stop met a lost connection."""
+    with attached(runner, FakeConnection()) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        await trio.sleep(0.1)
+        stop.begin()
+        await trio.sleep(1.0)
+    target.end_run("j1.0.0.1")
+    await trio.sleep(away_s)
+    assert stop.ended.is_set() != is_told
+    if is_told:
+        conn = FakeConnection()
+        with attached(runner, conn) as session:
+            nursery.start_soon(acknowledge_results, runner, session, conn)
+            await trio.sleep(0.1)
+            assert conn.ends[1].code == ResultCode.OK
+            assert stop.ended.is_set()
