Test that no run is started after the stop of an agent

An order that is admitted just before the runs are stopped can wait in the queue of calls, be refused by the target once for its number, or have a start that is not answered. In each case the run is asked for its stop before its start is sent, or stopped after it: the tests pass on the code as it was.

--- a/tests/runner/test_planned_stops.py
+++ b/tests/runner/test_planned_stops.py
@@ -114,3 +114,44 @@
             await trio.sleep(0.1)
             assert conn.ends[1].code == ResultCode.OK
             assert stop.ended.is_set()
+
+
+def order_beyond_the_calls(runner, target, session):
+    """Order more runs than the workers can start at once."""
+    target.start_delay_s = 0.05
+    orders = order_tasks(*range(1, 9), cpu_millis=1000)
+    runner.order_runs(session, 1, orders, runner.clock())
+
+
+def order_stale_number(runner, target, session):
+    """Order a run whose number the target refuses once."""
+    target.refused_runs.add(("j1.0.0.1", 1))
+    runner.order_runs(session, 1, order_tasks(1), runner.clock())
+
+
+def lose_start_answer(runner, target, session):
+    """Order a run whose start is executed late."""
+    target.starts_to_leave_unanswered = 1
+    runner.order_runs(session, 1, order_tasks(1), runner.clock())
+
+
+@pytest.mark.parametrize("before_s", [0.0, 0.001, 0.01, 0.06])
+@pytest.mark.parametrize(
+    "order", [order_beyond_the_calls, order_stale_number, lose_start_answer]
+)
+async def test_nothing_runs_after_the_stop_of_an_agent(
+    autojump_clock, nursery, runner, target, stop, order, before_s
+):
+    """Guards against a start that is sent after all runs were stopped."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        nursery.start_soon(acknowledge_results, runner, session, conn)
+        order(runner, target, session)
+        await trio.sleep(before_s)
+        runner.stop_all_runs()
+        stop.begin()
+        await trio.sleep(1.0)
+        target.execute_unanswered_starts()
+        assert stop.ended.is_set()
+        assert target.running_runs == {}
+        assert runner.sessions["entry-1"].runs == {}
