Let an agent stop its runs in the whole rest of its grace period

Entries saw: a target that was silent for 0.1 s when the runs were stopped kept them beyond the end of its agent. The entry gets no end of them, gives the agent up 2.1 s later and must treat the runs as unknown.

Cause: the wait for stopped runs ended 0.2 s after the stop, the time in which a target that answers executes one, while the process has 1.5 s left of its grace period. One unanswered stop (80 ms and a pause) and a poll take longer.

The wait ends at `exit_timeout` now, nine tenths of the grace period (5.4 s). An agent whose target answers ends as early as before.

Evidence: targets that are silent for 0.1, 0.3 and 0.6 s fail the test before, and their runs are stopped and reported now.

--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -153,7 +153,7 @@
         accept_until=cfg.leave_notice,
         answer_until=cfg.leave_timeout,
         read_until=cfg.leave_timeout,
-        exit_until=Duration(cfg.leave_timeout + cfg.lease.stop_time),
+        exit_until=cfg.exit_timeout,
     )
 
 
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -75,7 +75,9 @@
         Entries learn of the stop meanwhile, and the orders that they have sent before
         are refused; they could not rule out the start of an unanswered order.
     leave_timeout : Duration
-        Time that runs have to end after a planned stop of the agent has begun;
+        Time that runs have to end after a planned stop of the agent has begun.
+    exit_timeout : Duration
+        Time after which the agent ends even if its target has not answered all stops;
         shorter than the 6 s after which the platform kills the process.
     """
 
@@ -93,3 +95,4 @@
     takeover_retry: Duration = Duration(0.1)
     leave_notice: Duration = Duration(0.2)
     leave_timeout: Duration = Duration(4.5)
+    exit_timeout: Duration = Duration(5.4)
--- a/tests/runner/test_planned_stops.py
+++ b/tests/runner/test_planned_stops.py
@@ -155,3 +155,23 @@
         assert stop.ended.is_set()
         assert target.running_runs == {}
         assert runner.sessions["entry-1"].runs == {}
+
+
+@pytest.mark.parametrize("silent_s", [0.1, 0.3, 0.6])
+async def test_runs_of_a_target_that_is_slow_at_the_stop_are_stopped(
+    autojump_clock, nursery, runner, target, stop, silent_s
+):
+    """Guards against an agent that ends beside runs before it has to."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        nursery.start_soon(acknowledge_results, runner, session, conn)
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        await trio.sleep(0.1)
+        stop.begin()
+        await trio.sleep(STOP_AT_S - 0.05)
+        target.is_silent = True
+        await trio.sleep(silent_s)
+        target.is_silent = False
+        await stop.ended.wait()
+        assert not target.running_runs
+        assert conn.ends[1].code == ResultCode.CANCELLED
