Refuse copies of start records after an agent has sent its own to the owner

What an owner saw: an agent that was about to end confirmed copies of the start records of another agent that left or was lost at the same time. The copies ended with it, while the roster lists these records as accounted for, so that an owner that takes over later may start such a task again.

Cause: a stopping agent sends all its records and copies once, at the moment at which its last task has ended, and still confirmed copies that came in while it waited for the answer.

A copy that arrives earlier in the stop is confirmed as before, since the owner gets it back.

Evidence: the row with a copy after the records fails before (code 0), and is refused now.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -107,7 +107,7 @@
         self.roster = Roster()
         self.table = OwnerTable()
         self.partition = ""
-        self.leaving = False
+        self.leaving = self._has_sent_records = False
         self.tasks_started = self.starts_refused = 0
         self._conns = {}
         self._last_checked_at = self._last_connected_at = trio.current_time()
@@ -378,6 +378,9 @@
         body = message.body
         if not self.fencing.holds_epoch(_entry_key(conn), body.partition, body.epoch):
             code = ResultCode.STALE_EPOCH
+        elif self._has_sent_records:
+            # The copies would end with this process.
+            code = ResultCode.AGENT_LEAVING
         elif self.copies.full:
             code = ResultCode.OVERLOADED
         else:
@@ -505,6 +508,7 @@
             await self._owner_changed.wait()
             return False
         try:
+            self._has_sent_records = True
             leave = Leave(self.records.all() + self.copies.all())
             reply = await conn.call(leave, self.cfg.leave_timeout)
             if getattr(reply, "code", None) == ResultCode.OK:
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -38,6 +38,7 @@
     def __init__(self):
         self.conn, self.conns = None, {}
         self.announced, self.done, self.leave_messages = [], [], []
+        self.answers_leave = True
         self._changed = trio.Event()
 
     def opened(self, conn):
@@ -53,7 +54,7 @@
         if type(message.body) in received:
             received[type(message.body)].append(message.body)
             self.notify()
-        if isinstance(message.body, Leave):
+        if isinstance(message.body, Leave) and self.answers_leave:
             conn.send(LeaveReply(0), reply_to=message.id)
 
     def notify(self):
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -312,3 +312,32 @@
         stderr = (await process.stderr.receive_some()).decode() if message else ""
     assert message in stderr
     assert process.returncode == (2 if message else 0)
+
+
+@pytest.mark.parametrize(
+    ("has_sent_records", "code"), [(False, Code.OK), (True, Code.AGENT_LEAVING)]
+)
+async def test_a_copy_is_refused_after_the_records_were_transferred(
+    agent_env, helpers, has_sent_records, code
+):
+    """Guards against copies of start records that end with the agent."""
+    async with agent_env() as env:
+        conn, start = await grant_fence(env), helpers.start("job-1")
+        env.target.set_faults(stall=not has_sent_records)
+        conn.send(start)
+        await env.entry.wait_until(lambda: env.log)
+        record = StartRecord(helpers.start("job-2").key, 0, 1, RecordState.RUNNING, 1)
+        copy = CopyRecords(helpers.partition, 1, "agent-2", (record,))
+        env.entry.answers_leave = False
+        signal.raise_signal(signal.SIGTERM)
+        await env.entry.wait_until(lambda: env.entry.announced[-1].leaving)
+        if has_sent_records:
+            await env.entry.wait_until(lambda: env.entry.leave_messages)
+        assert (await conn.call(copy, 30)).code == code
+        env.target.set_faults(stall=False)
+        await env.entry.wait_until(lambda: env.entry.leave_messages)
+        sent = record in env.entry.leave_messages[0].records
+        assert sent == (code == Code.OK)
+        conn.close()
+        env.entry.answers_leave = True
+        await env.entry.wait_until(lambda: env.exit_code is not None)
