End the drain of a partition owner by the clock of its stop

Cause and effect: the HTTP server of this entry counts its phases on a clock that includes suspension; the drain around it was a timeout on the clock of trio. After a suspension, an entry whose answers were long due still waited for its partitions and submissions for up to `drain_timeout` before it left the owner table.

Evidence: a drain with a submission in flight and a suspension of 60 s lasts the whole drain timeout before, and ends after the suspension now.

--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -194,13 +194,15 @@
         owners = list(self.entry.owners.values())
         for owner in owners:
             owner.resign()
-        with trio.move_on_after(self.cfg.drain_timeout) as drain_scope:
+
+        async def wait_drained():
             for owner in owners:
                 await owner.has_ended.wait()
             await self._http_stopped.wait()
             # Submissions outlive the connections of callers that disconnected.
             await self.entry.wait_idle()
-        if drain_scope.cancelled_caught:
+
+        if not await self._shutdown.run_until(self.cfg.drain_timeout, wait_drained):
             log.warning("Drain timed out with requests still in flight.")
         with trio.move_on_after(self.cfg.wire.dead_after):
             await self.entry.membership.leave()
--- a/tests/entry/test_planned_stops.py
+++ b/tests/entry/test_planned_stops.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+from functools import partial
 from types import SimpleNamespace
 
 import pytest
@@ -9,9 +10,11 @@
 
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.base.types import JobKey, partition_of
+from hornbeamshore.entry import daemon as daemons
 from hornbeamshore.entry.daemon import EntryDaemon
 from hornbeamshore.entry.settings import EntrySettings
 from hornbeamshore.entry.state import Epoch
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.store.etcd import EtcdSettings
 from hornbeamshore.wire.connection import ConnectionLost
 from hornbeamshore.wire.messages import OwnerNotice
@@ -50,8 +53,18 @@
 QUERY = http_request("GET", "/v1/jobs/a?service=stock")
 
 
+class SuspendableClock:
+    """Clock that includes suspensions, during which the timers of trio stand still."""
+
+    def __init__(self):
+        self.suspended_s = 0.0
+
+    def __call__(self):
+        return trio.current_time() + self.suspended_s
+
+
 @pytest.fixture
-async def daemon(tmp_path):
+async def daemon(tmp_path, monkeypatch):
     """Return a running entry whose store does not answer."""
     secret_file = tmp_path / "secret"
     secret_file.write_text("0123456789abcdef")
@@ -66,7 +79,10 @@
         drain_timeout=DRAIN_TIMEOUT,
     )
     async with contextlib.AsyncExitStack() as stack:
+        clock = SuspendableClock()
+        monkeypatch.setattr(daemons, "Shutdown", partial(Shutdown, clock=clock))
         daemon = EntryDaemon(cfg)
+        daemon.clock = clock
         await daemon.listen(stack)
         nursery = await stack.enter_async_context(trio.open_nursery())
         await nursery.start(daemon.run)
@@ -124,3 +140,23 @@
     assert answer, "the connection was closed without an answer"
     body = json.loads(answer.partition(b"\r\n\r\n")[2])
     assert (body["code"], body["run_state"]) == (code, run_state)
+
+
+@pytest.mark.parametrize("suspended_s", [0.0, 60.0])
+async def test_a_drain_ends_by_the_clock_of_its_grace_period(
+    autojump_clock, daemon, suspended_s
+):
+    """Guards against an entry that is killed before it has left the owner table."""
+    daemon.entry.in_flight += 1
+    left = trio.Event()
+    daemon.entry.membership.leave = partial(set_event, left)
+    started_at = trio.current_time()
+    daemon.stop()
+    await trio.sleep(0.1)
+    daemon.clock.suspended_s += suspended_s
+    await left.wait()
+    assert (trio.current_time() - started_at < DRAIN_TIMEOUT) == bool(suspended_s)
+
+
+async def set_event(event):
+    event.set()
