Receive signals in a partition owner before callers can connect to it

Callers saw: a SIGTERM between the opening of the listeners and the installation of the signal handlers ended the process at once, and reset the connections in the queue of the listener. The window is small here, since nothing else is done in between.

Evidence: the test sends the signal while the listeners are opened; it was not received before, and begins a planned stop now.

--- a/packages/entry/src/hornbeamshore/entry/daemon.py
+++ b/packages/entry/src/hornbeamshore/entry/daemon.py
@@ -219,22 +219,25 @@
         Called with the daemon once it serves requests.
     """
     async with contextlib.AsyncExitStack() as stack:
+        # Before callers can connect: a signal must not end the process under them.
+        signals = stack.enter_context(
+            trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT)
+        )
         await daemon.listen(stack)
         nursery = await stack.enter_async_context(trio.open_nursery())
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-
-            async def run_daemon(task_status=trio.TASK_STATUS_IGNORED):
-                await daemon.run(task_status)
-                nursery.cancel_scope.cancel()
-
-            await nursery.start(run_daemon)
-            on_started(daemon)
-            async for _ in signals:
-                daemon.stop()
-                break
-            async for _ in signals:
-                log.warning("Second signal received; stopping without a drain.")
-                nursery.cancel_scope.cancel()
+
+        async def run_daemon(task_status=trio.TASK_STATUS_IGNORED):
+            await daemon.run(task_status)
+            nursery.cancel_scope.cancel()
+
+        await nursery.start(run_daemon)
+        on_started(daemon)
+        async for _ in signals:
+            daemon.stop()
+            break
+        async for _ in signals:
+            log.warning("Second signal received; stopping without a drain.")
+            nursery.cancel_scope.cancel()
 
 
 def _shutdown_settings(cfg):
--- a/tests/entry/test_planned_stops.py
+++ b/tests/entry/test_planned_stops.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import signal
 from functools import partial
 from types import SimpleNamespace
 
@@ -11,7 +12,7 @@
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.base.types import JobKey, partition_of
 from hornbeamshore.entry import daemon as daemons
-from hornbeamshore.entry.daemon import EntryDaemon
+from hornbeamshore.entry.daemon import EntryDaemon, run_until_signal
 from hornbeamshore.entry.settings import EntrySettings
 from hornbeamshore.entry.state import Epoch
 from hornbeamshore.serving.shutdown import Shutdown
@@ -160,3 +161,32 @@
 
 async def set_event(event):
     event.set()
+
+
+class InterruptedDaemon:
+    """Daemon that receives SIGTERM while it opens its listeners."""
+
+    def __init__(self):
+        self.stopping = trio.Event()
+
+    async def listen(self, stack):
+        signal.raise_signal(signal.SIGTERM)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        task_status.started()
+        await self.stopping.wait()
+
+    def stop(self):
+        self.stopping.set()
+
+
+async def test_a_signal_during_the_start_begins_a_planned_stop():
+    """Guards against a signal that ends a process which callers can reach already."""
+    unhandled = []
+    previous = signal.signal(signal.SIGTERM, lambda *args: unhandled.append(args))
+    try:
+        with trio.move_on_after(5.0):
+            await run_until_signal(InterruptedDaemon(), lambda _: None)
+    finally:
+        signal.signal(signal.SIGTERM, previous)
+    assert unhandled == []
