--- a/packages/runner/src/hornbeamshore/runner/daemon.py
+++ b/packages/runner/src/hornbeamshore/runner/daemon.py
@@ -21,6 +21,7 @@
     serve_until_cancelled,
 )
 from hornbeamshore.serving.metrics_api import MetricsApi
+from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
 from hornbeamshore.store.base import deployment_key
 from hornbeamshore.store.directory import AddressDirectory
 from hornbeamshore.wire.handshake import Identity
@@ -99,9 +100,9 @@
     OSError
         If the announcement address cannot be bound.
     """
-    stopping = trio.Event()
+    shutdown = Shutdown(shutdown_settings(cfg.runner))
     metrics = RunnerMetrics()
-    runner = Runner(cfg.runner, interface.driver, metrics)
+    runner = Runner(cfg.runner, interface.driver, metrics, shutdown=shutdown)
     metrics.register_gauges(runner)
     links = EntryLinks(runner, _make_identity(cfg), cfg.secret)
     prefix = deployment_key(cfg.deployment, cfg.entries_prefix)
@@ -121,9 +122,6 @@
             seeds.update(loaded)
             update_links()
 
-        def stop(signalled_at=None):
-            stopping.set()
-
         update_links()
         nursery.start_soon(runner.run)
         nursery.start_soon(directory.watch, update_links)
@@ -133,10 +131,10 @@
         nursery.start_soon(
             serve_until_cancelled, MetricsApi(metrics.registry), metrics_listeners
         )
-        nursery.start_soon(handle_signals, stop, reload, early_signals)
+        nursery.start_soon(handle_signals, shutdown.begin, reload, early_signals)
+        nursery.start_soon(shutdown.run)
         log.info("started id=%s", cfg.agent_id)
-        await stopping.wait()
-        await _finish_runs(runner)
+        await finish_runs(runner, shutdown)
         nursery.cancel_scope.cancel()
     log.info("stopped id=%s", cfg.agent_id)
 
@@ -151,11 +149,30 @@
     )
 
 
-async def _finish_runs(runner):
-    """Wait for runs to end, then stop those that exceed the timeout."""
-    runner.leave()
-    with trio.move_on_after(runner.cfg.leave_timeout):
-        await runner.wait_idle()
+def shutdown_settings(cfg):
+    """Return the phases of the stop of an agent with these `RunnerSettings`."""
+    return ShutdownSettings(
+        accept_until=cfg.leave_notice,
+        answer_until=cfg.leave_timeout,
+        read_until=cfg.leave_timeout,
+        exit_until=cfg.exit_timeout,
+    )
+
+
+async def finish_runs(runner, shutdown):
+    """Wait for runs to end in a planned stop, then stop those that are left.
+
+    Parameters
+    ----------
+    runner : Runner
+        Runner that is stopped.
+    shutdown : Shutdown
+        Planned stop of the process. Orders that arrive while it still accepts are
+        refused; runs that are left when answers are due are stopped.
+    """
+    await shutdown.begun.wait()
+    runner.announce_stop()
+    await shutdown.sleep_until(shutdown.cfg.accept_until)
+    await shutdown.run_until(shutdown.cfg.answer_until, runner.wait_idle)
     runner.stop_all_runs()
-    with trio.move_on_after(runner.cfg.lease.stop_time):
-        await runner.wait_idle()
+    await shutdown.run_until(shutdown.cfg.exit_until, runner.wait_idle)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -20,6 +20,7 @@
 from hornbeamshore.runner.supervisor import Supervisor
 from hornbeamshore.runner.takeover import LossReason, TargetEvents
 from hornbeamshore.runner.target import RunOutcome
+from hornbeamshore.serving.shutdown import Shutdown
 from hornbeamshore.wire.messages import Resources, TargetDescription
 
 # Interval of the lease checks while runs are left or the target is unavailable.
@@ -50,6 +51,9 @@
     clock : callable
         Returns the time in seconds by which leases are measured; it includes the time
         for which the host is suspended.
+    shutdown : Shutdown or None
+        Planned stop of the process, in which runs are refused; None if it is never
+        stopped.
 
     Attributes
     ----------
@@ -59,21 +63,19 @@
         Sends starts and stops to the target.
     sessions : dict of str to Session
         Sessions of entries, by entry id.
-    leaving : bool
-        Whether a planned stop of this agent has begun.
     runs_refused : int
         Number of runs that were refused or cancelled before they were started.
     """
 
-    def __init__(self, cfg, driver, metrics, clock=boot_time_s):
+    def __init__(self, cfg, driver, metrics, clock=boot_time_s, shutdown=None):
         self.cfg = cfg
         self.metrics = metrics
         self.clock = clock
         self.supervisor = Supervisor(cfg, driver, self, clock)
         self.call_workers = CallWorkers(self, driver, self.supervisor)
         self.sessions = {}
-        self.leaving = False
         self.runs_refused = 0
+        self._shutdown = shutdown or Shutdown(clock=clock)
         self._table = RunTable()
         self._health = ConsecutiveFailures(cfg.health)
         self._probe_needs = Resources()
@@ -129,7 +131,7 @@
         sent_at : float
             Time on the clock at or after which the entry has sent the message.
         """
-        self._expire_lease(session, self.clock())
+        self._expire_lease(session)
         session.last_heard = max(session.last_heard, sent_at)
 
     def entry_ended(self, session):
@@ -205,17 +207,24 @@
         session.acknowledge(run_ids)
         self._notify_changed()
 
-    def leave(self):
-        """Refuse new runs from now on."""
-        self.leaving = True
+    def announce_stop(self):
+        """Tell entries that the planned stop has begun, which refuses new runs."""
         self._notify_changed()
 
     async def wait_idle(self):
-        """Wait until no run is left and connected entries acknowledged all results."""
-        while any(session.is_busy for session in self.sessions.values()):
+        """Wait until no run is left and all results are acknowledged.
+
+        Results for an entry that is not connected are kept for its lease, in which it
+        may connect again.
+        """
+        while any(self._is_busy(session) for session in self.sessions.values()):
             self._state_changed = trio.Event()
             await self._state_changed.wait()
 
+    def _is_busy(self, session):
+        is_awaited = session.conn is not None or not self._is_lease_expired(session)
+        return bool(session.runs) or (is_awaited and bool(session.ends))
+
     def stop_all_runs(self):
         """Stop the runs of all entries."""
         for session in self.sessions.values():
@@ -239,7 +248,7 @@
     def _unavailable_code(self):
         """Return the code with which all runs are refused, or None if some may run."""
         target = self.supervisor.target
-        if self.leaving or target is None or target.leaving:
+        if self._shutdown.begun.is_set() or target is None or target.leaving:
             return ResultCode.AGENT_LEAVING
         if self.supervisor.takeover is None or self._health.is_ejected(self.clock()):
             return ResultCode.TARGET_UNREACHABLE
@@ -448,18 +457,21 @@
             self.supervisor.end_lapsed_runs()
             for session in list(self.sessions.values()):
                 self._check_session(session, now)
-            # An ejection expires without any event that would trigger a report.
-            self._reporter.announce_changes()
+            # No other event follows the end of an ejection or of a lease.
+            self._notify_changed()
 
     def _check_session(self, session, now):
-        self._expire_lease(session, now)
+        self._expire_lease(session)
         is_expired = now - session.last_heard > self.cfg.end_retention
         if session.conn is None and is_expired and not session.runs:
             del self.sessions[session.entry_id]
 
-    def _expire_lease(self, session, now):
+    def _is_lease_expired(self, session):
+        return self.clock() - session.last_heard > self.cfg.lease.entry_lease
+
+    def _expire_lease(self, session):
         """Stop the runs of an entry whose lease has expired."""
-        if session.runs and now - session.last_heard > self.cfg.lease.entry_lease:
+        if session.runs and self._is_lease_expired(session):
             self._stop_entry_runs(session, "entry lease expired")
 
     def _stop_entry_runs(self, session, reason):
