Show a stop that an idle HTTP/2 connection holds up

The preface of HTTP/2 is reported as the begin of a request, and only the end of a request as idle: a connection that has carried none counts as busy, and the stop lasts until connections are cut.

--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -326,3 +326,16 @@
                 await server.ended.wait()
     assert answer.startswith(OK)
     assert answer.count(b"done") >= 1
+
+
+async def test_an_idle_http2_connection_does_not_hold_up_the_end():
+    """Guards against connections that count as busy before their first request."""
+    preface = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes((0, 0, 0, 4, 0, 0, 0, 0, 0))
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(GatedApp(), CLOSE_AT_ONCE) as server:
+            with server.connect() as conn:
+                conn.sendall(preface)
+                # The settings of the server show that it has read the preface.
+                await trio.to_thread.run_sync(conn.recv, 65536)
+                server.shutdown.begin()
+                await server.ended.wait()
