Show a stop that an unread body of many chunks holds up

Hypercorn queues ten parts of a body for the application. If the application answers without reading them, the task that reads the connection waits for room in the queue for ever: the connection is never given up, and the stop lasts until connections are cut.

--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -339,3 +339,21 @@
                 await trio.to_thread.run_sync(conn.recv, 65536)
                 server.shutdown.begin()
                 await server.ended.wait()
+
+
+@pytest.mark.parametrize("chunks", [5, 50])
+async def test_an_unread_body_does_not_hold_up_the_end(chunks):
+    """Guards against connections that are left when a body was not read."""
+    app = GatedApp()
+    request = REQUEST[:-2] + b"Transfer-Encoding: chunked\r\n\r\n"
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            with server.connect() as conn:
+                conn.sendall(request + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n")
+                await app.taken_first.wait()
+                await trio.testing.wait_all_tasks_blocked()
+                app.gate.set()
+                server.shutdown.begin()
+                answer = await read_all(conn)
+                await server.ended.wait()
+    assert answer.startswith(OK)
