Check the leases of entries from the begin of an agent's stop on

An idle agent checks leases only once runs are ordered, or after 20 s. Since it waits for entries that may reconnect for their results, its stop did not notice that their leases had expired and lasted 4.5 s. The test of an entry that went away before the stop fails without the request for checks, and the agent ends with the lease now.

--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -82,7 +82,7 @@
         self._losses = LossLog(cfg.loss_retention)
         self._reporter = Reporter(self.sessions, self.state, self._losses_after)
         self._state_changed = trio.Event()
-        self._runs_ordered = trio.Event()
+        self._checks_requested = trio.Event()
 
     async def run(self):
         """Run the background tasks of the runner until cancelled."""
@@ -180,7 +180,7 @@
                 age_s * 1000,
             )
         session.last_order_id = message_id
-        self._runs_ordered.set()
+        self._checks_requested.set()
         for order in body.orders:
             if order.run_id in session.runs or order.run_id in session.ends:
                 continue
@@ -209,6 +209,7 @@
 
     def announce_stop(self):
         """Tell entries that the planned stop has begun, which refuses new runs."""
+        self._checks_requested.set()
         self._notify_changed()
 
     async def wait_idle(self):
@@ -447,11 +448,11 @@
 
     async def _check_sessions(self):
         while True:
-            self._runs_ordered = trio.Event()
+            self._checks_requested = trio.Event()
             is_available = self._unavailable_code() is None
             if is_available and not self._table.is_busy:
                 with trio.move_on_after(self.cfg.end_retention):
-                    await self._runs_ordered.wait()
+                    await self._checks_requested.wait()
             await trio.sleep(SESSION_CHECK_INTERVAL_S)
             now = self.clock()
             self.supervisor.end_lapsed_runs()
--- a/tests/runner/test_planned_stops.py
+++ b/tests/runner/test_planned_stops.py
@@ -175,3 +175,17 @@
         await stop.ended.wait()
         assert not target.running_runs
         assert conn.ends[1].code == ResultCode.CANCELLED
+
+
+async def test_a_stop_does_not_wait_for_an_entry_that_has_been_away(
+    autojump_clock, runner, target, stop
+):
+    """Guards against an idle agent that ends late for want of a lease check."""
+    with attached(runner, FakeConnection()) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        await trio.sleep(0.1)
+        target.end_run("j1.0.0.1")
+        await trio.sleep(1.0)
+    stop.begin()
+    await trio.sleep(CFG.lease.entry_lease + 0.2)
+    assert stop.ended.is_set()
