Give a test of log lines a log of its own

It logs over the loggers of the agent and of the owner, whose limit of 50 lines a second other tests share and use up. Each play of the test has its own limit now, as the tests of dispatch have; what it checks is unchanged.

--- a/tests/ownership/test_refused_fences.py
+++ b/tests/ownership/test_refused_fences.py
@@ -4,7 +4,10 @@
 
 import trio
 
+from hornbeamshore.agent import daemon as agent_module
+from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.settings import Duration
+from hornbeamshore.entry import ownership as ownership_module
 from spec.ownership_state import Bounds
 from tests.spec.system_under_test import SystemUnderTest, entry_id
 
@@ -14,6 +17,9 @@
 ):
     """Guards against a candidate without a quorum whose logs don't tell the reason."""
     caplog.set_level("INFO", "absl")
+    # Lines of other tests must not use up the limit of lines a second.
+    monkeypatch.setattr(agent_module, "log", PartLogger("agent"))
+    monkeypatch.setattr(ownership_module, "log", PartLogger("owner"))
     async with trio.open_nursery() as nursery:
         system = SystemUnderTest(Bounds(agents=3), mock_clock, monkeypatch, nursery)
         await system.start()
