Close idle HTTP/2 connections in a stop, and count suspensions closely

An HTTP/2 connection without a request counted as busy, because hypercorn takes the preface for a request; a stop waited for it until its last phase and reported an open request. Its streams decide now, and it is closed with the idle ones.

A stop signal counted from a suspension that had ended up to 0.5 s before. A process that has resumed handles a signal from during the suspension at once, so 0.1 s is enough; in a trial a signal 0.25 s after a suspension of 7 s left no time to serve anybody.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -83,7 +83,7 @@
         _process_log.info("listeners closed %s", connections)
         await shutdown.run_until(shutdown.cfg.read_until, connections.wait_idle)
         _process_log.info("idle connections closed %s", connections)
-        connections.closing.set()
+        connections.close_idle(nursery)
         await shutdown.run_until(shutdown.cfg.read_until, connections.wait_closed)
         connections.stop_reading()
         await shutdown.run_until(shutdown.cfg.exit_until, connections.wait_closed)
@@ -150,7 +150,7 @@
     def __init__(self, app, cfg, shutdown):
         self.closing = trio.Event()
         self.is_reading = True
-        self._app = ASGIWrapper(_AnsweringApp(app, shutdown))
+        self._app = ASGIWrapper(_StoppingApp(app, shutdown))
         self._config = _hypercorn_config(cfg)
         self._context = WorkerContext(None)
         self._servers = set()
@@ -191,6 +191,13 @@
             self._changed = trio.Event()
             await self._changed.wait()
 
+    def close_idle(self, nursery):
+        """Close the connections that have no open request, now or later."""
+        self.closing.set()
+        for server in self._servers:
+            if server.lacks_idle_task:
+                nursery.start_soon(server.close)
+
     def stop_reading(self):
         """Read no further requests; close each connection once it has none open."""
         self.is_reading = False
@@ -209,8 +216,8 @@
             await trio.aclose_forcefully(server.stream)
 
 
-class _AnsweringApp:
-    """ASGI middleware that closes connections during a stop and logs cut requests.
+class _StoppingApp:
+    """ASGI middleware that ends connections during a stop and logs cut requests.
 
     During a stop, it adds ``Connection: close`` to answers over HTTP/1.1, so that the
     caller opens a new connection for its next request. Requests that the caller has
@@ -256,16 +263,12 @@
 
     Hypercorn 0.18 raises KeyError for data of an HTTP/2 stream that was answered
     before its end; uncaught, the exception would end the whole process.
-
-    Attributes
-    ----------
-    is_busy : bool
-        Whether the head of a request has been read that is not answered yet.
     """
 
     def __init__(self, app, config, context, state, stream, connections):
         super().__init__(app, config, context, state, stream)
-        self.is_busy = False
+        self.protocol = None
+        self._has_request = False
         self._connections = connections
         self._is_reading = True
         self._receive_scope = trio.CancelScope()
@@ -278,11 +281,32 @@
         except* Exception as exc_group:
             _log.debug("connection closed error=%r", exc_group.exceptions[0])
 
+    @property
+    def is_busy(self):
+        """Whether the head of a request has been read that is not answered yet."""
+        if self.protocol is None:
+            return False
+        # Hypercorn 0.18 takes the preface of HTTP/2 for a request.
+        streams = getattr(self.protocol.protocol, "streams", None)
+        return self._has_request if streams is None else bool(streams)
+
+    @property
+    def lacks_idle_task(self):
+        """Whether hypercorn does not end the connection though no request is open.
+
+        Its task begins after a request; the preface of HTTP/2 ends the first one.
+        """
+        return self.protocol is not None and not self.is_busy and self._has_request
+
     @property
     def has_pipelined_data(self):
         """Whether data behind the current request over HTTP/1.1 has been read."""
         return bool(self.protocol.protocol.connection.trailing_data[0])
 
+    async def close(self):
+        """Close the connection."""
+        await trio.aclose_forcefully(self.stream)
+
     def stop_reading(self):
         """Read no further data; end the connection once no request is open."""
         self._is_reading = False
@@ -290,17 +314,11 @@
 
     async def protocol_send(self, event):
         """Send or apply an event of the protocol; notes when requests are open."""
-        if isinstance(event, Updated):
-            self._set_busy(not event.idle)
-        elif isinstance(event, Closed):
-            self._set_busy(False)
-        await super().protocol_send(event)
-
-    def _set_busy(self, is_busy):
-        self.is_busy = is_busy
-        if not is_busy:
+        if isinstance(event, Updated | Closed):
+            self._has_request = isinstance(event, Updated) and not event.idle
             self._answered.set()
             self._connections.notify_changed()
+        await super().protocol_send(event)
 
     async def _read_data(self):
         while data := await self._receive():
@@ -334,7 +352,7 @@
             await self._initiate_server_close()
 
     async def _initiate_server_close(self):
-        if await self._has_request():
+        if await self._has_read_request():
             # The answer ends the connection, or begins a new idle time.
             return
         buffers = getattr(self.protocol.protocol, "stream_buffers", None)
@@ -344,7 +362,7 @@
                 await trio.sleep(FLUSH_POLL_INTERVAL_S)
         await super()._initiate_server_close()
 
-    async def _has_request(self):
+    async def _has_read_request(self):
         """Return whether a request is open, after what has arrived has been read."""
         for _ in range(READ_TURNS):
             if self.is_busy or not _is_readable(self.stream.socket):
--- a/packages/serving/src/hornbeamshore/serving/shutdown.py
+++ b/packages/serving/src/hornbeamshore/serving/shutdown.py
@@ -22,8 +22,8 @@
 RUNNING_CHECK_INTERVAL_S = 0.5
 # Gap between two of these notes above which the process did not run in between.
 SUSPENSION_S = 1.0
-# Time after a suspension in which a signal may have been sent during it.
-RESUMPTION_S = 0.5
+# Time after a suspension within which a signal that was sent during it is handled.
+RESUMPTION_S = 0.1
 
 log = PartLogger("process")
 
