Count the loss of a silent target as a crash once it is replaced

Callers saw: a task under which targets crash without a sign (connections hang, no announcement comes) was started again on target after target, until its caller's deadline.

Cause: a silent target may go on, so its loss never counts as a crash. Another incarnation in its place shows later that it had ended, but that was not used: nothing runs there any more by then, so no loss is recorded.

The agent now keeps the loss of a silent target in doubt. If another incarnation has answered a call within 10 s, the target had crashed: the agent records the loss a second time under the same number, and entries count it in place of the first record. If the target goes on, announces itself, departs or is replaced later, nothing changes: a machine that was only silent is never taken for a crashed one. Tasks that have succeeded since are not blamed, a suspect that waits is given up at once, and no queue is confined for such crashes: the losses of a rack are noticed over some tenths of a second, which the limit for a common cause (50 ms) does not cover. An entry that connects later gets both records and comes to the same result. The inner protocol keeps its form.

--- a/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/assigner.py
@@ -80,6 +80,11 @@
         self._waiting.remove_job(job)
         self._suspects = [task for task in self._suspects if task.job is not job]
 
+    @property
+    def suspects(self):
+        """Suspected tasks that wait for an agent, as a tuple."""
+        return tuple(self._suspects)
+
     def untried_suspects(self):
         """Return the suspected tasks whose jobs can no longer end in useful time."""
         now = trio.current_time()
--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -227,6 +227,13 @@
         )
         self._finish(job, ResultCode.TARGET_CRASHED)
 
+    def _give_up_proven_suspects(self):
+        """Fail jobs whose waiting tasks are known to crash targets by now."""
+        for task in self.assigner.suspects:
+            is_proven = self.evidence.suspicion(task) is Suspicion.PROVEN
+            if is_proven and not task.job.finished.is_set():
+                self._give_up(task.job)
+
     def _answer_untried_suspects(self):
         """Answer jobs whose suspected tasks would wait too long for an agent."""
         for task in self.assigner.untried_suspects():
@@ -423,6 +430,8 @@
         view.apply_report(report)
         for loss in report.losses:
             self.assigner.record_loss(view, loss)
+        if report.losses:
+            self._give_up_proven_suspects()
         for end in report.ends:
             self._handle_run_end(view, end)
         view.unacknowledged_run_ids += [end.run_id for end in report.ends]
--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -69,6 +69,9 @@
     def record_loss(self, agent_id, incarnation, loss, confined_queues, now):
         """Record the loss of a target, unless it was recorded before.
 
+        The loss of a silent target is recorded once more when the target is known to
+        have crashed, in place of the first record.
+
         Parameters
         ----------
         agent_id : str
@@ -138,9 +141,13 @@
         """Record the loss of a target, unless it was recorded before."""
         key = agent_id, incarnation, loss.number
         lost_at = now - loss.elapsed_ms / 1000
-        if key in self._seen or now - lost_at > self._cfg.retention:
+        was_crash = self._seen.get(key)
+        if was_crash in (True, loss.crashed) or now - lost_at > self._cfg.retention:
             return
-        self._seen[key] = None
+        self._seen[key] = loss.crashed
+        is_late = was_crash is not None
+        if is_late:
+            loss = self._withdraw(loss)
         suspects = self._suspects(loss, confined_queues)
         # A trial that ends in a crash says nothing about the other runs.
         is_trial = any(run.isolated for run in suspects)
@@ -148,7 +155,10 @@
             self._record_run(run, loss.crashed, run in suspects)
         if suspects:
             self._last_crash_at = max(self._last_crash_at, lost_at)
-            self._record_crash(suspects, lost_at)
+            # Targets that fall silent together, as in a rack without power, are noticed
+            # too far apart to be taken for one crash; they confine no queue.
+            if not is_late:
+                self._record_crash(suspects, lost_at)
         for memory in (self._seen, self._jobs):
             while len(memory) > MAX_REMEMBERED_JOBS:
                 memory.popitem(last=False)
@@ -202,6 +212,17 @@
         """Return whether a target has crashed under a suspect lately."""
         return now - self._last_crash_at <= self._cfg.watch_time
 
+    def _withdraw(self, loss):
+        """Undo the record of a loss; return the loss without cleared tasks."""
+        runs = []
+        for run in loss.runs:
+            records = self._jobs.get(run.job_id, {})
+            record = records.get((run.step, run.index))
+            if record is not None:
+                runs.append(run)
+                records[run.step, run.index] = replace(record, losses=record.losses - 1)
+        return replace(loss, runs=tuple(runs))
+
     def _suspects(self, loss, confined_queues):
         if not loss.crashed:
             return []
--- a/packages/runner/src/hornbeamshore/runner/reports.py
+++ b/packages/runner/src/hornbeamshore/runner/reports.py
@@ -29,14 +29,17 @@
         Sessions of entries, by entry id.
     state : callable
         Returns the current `RunnerState`, or None while no target is announced.
-    losses_after : callable
-        Returns the losses of the target after the one with a number.
+    losses : LossLog
+        Losses of the target.
+    clock : callable
+        Returns the time in seconds on the clock of the losses.
     """
 
-    def __init__(self, sessions, state, losses_after):
+    def __init__(self, sessions, state, losses, clock):
         self._sessions = sessions
         self._get_state = state
-        self._get_losses_after = losses_after
+        self._losses = losses
+        self._clock = clock
         self._announced = None
 
     def send_run_list(self, session):
@@ -75,5 +78,6 @@
         return None if state is None else self._make_report(session, state)
 
     def _make_report(self, session, state, *, complete=False):
-        losses = self._get_losses_after(session.last_loss_sent)
+        losses = self._losses.after(session.last_loss_sent, self._clock())
+        session.last_loss_sent = self._losses.last_sequence
         return session.make_report(state, losses, complete=complete)
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -77,8 +77,8 @@
         self._table = RunTable()
         self._health = ConsecutiveFailures(cfg.health)
         self._probe_needs = Resources()
-        self._losses = LossLog(cfg.loss_retention)
-        self._reporter = Reporter(self.sessions, self.state, self._losses_after)
+        self._losses = LossLog(cfg)
+        self._reporter = Reporter(self.sessions, self.state, self._losses, clock)
         self._state_changed = trio.Event()
         self._runs_ordered = trio.Event()
 
@@ -341,6 +341,8 @@
 
     def target_changed(self):
         """Update the state after the target was announced, taken over or is leaving."""
+        # An incarnation that has ended was reported as lost before.
+        self._losses.dismiss_crash()
         self._table.capacity = self.supervisor.target.capacity
         for session in self.sessions.values():
             self._send_run_list(session)
@@ -348,6 +350,8 @@
 
     def target_lost(self, reason):
         """End the runs that are certain not to be running at the target any more."""
+        if reason.is_crash:
+            self._losses.confirm_crash(self.clock())
         runs = list(self._table.active.values())
         if reason is LossReason.RESTARTED:
             runs = [run for run in runs if run.is_listed or not run.started_at]
@@ -374,16 +378,15 @@
     def _record_loss(self, runs, reason):
         self.metrics.target_lost(reason.value)
         self._log_lost_runs(runs, reason)
+        is_leaving = self.supervisor.target.leaving
         self._losses.record(
             runs,
-            crashed=reason.is_crash and not self.supervisor.target.leaving,
+            crashed=reason.is_crash and not is_leaving,
+            is_silent=reason is LossReason.EXPIRED and not is_leaving,
             answered_at=self.supervisor.answered_at,
             now=self.clock(),
         )
 
-    def _losses_after(self, number):
-        return self._losses.after(number, self.clock())
-
     def _log_lost_runs(self, runs, reason):
         """Log the runs lost with the target, those that were started last first."""
         answered_at = self.supervisor.answered_at
--- a/packages/runner/src/hornbeamshore/runner/sessions.py
+++ b/packages/runner/src/hornbeamshore/runner/sessions.py
@@ -21,7 +21,8 @@
     last_order_id : int
         Id of the last order received on the current connection.
     last_loss_sent : int
-        Number of the last loss of the target that was sent on the current connection.
+        Sequence number of the last record of a loss of the target that was sent on the
+        current connection.
     run_list_sent : bool
         Whether the entry was sent the list of its runs on the current connection.
     report_requested : bool
@@ -113,8 +114,6 @@
         ends = tuple(self.ends[run_id] for run_id in sorted(self._unsent_run_ids))
         self._unsent_run_ids.clear()
         self.report_requested = False
-        if losses:
-            self.last_loss_sent = losses[-1].number
         return AgentReport(
             state.accepting,
             state.free,
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -65,6 +65,9 @@
         Time after the start of an isolated run in which no other run is started.
     loss_retention : Duration
         Time for which losses of the target are reported to entries that connect.
+    crash_confirmation : Duration
+        Time after the loss of a silent target within which another incarnation in its
+        place shows that it had crashed; longer than a target takes to restart.
     end_retention : Duration
         Time for which results are kept for a disconnected entry; longer than the
         longest deadline of a job.
@@ -85,6 +88,7 @@
     max_near_entries: int = 10
     trial_time: Duration = Duration(0.1)
     loss_retention: Duration = Duration(60.0)
+    crash_confirmation: Duration = Duration(10.0)
     end_retention: Duration = Duration(20.0)
     takeover_retry: Duration = Duration(0.1)
     leave_timeout: Duration = Duration(4.5)
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -628,7 +628,8 @@
     Attributes
     ----------
     number : int
-        Number of the loss, which grows during the life of the agent process.
+        Number of the loss, which grows during the life of the agent process. A loss
+        is reported again under its number once the target is known to have crashed.
     crashed : bool
         Whether the target is known to have crashed; it may have been only silent
         otherwise.
--- a/tests/dispatch/test_containment.py
+++ b/tests/dispatch/test_containment.py
@@ -92,6 +92,74 @@
     assert evidence.suspicion(first_task("j1")) is Suspicion.SUSPECTED
 
 
+def confirm(loss):
+    """Return the report that a silent target has crashed."""
+    return replace(loss, crashed=True)
+
+
+@pytest.mark.parametrize(
+    ("runs", "loss_count", "expected"),
+    [
+        ([YOUNG], 1, (Suspicion.SUSPECTED, Suspicion.NONE)),
+        ([YOUNG], 2, (Suspicion.PROVEN, Suspicion.NONE)),
+        ([OLD], 1, (Suspicion.NONE, Suspicion.NONE)),
+        ([OLD], 2, (Suspicion.SUSPECTED, Suspicion.NONE)),
+        ([OLD], 3, (Suspicion.PROVEN, Suspicion.NONE)),
+        ([YOUNG, TRIED], 1, (Suspicion.NONE, Suspicion.SUSPECTED)),
+        ([YOUNG, TRIED], 3, (Suspicion.NONE, Suspicion.PROVEN)),
+    ],
+    ids=[
+        "started just before",
+        "twice started just before",
+        "started long before",
+        "twice started long before",
+        "three times started long before",
+        "another task was on trial",
+        "another task was on trial three times",
+    ],
+)
+@pytest.mark.parametrize("is_known_at_once", [True, False])
+def test_a_silent_target_that_has_crashed_counts_once(
+    runs, loss_count, expected, is_known_at_once
+):
+    """Guards against a crash without a sign that counts never, or twice.
+
+    An entry comes to the same result whenever it learns of the crash.
+    """
+    evidence = RecentStarts(CFG)
+    lost_runs = tuple(LostRun(job, 0, 0, *rest) for job, *rest in runs)
+    for number in range(1, loss_count + 1):
+        loss = TargetLoss(number, False, 0, lost_runs)
+        reports = [confirm(loss)] * 2
+        if not is_known_at_once:
+            reports = [loss, *reports, loss]
+        for report in reports:
+            evidence.record_loss("agent-1", 1, report, set(), float(number))
+    suspicions = [evidence.suspicion(first_task(job_id)) for job_id in ("j1", "j2")]
+    assert tuple(suspicions) == expected
+
+
+def test_a_task_that_has_succeeded_is_not_suspected_for_an_earlier_silence():
+    """Guards against blame for a crash that becomes known after a success."""
+    evidence = RecentStarts(CFG)
+    loss = TargetLoss(1, False, 0, (LostRun("j1", 0, 0, "check", 5, False),))
+    evidence.record_loss("agent-1", 1, loss, set(), 1.0)
+    evidence.record_success(first_task("j1"))
+    evidence.record_loss("agent-1", 1, confirm(loss), set(), 3.0)
+    assert evidence.suspicion(first_task("j1")) is Suspicion.NONE
+
+
+def test_targets_that_fall_silent_together_confine_no_queue():
+    """Guards against the loss of a rack that is noticed over tenths of a second."""
+    evidence = RecentStarts(CFG)
+    for number in range(6):
+        run = LostRun(f"j{number}", 0, 0, "check", 5, False)
+        loss = TargetLoss(number, False, 0, (run,))
+        for report in (loss, confirm(loss)):
+            evidence.record_loss("agent-1", 1, report, set(), number / 10)
+    assert evidence.crashes_under("check") == []
+
+
 def test_a_task_that_succeeds_is_cleared():
     """Guards against tasks that stay suspected although a run has succeeded."""
     evidence = RecentStarts(CFG)
@@ -223,6 +291,30 @@
     assert agent_with_order(agents) is None
 
 
+async def test_a_task_that_crashes_silent_targets_fails_its_job(
+    autojump_clock, nursery, coordinator, agents
+):
+    """Guards against a suspect that is started after its crashes are known."""
+    submission = Submission(nursery, coordinator, make_job(1, estimate_s=5.0))
+    losses = []
+    for _ in range(2):
+        await trio.sleep(0.2)
+        agent = agent_with_order(agents)
+        losses.append((agent, agent.lose_target(crashed=False)))
+    await trio.sleep(0.2)
+    on_trial = agent_with_order(agents)
+    for agent in agents:
+        agent.is_accepting = False
+        agent.report()
+    on_trial.lose_target(crashed=False)
+    for agent, loss in losses:
+        assert submission.outcome is None
+        agent.report(losses=(confirm(loss),))
+    await trio.sleep(0.01)
+    assert submission.outcome.code is ResultCode.TARGET_CRASHED
+    assert submission.outcome.run_state is RunState.RAN
+
+
 async def test_suspects_run_one_at_a_time_on_a_target(
     autojump_clock, nursery, coordinator, agents
 ):
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -90,6 +90,59 @@
         assert [loss.crashed for loss in losses_of(conn)] == [crashed]
 
 
+@pytest.mark.parametrize(
+    ("returns", "silence_s", "crashed"),
+    [
+        ("new id", 3.0, [False, True]),
+        ("same id", 3.0, [False, True]),
+        ("new id", 20.0, [False]),
+        ("went on", 3.0, [False]),
+        ("announced itself, then new id", 3.0, [False]),
+        ("departed, then new id", 3.0, [False]),
+    ],
+)
+async def test_a_silent_target_has_crashed_if_another_incarnation_answers_soon(
+    autojump_clock, runner, target, returns, silence_s, crashed
+):
+    """Guards against crashes without a sign, and silences that are taken for crashes.
+
+    An entry that connects later is told the same, in the same order.
+    """
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        await trio.sleep(0.1)
+        target.is_silent = True
+        await trio.sleep(silence_s)
+        announce = runner.supervisor.handle_announcement
+        if returns.startswith("announced"):
+            announce(announcement(sequence=2, clock_ms=5000))
+        elif returns.startswith("departed"):
+            runner.supervisor.handle_departure(target.incarnation_id)
+        if returns.endswith("new id"):
+            target.incarnation_id = "t-2"
+        if returns != "went on":
+            target.restart(started_ms=2000)
+        target.is_silent = False
+        announce(
+            announcement(
+                incarnation_id=target.incarnation_id,
+                started_ms=target.started_ms or 1000,
+                sequence=3,
+                clock_ms=6000,
+            )
+        )
+        await trio.sleep(2.0)
+        losses = losses_of(conn)
+        assert [loss.crashed for loss in losses] == crashed
+        assert {loss.number for loss in losses} == {1}
+        assert {run.job_id for loss in losses for run in loss.runs} == {"j1"}
+    late = FakeConnection("entry-2")
+    with attached(runner, late):
+        await trio.sleep(0.1)
+        assert [loss.crashed for loss in losses_of(late)] == crashed
+
+
 async def test_a_run_that_was_not_started_is_not_run(autojump_clock, runner, target):
     """Guards against blame, and an unknown outcome, for a task that never started."""
     conn = FakeConnection()
