Bound the starts of a task that is lost with silent targets

Callers saw: with targets that fall silent and do not come back, a task that takes them down is started every 1.57 s until its caller's deadline, and again for each copy of the job.

Cause: the limits count known crashes alone. Class of fault: a retry without a limit on one of its ways.

A task that was lost with five targets, whether silent or crashed, is not started again; five are the three crashes and the two starts that may follow them. Its job waits while an answer is of use, in case the targets turn out to have crashed (then it has failed), and is answered as unknown otherwise: silence proves no crash. Weighed and not taken: holding a task after two silent losses until the targets are back, since a partition that makes many targets silent would hold the innocent tasks of all of them for seconds.

After: five starts, and none for a copy.

--- a/packages/dispatch/src/hornbeamshore/dispatch/containment.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/containment.py
@@ -146,8 +146,11 @@
         """Return whether a suspected task may run on an agent.
 
         The suspects of queues that are not confined are mostly innocent; they use the
-        agents of confined queues as well, rather than wait for seconds.
+        agents of confined queues as well, rather than wait for seconds. One that was
+        lost with many targets waits until they are known to have crashed.
         """
+        if self._evidence.is_exhausted(task):
+            return False
         pools = self._pools_for(task, now)
         agent_ids = pools.isolation
         if not self.is_confined(task.job.queue, now):
--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -94,6 +94,10 @@
     def suspicion(self, task):
         """Return the `Suspicion` of a task."""
 
+    @abc.abstractmethod
+    def is_exhausted(self, task):
+        """Return whether too many targets were lost under a task to start it again."""
+
     @abc.abstractmethod
     def knows(self, job_id):
         """Return whether a target was lost while it ran a task of a job."""
@@ -171,10 +175,7 @@
 
     def suspicion(self, task):
         """Return the `Suspicion` of a task."""
-        records = self._jobs.get(task.job.spec.job_id, {})
-        record = records.get((task.step_index, task.index))
-        if record is None:
-            return Suspicion.NONE
+        record = self._record_of(task)
         if (
             record.suspicions >= self._cfg.max_suspicions
             or record.crashes >= self._cfg.max_crashes
@@ -184,14 +185,17 @@
             return Suspicion.SUSPECTED
         return Suspicion.NONE
 
+    def is_exhausted(self, task):
+        """Return whether too many targets were lost under a task to start it again."""
+        return self._record_of(task).losses >= self._cfg.max_losses
+
     def knows(self, job_id):
         """Return whether a target was lost while it ran a task of a job."""
         return job_id in self._jobs
 
     def likelihood(self, task):
         """Return a sort key that is higher for the more likely cause of a crash."""
-        records = self._jobs.get(task.job.spec.job_id, {})
-        record = records.get((task.step_index, task.index), TaskRecord())
+        record = self._record_of(task)
         return record.suspicions, -record.age_ms
 
     def crashes_under(self, queue_name):
@@ -212,6 +216,10 @@
         """Return whether a target has crashed under a suspect lately."""
         return now - self._last_crash_at <= self._cfg.watch_time
 
+    def _record_of(self, task):
+        records = self._jobs.get(task.job.spec.job_id, {})
+        return records.get((task.step_index, task.index), TaskRecord())
+
     def _withdraw(self, loss):
         """Undo the record of a loss; return the loss without cleared tasks."""
         runs = []
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -25,6 +25,9 @@
         Number of crashes for which a task is the likely cause before it is given up.
     max_crashes : int
         Number of targets that crashed under a task before it is given up in any case.
+    max_losses : int
+        Number of targets lost under a task, crashed or silent, after which it is not
+        started again; `max_crashes` and the two starts that may follow them.
     isolation_share, confinement_share : float
         Shares of the agents of a service for suspected tasks and for confined queues.
     watch_time : Duration
@@ -58,6 +61,7 @@
     suspect_losses: int = 2
     max_suspicions: int = 2
     max_crashes: int = 3
+    max_losses: int = 5
     isolation_share: float = 0.1
     confinement_share: float = 0.33
     watch_time: Duration = Duration(6.0)
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -49,7 +49,7 @@
         self.sent = []
         self._ids = itertools.count(1)
         self._coordinator = coordinator
-        self._last_message_id = self._loss_count = 0
+        self._last_message_id = self.loss_count = 0
         self.is_accepting = True
         self.labels = ("a", "r1")
         coordinator.opened(self)
@@ -128,8 +128,8 @@
             if isinstance(body, RunTasks)
             for order in body.orders
         )
-        self._loss_count += 1
-        loss = TargetLoss(self._loss_count, crashed, 0, runs)
+        self.loss_count += 1
+        loss = TargetLoss(self.loss_count, crashed, 0, runs)
         ends = [
             RunEnd(run_id, int(ResultCode.OUTCOME_UNKNOWN), int(RunState.UNKNOWN))
             for run_id in self.orders
--- a/tests/dispatch/test_containment.py
+++ b/tests/dispatch/test_containment.py
@@ -16,6 +16,8 @@
 from .conftest import CAPACITY, NEEDS, QUEUE, FakeAgent, Submission, make_job
 
 CFG = ContainmentSettings()
+# A task may be started twice more after three targets have crashed under it.
+MAX_STARTS = 5
 OTHER_QUEUE = replace(QUEUE, name="hold", prefix="/h/")
 
 
@@ -315,6 +317,25 @@
     assert submission.outcome.run_state is RunState.RAN
 
 
+async def test_starts_on_silent_targets_are_bounded(
+    autojump_clock, nursery, coordinator, agents
+):
+    """Guards against a task that takes down target after target, none of which returns.
+
+    Silence proves no crash, so the job is not said to have failed, nor is a copy of it.
+    """
+    for _ in range(2):
+        submission = Submission(nursery, coordinator, make_job(1, estimate_s=0.5))
+        await trio.sleep(0.05)
+        while (agent := agent_with_order(agents)) is not None:
+            agent.lose_target(crashed=False)
+            await trio.sleep(0.2)
+        await trio.sleep(5.0)
+        assert submission.outcome.code is ResultCode.OUTCOME_UNKNOWN
+        assert submission.outcome.run_state is RunState.UNKNOWN
+    assert sum(agent.loss_count for agent in agents) == MAX_STARTS
+
+
 async def test_suspects_run_one_at_a_time_on_a_target(
     autojump_clock, nursery, coordinator, agents
 ):
