Log the phase of lost runs and the losses counted under a task

The logs could not tell whether a counted run had been executed: `runs lost` lacked the state of each run, `job given up` the task and its losses. Both have them now; no decision changes.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -199,8 +199,9 @@
         if self.evidence.knows(job.spec.job_id):
             # Another entry has run an earlier copy of the job.
             job.may_have_run = True
-            if self._has_proven_task(job):
-                self._give_up(job)
+            proven = self._proven_task(job)
+            if proven is not None:
+                self._give_up(proven)
                 return
         self.assigner.add_job(job)
         self.place_tasks()
@@ -211,19 +212,27 @@
         self.assigner.remove_job(job)
         job.finish(code, self.assigner.retry_after_s(job))
 
-    def _has_proven_task(self, job):
-        return any(
-            self.evidence.suspicion(task) is Suspicion.PROVEN
-            for step_tasks in job.tasks
-            for task in step_tasks
+    def _proven_task(self, job):
+        return next(
+            (
+                task
+                for step_tasks in job.tasks
+                for task in step_tasks
+                if self.evidence.suspicion(task) is Suspicion.PROVEN
+            ),
+            None,
         )
 
-    def _give_up(self, job):
-        """Fail a job with a task that has crashed the targets that started it."""
+    def _give_up(self, task):
+        """Fail the job of a task that has crashed the targets that started it."""
+        job = task.job
         log.warning(
-            "job given up id=%s queue=%s: a task crashes targets",
+            "job given up id=%s queue=%s task=%d.%d %s",
             job.spec.job_id,
             job.queue.name,
+            task.step_index,
+            task.index,
+            self.evidence.describe(task),
         )
         self._finish(job, ResultCode.TARGET_CRASHED)
 
@@ -535,7 +544,7 @@
                 self._finish(task.job, ResultCode.TASK_FAILED)
                 return
         if self.evidence.suspicion(task) is Suspicion.PROVEN:
-            self._give_up(task.job)
+            self._give_up(task)
             return
         needs = task.step_spec.needs
         if code is ResultCode.NO_FREE_SLOT and not needs.fits_in(view.free):
--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -44,12 +44,15 @@
         Crashes of these for which the task is the likely cause.
     age_ms : int
         Milliseconds from its start to the last answer of the target that was lost last.
+    lost_with : tuple of str
+        Agent and number of each loss.
     """
 
     losses: int = 0
     crashes: int = 0
     suspicions: int = 0
     age_ms: int = 0
+    lost_with: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +94,10 @@
     def suspicion(self, task):
         """Return the `Suspicion` of a task."""
 
+    @abc.abstractmethod
+    def describe(self, task):
+        """Return the losses under a task, for the log."""
+
     @abc.abstractmethod
     def knows(self, job_id):
         """Return whether a target was lost while it ran a task of a job."""
@@ -145,7 +152,7 @@
         # A trial that ends in a crash says nothing about the other runs.
         is_trial = any(run.isolated for run in suspects)
         for run in suspects if is_trial else loss.runs:
-            self._record_run(run, loss.crashed, run in suspects)
+            self._record_run(run, loss, agent_id, run in suspects)
         if suspects:
             self._last_crash_at = max(self._last_crash_at, lost_at)
             self._record_crash(suspects, lost_at)
@@ -161,10 +168,7 @@
 
     def suspicion(self, task):
         """Return the `Suspicion` of a task."""
-        records = self._jobs.get(task.job.spec.job_id, {})
-        record = records.get((task.step_index, task.index))
-        if record is None:
-            return Suspicion.NONE
+        record = self._record_of(task)
         if (
             record.suspicions >= self._cfg.max_suspicions
             or record.crashes >= self._cfg.max_crashes
@@ -174,14 +178,21 @@
             return Suspicion.SUSPECTED
         return Suspicion.NONE
 
+    def describe(self, task):
+        """Return the losses under a task, for the log."""
+        record = self._record_of(task)
+        return (
+            f"losses={record.losses} crashes={record.crashes}"
+            f" suspicions={record.suspicions} lost_with={','.join(record.lost_with)}"
+        )
+
     def knows(self, job_id):
         """Return whether a target was lost while it ran a task of a job."""
         return job_id in self._jobs
 
     def likelihood(self, task):
         """Return a sort key that is higher for the more likely cause of a crash."""
-        records = self._jobs.get(task.job.spec.job_id, {})
-        record = records.get((task.step_index, task.index), TaskRecord())
+        record = self._record_of(task)
         return record.suspicions, -record.age_ms
 
     def crashes_under(self, queue_name):
@@ -212,15 +223,20 @@
         confined = [run for run in youngest if run.queue in confined_queues]
         return tried or confined or youngest
 
-    def _record_run(self, run, has_crashed, is_suspect):
+    def _record_of(self, task):
+        records = self._jobs.get(task.job.spec.job_id, {})
+        return records.get((task.step_index, task.index), TaskRecord())
+
+    def _record_run(self, run, loss, agent_id, is_suspect):
         records = self._jobs.setdefault(run.job_id, {})
         record = records.get((run.step, run.index), TaskRecord())
         records[run.step, run.index] = replace(
             record,
             losses=record.losses + 1,
-            crashes=record.crashes + has_crashed,
+            crashes=record.crashes + loss.crashed,
             suspicions=record.suspicions + is_suspect,
             age_ms=run.age_ms,
+            lost_with=(*record.lost_with, f"{agent_id}#{loss.number}"),
         )
 
     def _record_crash(self, suspects, lost_at):
--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -106,6 +106,7 @@
     def _handle_start_answer(self, run, answer):
         if answer is StartResult.STARTED:
             run.phase = RunPhase.RUNNING
+            run.is_confirmed = True
             if run.stop_reason is not None:
                 self.enqueue_stop(run, run.stop_reason)
             return
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -335,7 +335,7 @@
             run = self._table.active.get(key)
             if run is None:
                 continue
-            run.is_listed = True
+            run.is_listed = run.is_confirmed = True
             if run.phase is RunPhase.RUNNING:
                 self._update_progress(run, percent, state.clock_ms)
 
@@ -373,13 +373,13 @@
 
     def _record_loss(self, runs, reason):
         self.metrics.target_lost(reason.value)
-        self._log_lost_runs(runs, reason)
         self._losses.record(
             runs,
             crashed=reason.is_crash and not self.supervisor.target.leaving,
             answered_at=self.supervisor.answered_at,
             now=self.clock(),
         )
+        self._log_lost_runs(runs, reason)
 
     def _losses_after(self, number):
         return self._losses.after(number, self.clock())
@@ -387,14 +387,14 @@
     def _log_lost_runs(self, runs, reason):
         """Log the runs lost with the target, those that were started last first."""
         answered_at = self.supervisor.answered_at
-        ages_ms = {run.task: (answered_at - run.started_at) * 1000 for run in runs}
         log.warning(
-            "runs lost reason=%r silence_ms=%.0f runs=%s",
+            "runs lost number=%d reason=%r silence_ms=%.0f runs=%s",
+            self._losses.last_number,
             reason.value,
             (self.clock() - answered_at) * 1000,
             ",".join(
-                f"{task}:{ages_ms[task]:.0f}"
-                for task in sorted(ages_ms, key=ages_ms.get)
+                f"{run.task}:{(answered_at - run.started_at) * 1000:.0f}:{run.label}"
+                for run in sorted(runs, key=_started_at, reverse=True)
             ),
         )
 
@@ -479,3 +479,7 @@
     def _notify_changed(self):
         self._reporter.announce_changes()
         self._state_changed.set()
+
+
+def _started_at(run):
+    return run.started_at
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -40,6 +40,8 @@
         Progress, or None until the target has reported the run as running.
     is_listed : bool
         Whether a poll has listed the run, so that the incarnation in use holds it.
+    is_confirmed : bool
+        Whether the target has answered the start or listed the run.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "isolated",
         "progress",
         "is_listed",
+        "is_confirmed",
     )
 
     def __init__(self, session, body, order):
@@ -80,7 +83,12 @@
         self.stop_answered = False
         self.started_at = 0.0
         self.progress = None
-        self.is_listed = False
+        self.is_listed = self.is_confirmed = False
+
+    @property
+    def label(self):
+        """Return the phase for the log, with a ``?`` unless the target confirmed it."""
+        return self.phase.value + ("" if self.is_confirmed else "?")
 
     @property
     def key(self):
