Count a crash under a task only if the target has confirmed its start

Cause: an agent recorded each run whose start it had sent as lost with a crashed target. A start that is sent in the milliseconds before a crash is not executed, so a crash that the task had no part in counted as the first of the two after which its job is given up.

A run whose start was neither answered nor listed is now reported with a negative age, which already meant a start after the last answer, so the messages are unchanged. Such a crash makes its task a suspect, but neither counts towards `failed` nor is it forgotten: after two of them the task is not started again and its job is answered as unknown, so a task that crashes targets before its start is answered still crashes two at most. A job is failed only for crashes of targets that ran the task.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -29,6 +29,12 @@
 # Ids of cancelled jobs are kept so that a delayed duplicate submission does not run.
 MAX_CANCELLED_JOBS = 4096
 
+# Results of jobs with a task that must not be started again.
+_BARRED_CODES = {
+    Suspicion.PROVEN: ResultCode.TARGET_CRASHED,
+    Suspicion.EXHAUSTED: ResultCode.OUTCOME_UNKNOWN,
+}
+
 log = PartLogger("entry")
 
 
@@ -199,9 +205,8 @@
         if self.evidence.knows(job.spec.job_id):
             # Another entry has run an earlier copy of the job.
             job.may_have_run = True
-            proven = self._proven_task(job)
-            if proven is not None:
-                self._give_up(proven)
+            tasks = [task for step_tasks in job.tasks for task in step_tasks]
+            if any(self._end_if_barred(task) for task in tasks):
                 return
         self.assigner.add_job(job)
         self.place_tasks()
@@ -212,29 +217,24 @@
         self.assigner.remove_job(job)
         job.finish(code, self.assigner.retry_after_s(job))
 
-    def _proven_task(self, job):
-        return next(
-            (
-                task
-                for step_tasks in job.tasks
-                for task in step_tasks
-                if self.evidence.suspicion(task) is Suspicion.PROVEN
-            ),
-            None,
-        )
-
-    def _give_up(self, task):
-        """Fail the job of a task that has crashed the targets that started it."""
+    def _end_if_barred(self, task):
+        """Finish the job of a task that must not be started again; return whether."""
         job = task.job
+        suspicion = self.evidence.suspicion(task)
+        code = _BARRED_CODES.get(suspicion)
+        if code is None:
+            return False
         log.warning(
-            "job given up id=%s queue=%s task=%d.%d %s",
+            "job given up id=%s queue=%s task=%d.%d suspicion=%s %s",
             job.spec.job_id,
             job.queue.name,
             task.step_index,
             task.index,
+            suspicion.value,
             self.evidence.describe(task),
         )
-        self._finish(job, ResultCode.TARGET_CRASHED)
+        self._finish(job, code)
+        return True
 
     def _answer_untried_suspects(self):
         """Answer jobs whose suspected tasks would wait too long for an agent."""
@@ -543,8 +543,7 @@
             if task.failures >= task.job.queue.max_failed_runs:
                 self._finish(task.job, ResultCode.TASK_FAILED)
                 return
-        if self.evidence.suspicion(task) is Suspicion.PROVEN:
-            self._give_up(task)
+        if self._end_if_barred(task):
             return
         needs = task.step_spec.needs
         if code is ResultCode.NO_FREE_SLOT and not needs.fits_in(view.free):
--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -21,12 +21,15 @@
         The task may run anywhere.
     SUSPECTED
         The next run must show whether it is this task.
+    EXHAUSTED
+        The task must not be started again, though it may be innocent.
     PROVEN
-        The task must not be started again.
+        The task has crashed targets and must not be started again.
     """
 
     NONE = "none"
     SUSPECTED = "suspected"
+    EXHAUSTED = "exhausted"
     PROVEN = "proven"
 
 
@@ -37,11 +40,14 @@
     Attributes
     ----------
     losses : int
-        Targets that were lost while they ran the task.
+        Targets that were lost after a start of the task was sent to them.
     crashes : int
-        Those that are known to have crashed; the others may have been only silent.
+        Targets that are known to have crashed while they ran the task.
     suspicions : int
         Crashes of these for which the task is the likely cause.
+    unconfirmed : int
+        Crashes for which the task would be the likely cause, but whose targets may have
+        crashed before they executed its start.
     age_ms : int
         Milliseconds from its start to the last answer of the target that was lost last.
     lost_with : tuple of str
@@ -51,9 +57,15 @@
     losses: int = 0
     crashes: int = 0
     suspicions: int = 0
+    unconfirmed: int = 0
     age_ms: int = 0
     lost_with: tuple[str, ...] = ()
 
+    @property
+    def suspicious_crashes(self):
+        """Crashes that the task may have caused."""
+        return self.suspicions + self.unconfirmed
+
 
 @dataclass(frozen=True, slots=True)
 class QueueCrash:
@@ -169,12 +181,12 @@
     def suspicion(self, task):
         """Return the `Suspicion` of a task."""
         record = self._record_of(task)
-        if (
-            record.suspicions >= self._cfg.max_suspicions
-            or record.crashes >= self._cfg.max_crashes
-        ):
+        cfg = self._cfg
+        if record.suspicions >= cfg.max_suspicions or record.crashes >= cfg.max_crashes:
             return Suspicion.PROVEN
-        if record.suspicions or record.losses >= self._cfg.suspect_losses:
+        if record.unconfirmed >= cfg.max_unconfirmed:
+            return Suspicion.EXHAUSTED
+        if record.suspicious_crashes or record.losses >= cfg.suspect_losses:
             return Suspicion.SUSPECTED
         return Suspicion.NONE
 
@@ -183,7 +195,8 @@
         record = self._record_of(task)
         return (
             f"losses={record.losses} crashes={record.crashes}"
-            f" suspicions={record.suspicions} lost_with={','.join(record.lost_with)}"
+            f" suspicions={record.suspicions} unconfirmed={record.unconfirmed}"
+            f" lost_with={','.join(record.lost_with)}"
         )
 
     def knows(self, job_id):
@@ -193,7 +206,7 @@
     def likelihood(self, task):
         """Return a sort key that is higher for the more likely cause of a crash."""
         record = self._record_of(task)
-        return record.suspicions, -record.age_ms
+        return record.suspicious_crashes, -record.age_ms
 
     def crashes_under(self, queue_name):
         """Return the `QueueCrash` records of a queue, the earliest first."""
@@ -230,11 +243,13 @@
     def _record_run(self, run, loss, agent_id, is_suspect):
         records = self._jobs.setdefault(run.job_id, {})
         record = records.get((run.step, run.index), TaskRecord())
+        is_confirmed = run.age_ms >= 0
         records[run.step, run.index] = replace(
             record,
             losses=record.losses + 1,
-            crashes=record.crashes + loss.crashed,
-            suspicions=record.suspicions + is_suspect,
+            crashes=record.crashes + (loss.crashed and is_confirmed),
+            suspicions=record.suspicions + (is_suspect and is_confirmed),
+            unconfirmed=record.unconfirmed + (is_suspect and not is_confirmed),
             age_ms=run.age_ms,
             lost_with=(*record.lost_with, f"{agent_id}#{loss.number}"),
         )
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -25,6 +25,9 @@
         Number of crashes for which a task is the likely cause before it is given up.
     max_crashes : int
         Number of targets that crashed under a task before it is given up in any case.
+    max_unconfirmed : int
+        Number of crashes after unconfirmed starts of a task, for which it would be the
+        likely cause, before it is not started again.
     isolation_share, confinement_share : float
         Shares of the agents of a service for suspected tasks and for confined queues.
     watch_time : Duration
@@ -58,6 +61,7 @@
     suspect_losses: int = 2
     max_suspicions: int = 2
     max_crashes: int = 3
+    max_unconfirmed: int = 2
     isolation_share: float = 0.1
     confinement_share: float = 0.33
     watch_time: Duration = Duration(6.0)
--- a/packages/runner/src/hornbeamshore/runner/losses.py
+++ b/packages/runner/src/hornbeamshore/runner/losses.py
@@ -46,7 +46,7 @@
                 run.step,
                 run.index,
                 run.queue,
-                round((answered_at - run.started_at) * 1000),
+                _age_ms(run, answered_at),
                 run.isolated,
             )
             for run in runs
@@ -62,3 +62,9 @@
             for lost_at, loss in self._losses
             if loss.number > number and now - lost_at <= self._retention_s
         )
+
+
+def _age_ms(run, answered_at):
+    """Return the age of a run at the last answer, negative if it may not have run."""
+    age_ms = round((answered_at - run.started_at) * 1000)
+    return age_ms if run.is_confirmed else min(age_ms, -1)
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -608,7 +608,7 @@
         Queue of the job.
     age_ms : int
         Milliseconds from the start of the run to the last answer of the target;
-        negative if it was started after that.
+        negative if the target has neither answered the start nor listed the run.
     isolated : bool
         Whether it was ordered as an isolated run.
     """
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -90,6 +90,47 @@
         assert [loss.crashed for loss in losses_of(conn)] == [crashed]
 
 
+@pytest.mark.parametrize(
+    ("events", "is_counted"),
+    [
+        (("answer",), True),
+        (("listed",), True),
+        ((), False),
+        (("stop",), False),
+    ],
+    ids=[
+        "start answered",
+        "listed before the answer",
+        "start sent",
+        "stop waiting for the answer",
+    ],
+)
+async def test_a_crash_counts_under_a_run_only_if_the_target_has_confirmed_it(
+    autojump_clock, runner, target, events, is_counted
+):
+    """Guards against a job that is given up for crashes under which it did not run."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        # A run whose polls are answered while the start of the other one is open.
+        runner.order_runs(session, 1, order_tasks(1, job_id="j1"), runner.clock())
+        await trio.sleep(0.05)
+        if "answer" not in events:
+            target.start_delay_s = 1.0
+        runner.order_runs(session, 2, order_tasks(2, job_id="j2"), runner.clock())
+        await trio.sleep(0.01)
+        if "listed" in events:
+            target.start("j2.0.0.2", 1, target.fencing_token)
+        await trio.sleep(0.15)
+        if "stop" in events:
+            runner.stop_runs(session, [2])
+        target.crash()
+        await trio.sleep(0.15)
+    (loss,) = losses_of(conn)
+    ages_ms = {run.job_id: run.age_ms for run in loss.runs}
+    assert ages_ms["j1"] > 0
+    assert (ages_ms["j2"] >= 0) is is_counted
+
+
 async def test_a_run_that_was_not_started_is_not_run(autojump_clock, runner, target):
     """Guards against blame, and an unknown outcome, for a task that never started."""
     conn = FakeConnection()
