Leave runs that may have ended out of the crashes under a task

The stop of the run was sent, or the target had been silent for so long that the lease of its runs may have expired before the crash.

--- a/packages/runner/src/hornbeamshore/runner/losses.py
+++ b/packages/runner/src/hornbeamshore/runner/losses.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 
+from hornbeamshore.runner.runs import RunPhase
 from hornbeamshore.wire.messages import LostRun, TargetLoss
 
 # A target that crashes every three seconds does so 20 times within the retention.
@@ -50,6 +51,8 @@
                 run.isolated,
             )
             for run in runs
+            # A run whose stop was sent may have ended before the crash.
+            if not (crashed and run.is_confirmed and run.phase is RunPhase.STOPPING)
         )
         self._losses.append((now, TargetLoss(self.last_number, crashed, 0, lost_runs)))
 
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -375,12 +375,21 @@
         self.metrics.target_lost(reason.value)
         self._losses.record(
             runs,
-            crashed=reason.is_crash and not self.supervisor.target.leaving,
+            crashed=self._is_crash_during_runs(reason),
             answered_at=self.supervisor.answered_at,
             now=self.clock(),
         )
         self._log_lost_runs(runs, reason)
 
+    def _is_crash_during_runs(self, reason):
+        """Return whether the target has certainly crashed before its lease expired."""
+        silence_s = self.clock() - self.supervisor.answered_at
+        return (
+            reason.is_crash
+            and not self.supervisor.target.leaving
+            and silence_s <= self.cfg.certain_lease_s
+        )
+
     def _losses_after(self, number):
         return self._losses.after(number, self.clock())
 
--- a/packages/runner/src/hornbeamshore/runner/settings.py
+++ b/packages/runner/src/hornbeamshore/runner/settings.py
@@ -88,3 +88,9 @@
     end_retention: Duration = Duration(20.0)
     takeover_retry: Duration = Duration(0.1)
     leave_timeout: Duration = Duration(4.5)
+
+    @property
+    def certain_lease_s(self):
+        """Seconds after an answer within which no lease of a run can have expired."""
+        # The call that renewed the lease was sent before the answer.
+        return self.lease.target_lease - self.poll_wait - self.call_timeout
