--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -160,6 +160,7 @@
         if key in self._seen or now - lost_at > self._cfg.retention:
             return
         self._seen[key] = None
+        loss = replace(loss, runs=_one_run_of_each_task(loss.runs))
         suspects = self._suspects(loss, confined_queues)
         # A trial that ends in a crash says nothing about the other runs.
         is_trial = any(run.isolated for run in suspects)
@@ -272,5 +273,17 @@
         del self._queue_crashes[:-MAX_QUEUE_CRASHES]
 
 
+def _one_run_of_each_task(runs):
+    """Return the runs without others of the same task, which count for one crash.
+
+    A copy of a job may be run while an earlier run is still being stopped. Of the runs
+    of a task, the youngest one that the target has confirmed is kept.
+    """
+    by_likelihood = sorted(runs, key=lambda run: (run.age_ms >= 0, -run.age_ms))
+    return tuple(
+        {(run.job_id, run.step, run.index): run for run in by_likelihood}.values()
+    )
+
+
 def _lost_at(crash):
     return crash.lost_at
