Test deadly tasks that crash their target after the start is answered

The simulated target crashed before it answered the start of a deadly task. In the other row no job may be answered as failed any more, since no target has confirmed the start, and the bound of two crashes holds as before.

--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -119,6 +119,9 @@
         Called with the number of the incarnation after a restart.
     crashes : list of list of str
         Tasks that were running at each crash, the one that caused it last.
+    crash_delay_s : float
+        Time from the answer to the start of a deadly task to the crash; 0 for a crash
+        before the answer.
     """
 
     def __init__(self, speed, rng):
@@ -126,6 +129,7 @@
         self.most_used_millis = 0
         self.on_restart = None
         self.crashes = []
+        self.crash_delay_s = 0.0
         self.incarnation = 1
         self._up_at = 0.0
         self._rng = rng
@@ -174,9 +178,19 @@
         self.most_used_millis = max(self.most_used_millis, used)
         self._changed.set()
         if DEADLY in marks and task.endswith(".0.0"):
+            if self.crash_delay_s:
+                trio.lowlevel.spawn_system_task(self._crash_later, (task, run))
+                return
             self.crash()
             raise TargetUnresponsive("connection closed")
 
+    async def _crash_later(self, key):
+        await trio.sleep(self.crash_delay_s)
+        if key in self._running:
+            # The cause of a crash is its last task.
+            self._running[key] = self._running.pop(key)
+            self.crash()
+
     def end(self, key, outcome):
         del self._running[key]
         self._ends.append(EndedRun(len(self._ends) + 1, *key, outcome))
--- a/tests/fleet/test_deadly_tasks.py
+++ b/tests/fleet/test_deadly_tasks.py
@@ -4,6 +4,7 @@
 import statistics
 from collections import Counter, defaultdict
 
+import pytest
 import trio
 
 from hornbeamshore.base.codes import ResultCode
@@ -31,10 +32,12 @@
 PLAYS = 5
 
 
-async def play_deadly_jobs(nursery, deadly_share):
+async def play_deadly_jobs(nursery, deadly_share, crash_delay_s=0.0):
     fleet = Fleet(
         nursery, ENTRY_COUNT, AGENT_COUNT, 3, capacity=CAPACITY, speeds=(1.1, 1.0, 0.9)
     )
+    for target in fleet.targets:
+        target.crash_delay_s = crash_delay_s
     await trio.sleep(0.5)
     usual = Callers(fleet, JOBS_PER_S, ENTRY_WEIGHTS, KINDS)
     await usual.run(2.0)
@@ -43,12 +46,20 @@
     return fleet, callers
 
 
-async def test_a_deadly_task_crashes_few_targets(autojump_clock, nursery):
+@pytest.mark.parametrize(
+    ("crash_delay_s", "is_failed"),
+    [(0.0, False), (0.005, True)],
+    ids=["before the answer", "after the answer"],
+)
+async def test_a_deadly_task_crashes_few_targets(
+    autojump_clock, nursery, crash_delay_s, is_failed
+):
     """Guards against a task that crashes target after target."""
-    fleet, callers = await play_deadly_jobs(nursery, 0.1)
+    fleet, callers = await play_deadly_jobs(nursery, 0.1, crash_delay_s)
     crashes = Counter(tasks[-1] for target in fleet.targets for tasks in target.crashes)
     assert max(crashes.values()) <= CRASH_LIMIT
     assert ResultCode.DEADLINE_EXCEEDED not in callers.deadly_outcomes
+    assert (ResultCode.TARGET_CRASHED in callers.deadly_outcomes) is is_failed
 
 
 async def test_other_kinds_are_served_while_tasks_of_one_kind_are_deadly(
