Suspect a task whose stop was sent when its target crashed

The age of a lost run now says whether it was certainly running (0 or more) or not (-1 less the age), and its size is the age in each case: of an open start as well as of a run whose stop was sent. A young run that is uncertain makes its task a suspect; only a certain one counts towards `failed`, as before. Among suspects of the same age, an open start is tried last: it may have been sent after the last answer.

--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -46,8 +46,8 @@
     suspicions : int
         Crashes of these for which the task is the likely cause.
     unconfirmed : int
-        Crashes for which the task would be the likely cause, but whose targets may have
-        crashed before they executed its start.
+        Crashes for which the task would be the likely cause, but whose targets may not
+        have been running it.
     age_ms : int
         Milliseconds from its start to the last answer of the target that was lost last.
     lost_with : tuple of str
@@ -207,7 +207,7 @@
     def likelihood(self, task):
         """Return a sort key that is higher for the more likely cause of a crash."""
         record = self._record_of(task)
-        return record.suspicious_crashes, -record.age_ms
+        return record.suspicious_crashes, -record.age_ms, record.unconfirmed
 
     def crashes_under(self, queue_name):
         """Return the `QueueCrash` records of a queue, the earliest first."""
@@ -231,7 +231,9 @@
         if not loss.crashed:
             return []
         youngest = [
-            run for run in loss.runs if run.age_ms <= self._cfg.suspect_age * 1000
+            run
+            for run in loss.runs
+            if run.answered_age_ms <= self._cfg.suspect_age * 1000
         ]
         tried = [run for run in youngest if run.isolated]
         confined = [run for run in youngest if run.queue in confined_queues]
@@ -244,14 +246,13 @@
     def _record_run(self, run, loss, agent_id, is_suspect):
         records = self._jobs.setdefault(run.job_id, {})
         record = records.get((run.step, run.index), TaskRecord())
-        is_confirmed = run.age_ms >= 0
         records[run.step, run.index] = replace(
             record,
             losses=record.losses + 1,
-            crashes=record.crashes + (loss.crashed and is_confirmed),
-            suspicions=record.suspicions + (is_suspect and is_confirmed),
-            unconfirmed=record.unconfirmed + (is_suspect and not is_confirmed),
-            age_ms=run.age_ms,
+            crashes=record.crashes + (loss.crashed and run.was_running),
+            suspicions=record.suspicions + (is_suspect and run.was_running),
+            unconfirmed=record.unconfirmed + (is_suspect and not run.was_running),
+            age_ms=run.answered_age_ms,
             lost_with=(*record.lost_with, f"{agent_id}#{loss.number}"),
         )
 
@@ -277,9 +278,11 @@
     """Return the runs without others of the same task, which count for one crash.
 
     A copy of a job may be run while an earlier run is still being stopped. Of the runs
-    of a task, the youngest one that the target has confirmed is kept.
+    of a task, the youngest one that was certainly running is kept.
     """
-    by_likelihood = sorted(runs, key=lambda run: (run.age_ms >= 0, -run.age_ms))
+    by_likelihood = sorted(
+        runs, key=lambda run: (run.was_running, -run.answered_age_ms)
+    )
     return tuple(
         {(run.job_id, run.step, run.index): run for run in by_likelihood}.values()
     )
--- a/packages/dispatch/src/hornbeamshore/dispatch/settings.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/settings.py
@@ -26,8 +26,8 @@
     max_crashes : int
         Number of targets that crashed under a task before it is given up in any case.
     max_unconfirmed : int
-        Number of crashes after unconfirmed starts of a task, for which it would be the
-        likely cause, before it is not started again.
+        Number of crashes for which a task would be the likely cause, but whose targets
+        may not have been running it, before it is not started again.
     isolation_share, confinement_share : float
         Shares of the agents of a service for suspected tasks and for confined queues.
     watch_time : Duration
--- a/packages/runner/src/hornbeamshore/runner/losses.py
+++ b/packages/runner/src/hornbeamshore/runner/losses.py
@@ -51,8 +51,6 @@
                 run.isolated,
             )
             for run in runs
-            # A run whose stop was sent may have ended before the crash.
-            if not (crashed and run.is_confirmed and run.phase is RunPhase.STOPPING)
         )
         self._losses.append((now, TargetLoss(self.last_number, crashed, 0, lost_runs)))
 
@@ -68,6 +66,8 @@
 
 
 def _age_ms(run, answered_at):
-    """Return the age of a run at the last answer, negative if it may not have run."""
-    age_ms = round((answered_at - run.started_at) * 1000)
-    return age_ms if run.is_confirmed else min(age_ms, -1)
+    """Return the age of a run at the last answer, as `LostRun` has it."""
+    age_ms = max(0, round((answered_at - run.started_at) * 1000))
+    # A run whose stop was sent may have ended before the loss.
+    is_certain = run.is_confirmed and run.phase is not RunPhase.STOPPING
+    return age_ms if is_certain else -1 - age_ms
--- a/packages/wire/src/hornbeamshore/wire/messages.py
+++ b/packages/wire/src/hornbeamshore/wire/messages.py
@@ -607,8 +607,9 @@
     queue : str
         Queue of the job.
     age_ms : int
-        Milliseconds from the start of the run to the last answer of the target;
-        negative if the target has neither answered the start nor listed the run.
+        Milliseconds from the start of the run to the last answer of the target; -1 less
+        this time if the target may not have been running it when it was lost, because
+        its start was neither answered nor listed, or its stop was sent.
     isolated : bool
         Whether it was ordered as an isolated run.
     """
@@ -620,6 +621,16 @@
     age_ms: int
     isolated: bool = False
 
+    @property
+    def was_running(self):
+        """Whether the target was certainly running it when it was lost."""
+        return self.age_ms >= 0
+
+    @property
+    def answered_age_ms(self):
+        """Milliseconds from the start of the run to the last answer of the target."""
+        return self.age_ms if self.was_running else -1 - self.age_ms
+
 
 @dataclass(frozen=True, slots=True)
 class TargetLoss:
--- a/tests/dispatch/test_containment.py
+++ b/tests/dispatch/test_containment.py
@@ -44,6 +44,7 @@
 YOUNG = ("j1", "check", 5, False)
 OLD = ("j1", "check", 500, False)
 UNCONFIRMED = ("j1", "check", -1, False)
+UNCONFIRMED_OLD = ("j1", "check", -500, False)
 TRIED = ("j2", "check", 5, True)
 
 
@@ -59,6 +60,8 @@
         ([crash(UNCONFIRMED), crash(YOUNG), crash(YOUNG)], (), Suspicion.PROVEN),
         ([crash(UNCONFIRMED)] * 2 + [crash(YOUNG)], (), Suspicion.EXHAUSTED),
         ([crash(UNCONFIRMED), crash(OLD), crash(OLD)], (), Suspicion.SUSPECTED),
+        ([crash(UNCONFIRMED_OLD)], (), Suspicion.NONE),
+        ([crash(UNCONFIRMED_OLD)] * 4, (), Suspicion.SUSPECTED),
         ([crash(OLD)], (), Suspicion.NONE),
         ([crash(OLD), crash(OLD)], (), Suspicion.SUSPECTED),
         ([crash(OLD), crash(OLD), crash(OLD)], (), Suspicion.PROVEN),
@@ -83,6 +86,8 @@
         "one of three starts not confirmed",
         "two of three starts not confirmed",
         "one start not confirmed and two crashes long after the start",
+        "stopped before a crash",
+        "stopped before four crashes",
         "started long before a crash",
         "twice started long before a crash",
         "three crashes",
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -96,7 +96,7 @@
         (("answer",), True),
         (("listed",), True),
         ((), False),
-        (("answer", "stop"), None),
+        (("answer", "stop"), False),
         (("stop",), False),
     ],
     ids=[
@@ -107,7 +107,7 @@
         "stop waiting for the answer",
     ],
 )
-async def test_a_crash_counts_under_a_run_only_if_the_target_has_confirmed_it(
+async def test_a_crash_counts_under_a_run_only_if_it_was_certainly_running(
     autojump_clock, runner, target, events, is_counted
 ):
     """Guards against a job that is given up for crashes under which it did not run."""
@@ -130,8 +130,8 @@
     (loss,) = losses_of(conn)
     ages_ms = {run.job_id: run.age_ms for run in loss.runs}
     assert ages_ms["j1"] > 0
-    assert ("j2" in ages_ms) is (is_counted is not None)
-    assert (ages_ms.get("j2", -1) >= 0) is bool(is_counted)
+    assert (ages_ms["j2"] >= 0) is is_counted
+    assert 100 < abs(ages_ms["j2"]) < 250
 
 
 @pytest.mark.parametrize(
