--- a/tests/dispatch/test_containment.py
+++ b/tests/dispatch/test_containment.py
@@ -126,6 +126,22 @@
     assert evidence.suspicion(first_task("j1")) is Suspicion.NONE
 
 
+@pytest.mark.parametrize(
+    ("age_ms", "other_age_ms"),
+    [(5, 20), (0, 1), (-1, 0), (5, -9), (-6, 8)],
+    ids=["younger", "just started", "open start", "older stopped", "younger stopped"],
+)
+def test_the_youngest_suspect_is_the_likeliest(age_ms, other_age_ms):
+    """Guards against trials that begin with the task that crashes targets."""
+    evidence = RecentStarts(CFG)
+    runs = [("j1", "check", age_ms, False), ("j2", "check", other_age_ms, False)]
+    record(evidence, [crash(*runs)])
+    likelihood, other_likelihood = map(
+        evidence.likelihood, (first_task("j1"), first_task("j2"))
+    )
+    assert likelihood > other_likelihood
+
+
 def crashes_of_jobs(*job_ids, queue="check", trial=False):
     return [crash((job_id, queue, 5, trial)) for job_id in job_ids]
 
