--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -29,6 +29,12 @@
 # Ids of cancelled jobs are kept so that a delayed duplicate submission does not run.
 MAX_CANCELLED_JOBS = 4096
 
+# Results of jobs with a task that must not be started again.
+_BARRED_CODES = {
+    Suspicion.PROVEN: ResultCode.TARGET_CRASHED,
+    Suspicion.EXHAUSTED: ResultCode.OUTCOME_UNKNOWN,
+}
+
 log = PartLogger("entry")
 
 
@@ -199,8 +205,8 @@
         if self.evidence.knows(job.spec.job_id):
             # Another entry has run an earlier copy of the job.
             job.may_have_run = True
-            if self._has_proven_task(job):
-                self._give_up(job)
+            tasks = [task for step_tasks in job.tasks for task in step_tasks]
+            if any(self._end_if_barred(task) for task in tasks):
                 return
         self.assigner.add_job(job)
         self.place_tasks()
@@ -211,28 +217,30 @@
         self.assigner.remove_job(job)
         job.finish(code, self.assigner.retry_after_s(job))
 
-    def _has_proven_task(self, job):
-        return any(
-            self.evidence.suspicion(task) is Suspicion.PROVEN
-            for step_tasks in job.tasks
-            for task in step_tasks
-        )
-
-    def _give_up(self, job):
-        """Fail a job with a task that has crashed the targets that started it."""
+    def _end_if_barred(self, task):
+        """Finish the job of a task that must not be started again; return whether."""
+        job = task.job
+        suspicion = self.evidence.suspicion(task)
+        code = _BARRED_CODES.get(suspicion)
+        if code is None:
+            return False
         log.warning(
-            "job given up id=%s queue=%s: a task crashes targets",
+            "job given up id=%s queue=%s task=%d.%d suspicion=%s %s",
             job.spec.job_id,
             job.queue.name,
+            task.step_index,
+            task.index,
+            suspicion.value,
+            self.evidence.describe(task),
         )
-        self._finish(job, ResultCode.TARGET_CRASHED)
+        self._finish(job, code)
+        return True
 
-    def _give_up_proven_suspects(self):
-        """Fail jobs whose waiting tasks are known to crash targets by now."""
+    def _end_barred_suspects(self):
+        """Finish the jobs of waiting tasks that must not be started again by now."""
         for task in self.assigner.suspects:
-            is_proven = self.evidence.suspicion(task) is Suspicion.PROVEN
-            if is_proven and not task.job.finished.is_set():
-                self._give_up(task.job)
+            if not task.job.finished.is_set():
+                self._end_if_barred(task)
 
     def _answer_untried_suspects(self):
         """Answer jobs whose suspected tasks would wait too long for an agent."""
@@ -431,7 +439,7 @@
         for loss in report.losses:
             self.assigner.record_loss(view, loss)
         if report.losses:
-            self._give_up_proven_suspects()
+            self._end_barred_suspects()
         for end in report.ends:
             self._handle_run_end(view, end)
         view.unacknowledged_run_ids += [end.run_id for end in report.ends]
@@ -543,8 +551,7 @@
             if task.failures >= task.job.queue.max_failed_runs:
                 self._finish(task.job, ResultCode.TASK_FAILED)
                 return
-        if self.evidence.suspicion(task) is Suspicion.PROVEN:
-            self._give_up(task.job)
+        if self._end_if_barred(task):
             return
         needs = task.step_spec.needs
         if code is ResultCode.NO_FREE_SLOT and not needs.fits_in(view.free):
--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -21,12 +21,15 @@
         The task may run anywhere.
     SUSPECTED
         The next run must show whether it is this task.
+    EXHAUSTED
+        The task must not be started again, though it may be innocent.
     PROVEN
-        The task must not be started again.
+        The task has crashed targets and must not be started again.
     """
 
     NONE = "none"
     SUSPECTED = "suspected"
+    EXHAUSTED = "exhausted"
     PROVEN = "proven"
 
 
@@ -37,19 +40,31 @@
     Attributes
     ----------
     losses : int
-        Targets that were lost while they ran the task.
+        Targets that were lost after a start of the task was sent to them.
     crashes : int
-        Those that are known to have crashed; the others may have been only silent.
+        Targets that are known to have crashed while they ran the task.
     suspicions : int
         Crashes of these for which the task is the likely cause.
+    unconfirmed : int
+        Crashes for which the task would be the likely cause, but whose targets may not
+        have been running it.
     age_ms : int
         Milliseconds from its start to the last answer of the target that was lost last.
+    lost_with : tuple of str
+        Agent and number of each loss.
     """
 
     losses: int = 0
     crashes: int = 0
     suspicions: int = 0
+    unconfirmed: int = 0
     age_ms: int = 0
+    lost_with: tuple[str, ...] = ()
+
+    @property
+    def suspicious_crashes(self):
+        """Crashes that the task may have caused."""
+        return self.suspicions + self.unconfirmed
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,8 +110,8 @@
         """Return the `Suspicion` of a task."""
 
     @abc.abstractmethod
-    def is_exhausted(self, task):
-        """Return whether too many targets were lost under a task to start it again."""
+    def describe(self, task):
+        """Return the losses under a task, for the log."""
 
     @abc.abstractmethod
     def knows(self, job_id):
@@ -150,13 +165,14 @@
             return
         self._seen[key] = loss.crashed
         is_late = was_crash is not None
+        loss = replace(loss, runs=_one_run_of_each_task(loss.runs))
         if is_late:
-            loss = self._withdraw(loss)
+            loss = self._withdraw(agent_id, loss)
         suspects = self._suspects(loss, confined_queues)
         # A trial that ends in a crash says nothing about the other runs.
         is_trial = any(run.isolated for run in suspects)
         for run in suspects if is_trial else loss.runs:
-            self._record_run(run, loss.crashed, run in suspects)
+            self._record_run(run, loss, agent_id, run in suspects)
         if suspects:
             self._last_crash_at = max(self._last_crash_at, lost_at)
             # Targets that fall silent together, as in a rack without power, are noticed
@@ -176,18 +192,23 @@
     def suspicion(self, task):
         """Return the `Suspicion` of a task."""
         record = self._record_of(task)
-        if (
-            record.suspicions >= self._cfg.max_suspicions
-            or record.crashes >= self._cfg.max_crashes
-        ):
+        cfg = self._cfg
+        if record.suspicions >= cfg.max_suspicions or record.crashes >= cfg.max_crashes:
             return Suspicion.PROVEN
-        if record.suspicions or record.losses >= self._cfg.suspect_losses:
+        if record.unconfirmed >= cfg.max_unconfirmed or record.losses >= cfg.max_losses:
+            return Suspicion.EXHAUSTED
+        if record.suspicious_crashes or record.losses >= cfg.suspect_losses:
             return Suspicion.SUSPECTED
         return Suspicion.NONE
 
-    def is_exhausted(self, task):
-        """Return whether too many targets were lost under a task to start it again."""
-        return self._record_of(task).losses >= self._cfg.max_losses
+    def describe(self, task):
+        """Return the losses under a task, for the log."""
+        record = self._record_of(task)
+        return (
+            f"losses={record.losses} crashes={record.crashes}"
+            f" suspicions={record.suspicions} unconfirmed={record.unconfirmed}"
+            f" lost_with={','.join(record.lost_with)}"
+        )
 
     def knows(self, job_id):
         """Return whether a target was lost while it ran a task of a job."""
@@ -196,7 +217,7 @@
     def likelihood(self, task):
         """Return a sort key that is higher for the more likely cause of a crash."""
         record = self._record_of(task)
-        return record.suspicions, -record.age_ms
+        return record.suspicious_crashes, -record.age_ms, record.unconfirmed
 
     def crashes_under(self, queue_name):
         """Return the `QueueCrash` records of a queue, the earliest first."""
@@ -220,7 +241,7 @@
         records = self._jobs.get(task.job.spec.job_id, {})
         return records.get((task.step_index, task.index), TaskRecord())
 
-    def _withdraw(self, loss):
+    def _withdraw(self, agent_id, loss):
         """Undo the record of a loss; return the loss without cleared tasks."""
         runs = []
         for run in loss.runs:
@@ -228,28 +249,44 @@
             record = records.get((run.step, run.index))
             if record is not None:
                 runs.append(run)
-                records[run.step, run.index] = replace(record, losses=record.losses - 1)
+                records[run.step, run.index] = replace(
+                    record,
+                    losses=record.losses - 1,
+                    lost_with=tuple(
+                        name
+                        for name in record.lost_with
+                        if name != _loss_name(agent_id, loss)
+                    ),
+                )
         return replace(loss, runs=tuple(runs))
 
     def _suspects(self, loss, confined_queues):
         if not loss.crashed:
             return []
         youngest = [
-            run for run in loss.runs if run.age_ms <= self._cfg.suspect_age * 1000
+            run
+            for run in loss.runs
+            if run.answered_age_ms <= self._cfg.suspect_age * 1000
         ]
         tried = [run for run in youngest if run.isolated]
         confined = [run for run in youngest if run.queue in confined_queues]
         return tried or confined or youngest
 
-    def _record_run(self, run, has_crashed, is_suspect):
+    def _record_of(self, task):
+        records = self._jobs.get(task.job.spec.job_id, {})
+        return records.get((task.step_index, task.index), TaskRecord())
+
+    def _record_run(self, run, loss, agent_id, is_suspect):
         records = self._jobs.setdefault(run.job_id, {})
         record = records.get((run.step, run.index), TaskRecord())
         records[run.step, run.index] = replace(
             record,
             losses=record.losses + 1,
-            crashes=record.crashes + has_crashed,
-            suspicions=record.suspicions + is_suspect,
-            age_ms=run.age_ms,
+            crashes=record.crashes + (loss.crashed and run.was_running),
+            suspicions=record.suspicions + (is_suspect and run.was_running),
+            unconfirmed=record.unconfirmed + (is_suspect and not run.was_running),
+            age_ms=run.answered_age_ms,
+            lost_with=(*record.lost_with, _loss_name(agent_id, loss)),
         )
 
     def _record_crash(self, suspects, lost_at):
@@ -270,5 +307,23 @@
         del self._queue_crashes[:-MAX_QUEUE_CRASHES]
 
 
+def _one_run_of_each_task(runs):
+    """Return the runs without others of the same task, which count for one crash.
+
+    A copy of a job may be run while an earlier run is still being stopped. Of the runs
+    of a task, the youngest one that was certainly running is kept.
+    """
+    by_likelihood = sorted(
+        runs, key=lambda run: (run.was_running, -run.answered_age_ms)
+    )
+    return tuple(
+        {(run.job_id, run.step, run.index): run for run in by_likelihood}.values()
+    )
+
+
+def _loss_name(agent_id, loss):
+    return f"{agent_id}#{loss.number}"
+
+
 def _lost_at(crash):
     return crash.lost_at
--- a/packages/runner/src/hornbeamshore/runner/losses.py
+++ b/packages/runner/src/hornbeamshore/runner/losses.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, replace
 
 from hornbeamshore.base.logs import PartLogger
+from hornbeamshore.runner.runs import RunPhase
 from hornbeamshore.wire.messages import LostRun, TargetLoss
 
 # A target that crashes every three seconds does so 20 times within the retention.
@@ -38,6 +39,8 @@
 
     Attributes
     ----------
+    last_number : int
+        Number of the last loss.
     last_sequence : int
         Number of the last record.
     """
@@ -47,8 +50,7 @@
         self._records = deque(maxlen=MAX_LOSSES)
         # Last loss, while the silent target may either go on or have crashed.
         self._unconfirmed = None
-        self._last_number = 0
-        self.last_sequence = 0
+        self.last_number = self.last_sequence = 0
 
     def record(self, runs, *, crashed, is_silent, answered_at, now):
         """Record the loss of the target with the runs that it had started.
@@ -66,19 +68,19 @@
         now : float
             Time on the same clock.
         """
-        self._last_number += 1
+        self.last_number += 1
         lost_runs = tuple(
             LostRun(
                 run.job_id,
                 run.step,
                 run.index,
                 run.queue,
-                round((answered_at - run.started_at) * 1000),
+                _age_ms(run, answered_at),
                 run.isolated,
             )
             for run in runs
         )
-        loss = TargetLoss(self._last_number, crashed, 0, lost_runs)
+        loss = TargetLoss(self.last_number, crashed, 0, lost_runs)
         record = self._append(now, loss)
         self._unconfirmed = record if is_silent else None
 
@@ -115,3 +117,11 @@
         record = LossRecord(self.last_sequence, lost_at, loss)
         self._records.append(record)
         return record
+
+
+def _age_ms(run, answered_at):
+    """Return the age of a run at the last answer, as `LostRun` has it."""
+    age_ms = max(0, round((answered_at - run.started_at) * 1000))
+    # A run whose stop was sent may have ended before the loss.
+    is_certain = run.is_confirmed and run.phase is not RunPhase.STOPPING
+    return age_ms if is_certain else -1 - age_ms
