Say nothing of failure for crashes of silent targets

Callers could have seen: a job shown as failed because its targets hung, ended its runs when their lease expired, and crashed for another reason before they announced themselves.

Cause: a new incarnation shows that a silent target has ended, but not when. The lease of its runs may have expired first, and a target takes longer to restart than the lease lasts, so it is never certain that it crashed under them.

The second record of such a loss now has the sign of runs that may not have been running. Two of them as the likely cause still end the starts of a task, and its job is answered as unknown instead of failed. A target that is replaced after nearly its lease is recorded in the same way.

--- a/packages/runner/src/hornbeamshore/runner/losses.py
+++ b/packages/runner/src/hornbeamshore/runner/losses.py
@@ -30,7 +30,8 @@
 
     A target that has fallen silent may go on. If another incarnation answers within the
     confirmation time, the silent one had crashed, and its loss is recorded a second
-    time under the same number.
+    time under the same number. The lease of the runs may have expired before the crash,
+    so no run is certain to have been running.
 
     Parameters
     ----------
@@ -97,7 +98,10 @@
             record.loss.number,
             (now - record.lost_at) * 1000,
         )
-        self._append(record.lost_at, replace(record.loss, crashed=True))
+        runs = tuple(
+            replace(run, age_ms=-1 - run.answered_age_ms) for run in record.loss.runs
+        )
+        self._append(record.lost_at, replace(record.loss, crashed=True, runs=runs))
 
     def dismiss_crash(self):
         """Record that the target that was lost by silence has gone on."""
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -350,14 +350,14 @@
 
     def target_lost(self, reason):
         """End the runs that are certain not to be running at the target any more."""
-        if reason.is_crash:
-            self._losses.confirm_crash(self.clock())
         runs = list(self._table.active.values())
         if reason is LossReason.RESTARTED:
             runs = [run for run in runs if run.is_listed or not run.started_at]
         started_runs = [run for run in runs if run.started_at]
         if started_runs:
             self._record_loss(started_runs, reason)
+        if reason.is_replacement:
+            self._losses.confirm_crash(self.clock())
         for run in runs:
             if run.started_at:
                 code, run_state = ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN
--- a/packages/runner/src/hornbeamshore/runner/takeover.py
+++ b/packages/runner/src/hornbeamshore/runner/takeover.py
@@ -34,6 +34,11 @@
     MISDIRECTED = "another incarnation answered"
     DEPARTED = "target departed"
 
+    @property
+    def is_replacement(self):
+        """Whether another incarnation has answered in place of the target."""
+        return self.is_crash and self is not LossReason.REFUSED
+
     @property
     def is_crash(self):
         """Whether the target is certain to have ended without notice."""
--- a/tests/runner/test_losses.py
+++ b/tests/runner/test_losses.py
@@ -93,6 +93,7 @@
 @pytest.mark.parametrize(
     ("returns", "silence_s", "crashed"),
     [
+        ("new id", 1.0, [False, True]),
         ("new id", 3.0, [False, True]),
         ("same id", 3.0, [False, True]),
         ("new id", 20.0, [False]),
@@ -106,6 +107,7 @@
 ):
     """Guards against crashes without a sign, and silences that are taken for crashes.
 
+    The lease of the runs may have expired before the crash, so they count as uncertain.
     An entry that connects later is told the same, in the same order.
     """
     conn = FakeConnection()
@@ -137,6 +139,7 @@
         assert [loss.crashed for loss in losses] == crashed
         assert {loss.number for loss in losses} == {1}
         assert {run.job_id for loss in losses for run in loss.runs} == {"j1"}
+        assert [not loss.runs[0].was_running for loss in losses] == crashed
     late = FakeConnection("entry-2")
     with attached(runner, late):
         await trio.sleep(0.1)
