--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -79,8 +79,8 @@
         self._table = RunTable()
         self._health = ConsecutiveFailures(cfg.health)
         self._probe_needs = Resources()
-        self._losses = LossLog(cfg.loss_retention)
-        self._reporter = Reporter(self.sessions, self.state, self._losses_after)
+        self._losses = LossLog(cfg)
+        self._reporter = Reporter(self.sessions, self.state, self._losses, clock)
         self._state_changed = trio.Event()
         self._checks_requested = trio.Event()
 
@@ -345,12 +345,14 @@
             run = self._table.active.get(key)
             if run is None:
                 continue
-            run.is_listed = True
+            run.is_listed = run.is_confirmed = True
             if run.phase is RunPhase.RUNNING:
                 self._update_progress(run, percent, state.clock_ms)
 
     def target_changed(self):
         """Update the state after the target was announced, taken over or is leaving."""
+        # An incarnation that has ended was reported as lost before.
+        self._losses.dismiss_crash()
         self._table.capacity = self.supervisor.target.capacity
         for session in self.sessions.values():
             self._send_run_list(session)
@@ -364,6 +366,8 @@
         started_runs = [run for run in runs if run.started_at]
         if started_runs:
             self._record_loss(started_runs, reason)
+        if reason.is_replacement:
+            self._losses.confirm_crash(self.clock())
         for run in runs:
             if run.started_at:
                 code, run_state = ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN
@@ -383,28 +387,37 @@
 
     def _record_loss(self, runs, reason):
         self.metrics.target_lost(reason.value)
-        self._log_lost_runs(runs, reason)
+        is_crash = self._is_crash_during_runs(reason)
+        has_left = reason is LossReason.DEPARTED or self.supervisor.target.leaving
         self._losses.record(
             runs,
-            crashed=reason.is_crash and not self.supervisor.target.leaving,
+            crashed=is_crash,
+            is_silent=not is_crash and not has_left,
             answered_at=self.supervisor.answered_at,
             now=self.clock(),
         )
+        self._log_lost_runs(runs, reason)
 
-    def _losses_after(self, number):
-        return self._losses.after(number, self.clock())
+    def _is_crash_during_runs(self, reason):
+        """Return whether the target has certainly crashed before its lease expired."""
+        silence_s = self.clock() - self.supervisor.answered_at
+        return (
+            reason.is_crash
+            and not self.supervisor.target.leaving
+            and silence_s <= self.cfg.certain_lease_s
+        )
 
     def _log_lost_runs(self, runs, reason):
         """Log the runs lost with the target, those that were started last first."""
         answered_at = self.supervisor.answered_at
-        ages_ms = {run.task: (answered_at - run.started_at) * 1000 for run in runs}
         log.warning(
-            "runs lost reason=%r silence_ms=%.0f runs=%s",
+            "runs lost number=%d reason=%r silence_ms=%.0f runs=%s",
+            self._losses.last_number,
             reason.value,
             (self.clock() - answered_at) * 1000,
             ",".join(
-                f"{task}:{ages_ms[task]:.0f}"
-                for task in sorted(ages_ms, key=ages_ms.get)
+                f"{run.task}:{(answered_at - run.started_at) * 1000:.0f}:{run.label}"
+                for run in sorted(runs, key=_started_at, reverse=True)
             ),
         )
 
@@ -492,3 +505,7 @@
     def _notify_changed(self):
         self._reporter.announce_changes()
         self._state_changed.set()
+
+
+def _started_at(run):
+    return run.started_at
