Confirm no cancellation that a stopping entry cannot see through

A cancellation that another entry does not reply to is answered 410 and asked again for 10 s in the background. An entry that stops ends before that, and the job went on. While it stops, it answers 503 in that case, so that the caller asks another entry. The row of the test fails without the change.

--- a/packages/dispatch/src/hornbeamshore/dispatch/peers.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/peers.py
@@ -206,10 +206,16 @@
             await trio.sleep_forever()
 
     async def cancel(self, job_id):
-        """Cancel a job wherever it runs; return whether it was in progress.
+        """Cancel a job wherever it runs.
 
         Other entries are asked only if this one does not run the job. An entry that
         does not reply in time is asked again in the background.
+
+        Returns
+        -------
+        bool or None
+            Whether the job was in progress; None if no entry that has replied ran it,
+            and some have not replied.
         """
         if self._coordinator.cancel(job_id):
             return True
@@ -220,14 +226,15 @@
             for request in requests:
                 await request.done.wait()
         is_found = any(request.is_found for request in requests)
+        replies = sum(request.done.is_set() for request in requests)
         log.info(
             "cancelled elsewhere id=%s found=%s entries=%d replies=%d",
             job_id,
             is_found,
             len(requests),
-            sum(request.done.is_set() for request in requests),
+            replies,
         )
-        return is_found
+        return None if not is_found and replies < len(requests) else is_found
 
     async def _read_addresses(self):
         """Read the addresses of the entries, unless that was done a moment ago."""
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -52,7 +52,7 @@
     async def cancel(self, job_id):
         if self.hangs:
             await trio.sleep_forever()
-        return job_id == "known"
+        return None if job_id == "unreachable" else job_id == "known"
 
     def count_unstarted_jobs(self, queue):
         return 3
@@ -343,3 +343,16 @@
     assert request.answer[0]["status"] == 503
     assert json.loads(request.answer[1]["body"]) == DRAINING
     assert coordinator.submitted == []
+
+
+@pytest.mark.parametrize(
+    ("is_stopping", "status"), [(False, 410), (True, 503)], ids=["serving", "stopping"]
+)
+async def test_a_cancellation_without_all_replies(is_stopping, status):
+    """Guards against a confirmed cancellation that ends with a stopping process."""
+    shutdown = Shutdown()
+    if is_stopping:
+        shutdown.begin()
+    async with ingress(FakeCoordinator(), shutdown=shutdown) as call:
+        response = await call("DELETE", "/p/unreachable")
+    assert response.status == status
