Let new connections of a stopping process send their first request

Nothing was read, but the caller lost a try. Such a connection is closed 0.2 s after it was opened, at the earliest.

--- a/packages/serving/src/hornbeamshore/serving/http_server.py
+++ b/packages/serving/src/hornbeamshore/serving/http_server.py
@@ -27,6 +27,9 @@
 # A stream that was reset keeps its buffer, so the wait for empty buffers is bounded.
 FLUSH_TIMEOUT_S = 1.0
 FLUSH_POLL_INTERVAL_S = 0.005
+# Time within which the first request of a new connection arrives: the caller sends it
+# when it has the answer to its handshake.
+FIRST_REQUEST_S = 0.2
 # Turns of the event loop within which the task of a connection reads what has arrived.
 READ_TURNS = 10
 
@@ -269,6 +272,8 @@
         super().__init__(app, config, context, state, stream)
         self.protocol = None
         self._has_request = False
+        self._first_request = trio.Event()
+        self._opened_at = trio.current_time()
         self._connections = connections
         self._is_reading = True
         self._receive_scope = trio.CancelScope()
@@ -316,6 +321,8 @@
         """Send or apply an event of the protocol; notes when requests are open."""
         if isinstance(event, Updated | Closed):
             self._has_request = isinstance(event, Updated) and not event.idle
+            if self._has_request:
+                self._first_request.set()
             self._answered.set()
             self._connections.notify_changed()
         await super().protocol_send(event)
@@ -364,6 +371,8 @@
 
     async def _has_read_request(self):
         """Return whether a request is open, after what has arrived has been read."""
+        with trio.move_on_at(self._opened_at + FIRST_REQUEST_S):
+            await self._first_request.wait()
         for _ in range(READ_TURNS):
             if self.is_busy or not _is_readable(self.stream.socket):
                 break
--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -10,6 +10,7 @@
 import trio
 
 from hornbeamshore.base.settings import Duration
+from hornbeamshore.serving import http_server
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
 from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
@@ -201,6 +202,24 @@
     assert [answer[:15] for answer in answers] == [OK] * connections
 
 
+async def test_a_new_connection_waits_for_its_first_request_in_a_stop(monkeypatch):
+    """Guards against the close of connections whose request is on its way."""
+    monkeypatch.setattr(http_server, "FIRST_REQUEST_S", TIMEOUT_S)
+    app = GatedApp()
+    app.gate.set()
+    with trio.fail_after(TIMEOUT_S):
+        async with serving(app, CLOSE_AT_ONCE) as server:
+            await trio.testing.wait_all_tasks_blocked()
+            server.shutdown.begin()
+            with server.connect() as conn:
+                # The listener is closed and idle connections are by then.
+                await trio.testing.wait_all_tasks_blocked()
+                conn.sendall(REQUEST)
+                answer = await read_all(conn)
+            await server.ended.wait()
+    assert answer.startswith(OK)
+
+
 @pytest.mark.parametrize("requests", [1, 3], ids=["one", "pipelined"])
 async def test_what_was_read_is_answered_after_the_end_of_reading(requests):
     """Guards against requests that are cut because their answers come last."""
