Share the log of refusals and the clock of the tests of stops

Two methods of the coordinator wrote the same line about a refused job, and three test modules had the same clock. Behaviour and checks are unchanged.

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -373,30 +373,27 @@
         needed_s = run_time_s + self.cfg.overhead
         if needed_s <= time_left_s or job.may_have_started or job.finished.is_set():
             return
-        self._finish(job, ResultCode.DRAINING)
-        log.info(
-            "job refused id=%s queue=%s waited_ms=%.0f stopping left_ms=%.0f"
-            " needed_ms=%.0f",
-            job.spec.job_id,
-            job.queue.name,
-            (trio.current_time() - job.received_at) * 1000,
-            time_left_s * 1000,
-            needed_s * 1000,
-        )
+        left_ms, needed_ms = time_left_s * 1000, needed_s * 1000
+        reason = f"stopping left_ms={left_ms:.0f} needed_ms={needed_ms:.0f}"
+        self._reject(job, ResultCode.DRAINING, reason)
 
     def _reject_if_late(self, job):
         if job.may_have_started or job.finished.is_set():
             return
         reason = self.assigner.rejection_reason(job)
         if reason is not None:
-            self._finish(job, ResultCode.OVERLOADED)
-            log.info(
-                "job refused id=%s queue=%s waited_ms=%.0f %s",
-                job.spec.job_id,
-                job.queue.name,
-                (trio.current_time() - job.received_at) * 1000,
-                reason,
-            )
+            self._reject(job, ResultCode.OVERLOADED, reason)
+
+    def _reject(self, job, code, reason):
+        """Finish a job that has not been started; `reason` has the inputs."""
+        self._finish(job, code)
+        log.info(
+            "job refused id=%s queue=%s waited_ms=%.0f %s",
+            job.spec.job_id,
+            job.queue.name,
+            (trio.current_time() - job.received_at) * 1000,
+            reason,
+        )
 
     # Placement.
 
--- a/tests/entry/test_planned_stops.py
+++ b/tests/entry/test_planned_stops.py
@@ -19,6 +19,7 @@
 from hornbeamshore.store.etcd import EtcdSettings
 from hornbeamshore.wire.connection import ConnectionLost
 from hornbeamshore.wire.messages import OwnerNotice
+from tests.clocks import SuspendableClock
 
 from .conftest import DEPLOYMENT, TOKEN
 
@@ -56,16 +57,6 @@
 QUERY = http_request("GET", "/v1/jobs/a?service=stock")
 
 
-class SuspendableClock:
-    """Clock that includes suspensions, during which the timers of trio stand still."""
-
-    def __init__(self):
-        self.suspended_s = 0.0
-
-    def __call__(self):
-        return trio.current_time() + self.suspended_s
-
-
 @pytest.fixture
 async def daemon(tmp_path, monkeypatch):
     """Return a running entry whose store does not answer."""
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -34,6 +34,7 @@
     RunOrder,
     RunTasks,
 )
+from tests.clocks import SuspendableClock
 
 TARGET = TargetIncarnation(
     incarnation_id="t-1",
@@ -48,16 +49,6 @@
 TASK_CPU_MILLIS = 3000
 
 
-class SuspendableClock:
-    """Clock that includes suspensions, during which the timers of trio stand still."""
-
-    def __init__(self):
-        self.suspended_s = 0.0
-
-    def __call__(self):
-        return trio.current_time() + self.suspended_s
-
-
 class FakeTarget(TargetDriver):
     """Target whose runs end on request of the test, or when their lease expires.
 
--- a/tests/serving/test_shutdown.py
+++ b/tests/serving/test_shutdown.py
@@ -5,6 +5,7 @@
 
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.serving.shutdown import AnswersDue, Shutdown, ShutdownSettings
+from tests.clocks import SuspendableClock
 
 CFG = ShutdownSettings(
     accept_until=Duration(2.0),
@@ -14,16 +15,6 @@
 )
 
 
-class SuspendableClock:
-    """Clock that includes suspensions, during which the timers of trio stand still."""
-
-    def __init__(self):
-        self.suspended_s = 0.0
-
-    def __call__(self):
-        return trio.current_time() + self.suspended_s
-
-
 @pytest.fixture
 async def clock(autojump_clock):
     return SuspendableClock()
