Split the connections of the HTTP server from its listeners

A move: http_connections has what runs one connection, http_server what accepts and ends them all. No behaviour changes.

--- a/tests/serving/test_http_server.py
+++ b/tests/serving/test_http_server.py
@@ -10,7 +10,7 @@
 import trio
 
 from hornbeamshore.base.settings import Duration
-from hornbeamshore.serving import http_server
+from hornbeamshore.serving import http_connections
 from hornbeamshore.serving.http_server import open_http_listeners, serve_http
 from hornbeamshore.serving.http_settings import HttpSettings
 from hornbeamshore.serving.shutdown import Shutdown, ShutdownSettings
@@ -204,7 +204,7 @@
 
 async def test_a_new_connection_waits_for_its_first_request_in_a_stop(monkeypatch):
     """Guards against the close of connections whose request is on its way."""
-    monkeypatch.setattr(http_server, "FIRST_REQUEST_S", TIMEOUT_S)
+    monkeypatch.setattr(http_connections, "FIRST_REQUEST_S", TIMEOUT_S)
     app = GatedApp()
     app.gate.set()
     with trio.fail_after(TIMEOUT_S):
