--- a/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/evidence.py
@@ -272,10 +272,6 @@
         confined = [run for run in youngest if run.queue in confined_queues]
         return tried or confined or youngest
 
-    def _record_of(self, task):
-        records = self._jobs.get(task.job.spec.job_id, {})
-        return records.get((task.step_index, task.index), TaskRecord())
-
     def _record_run(self, run, loss, agent_id, is_suspect):
         records = self._jobs.setdefault(run.job_id, {})
         record = records.get((run.step, run.index), TaskRecord())
