Discard what an application has not read of a body when it answers

Hypercorn queues ten parts of a body for an application, and ends an answer by a further message in the same queue. With a longer chunked body that is not read, for instance with a cancellation, the task that reads the connection and the one that answers waited for each other: the connection was left open, and a stop ended only in its last phase. The rest of the body is discarded while the answer is sent.

--- a/packages/serving/src/hornbeamshore/serving/http_connections.py
+++ b/packages/serving/src/hornbeamshore/serving/http_connections.py
@@ -144,6 +144,14 @@
         self._shutdown = shutdown
 
     async def __call__(self, scope, receive, send):
+        is_body_read = False
+
+        async def receive_noting_end():
+            nonlocal is_body_read
+            message = await receive()
+            is_body_read |= not message.get("more_body", False)
+            return message
+
         async def send_with_close(message):
             server = scope["state"][_SERVER_STATE]
             close_connection = (
@@ -157,11 +165,14 @@
                 # h11 would take further data for an error and close the connection
                 # before the answer is sent.
                 server.stop_reading()
-            await send(message)
+            if is_body_read or message.get("more_body", False):
+                await send(message)
+            else:
+                await _send_and_discard(message, receive, send)
 
         opened_at = trio.current_time()
         try:
-            await self._app(scope, receive, send_with_close)
+            await self._app(scope, receive_noting_end, send_with_close)
         except BaseException as exc:
             # Cancelled, or a group with it from a nursery of the application.
             if not isinstance(exc, Exception):
@@ -173,6 +184,23 @@
             raise
 
 
+async def _send_and_discard(message, receive, send):
+    """Send a message while the unread rest of the request is discarded.
+
+    Hypercorn 0.18 queues ten parts of a body for an application, and ends an answer by
+    a further message to it: both would wait for ever.
+    """
+
+    async def discard():
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(discard)
+        await send(message)
+        nursery.cancel_scope.cancel()
+
+
 class _ConnectionServer(TCPServer):
     """Server of one connection that confines exceptions to this connection.
 
