--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -498,8 +498,16 @@
     def now(self):
         return self.record.now()
 
-    async def open(self, fronts, sides):
-        """Start the store, entries and agents with their minions."""
+    async def open(self, fronts, sides, kinds=None):
+        """Start the store, entries and agents with their minions.
+
+        Parameters
+        ----------
+        fronts, sides : list of str
+            Machines.
+        kinds : dict of str to str or None
+            Kinds of minions by machine; the others are of kind a.
+        """
         store_host = f"{self.base}.200"
         for name in ("front", "ready", "control", "app", "inner", "store"):
             self.ports[name] = self._free_port(store_host)
@@ -513,11 +521,12 @@
         # Machines that join later get an address now; the seeds are the first ones.
         self.seeds = [self.hosts[name] for name in fronts[:3]]
         for name in sides:
-            minion = Minion(self, name, self.hosts[name])
+            kind = (kinds or {}).get(name, "a")
+            minion = Minion(self, name, self.hosts[name], kind)
             self.minions[name] = minion
             await minion.listen(minion.host, self.ports["app"])
             self.spawn(minion.work())
-            self.spawn(minion.announce())
+            minion.announcing = self.spawn(minion.announce())
         for name in fronts:
             self.start("entry", name)
         for name in sides:
@@ -631,6 +640,7 @@
             "task": task,
             "number": number,
             "began": self.now(),
+            "kind": minion.kind,
             "ended": None,
             "how": "",
         }
@@ -758,6 +768,16 @@
                     )
         return broken
 
+    def judge_route(self, job_id, label):
+        """Return 1 if a task was started on a minion without its required label."""
+        wrong = [row for row in self.runs_of(job_id) if row["kind"] != label]
+        for row in wrong:
+            self.say(
+                f"ROUTE: {row['task']} requires {label} and was started on"
+                f" {row['minion']}, which is of kind {row['kind']}"
+            )
+        return 1 if wrong else 0
+
 
 def main(folder, play):
     """Play a case; exit with 0 if the rule held, 1 if not, 2 if it could not run."""
