Review scripts: exit with 2 on an error of the script itself

An error other than CannotRun or TimeoutError ended a script with Python's exit code 1, which reads as a broken rule; its record said 2.

--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -788,7 +789,7 @@
         try:
             async with asyncio.timeout(110):
                 result = await play(lab)
-        except (CannotRun, TimeoutError) as exc:
+        except Exception as exc:
             lab.say(f"could not run: {exc!r}")
             result = 2
         finally:
@@ -797,4 +798,10 @@
         return result
 
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
-    sys.exit(asyncio.run(run()))
+    try:
+        result = asyncio.run(run())
+    except Exception:
+        # Python exits with 1 on an error, which would read as a broken rule.
+        traceback.print_exc()
+        result = 2
+    sys.exit(result)
