Check the leases of entries just before a call extends that of the target

Cause: the lease of an entry was checked when an order was received and each 0.1 s, but not when a call was sent, and the expiry that the target enforces was computed at the sending, from the time after the suspension. So nothing at either side said that the permission had ended. Three calls had it: a start, a start that is sent again under a higher number, and each poll or start that prolongs the lease of all runs at the target, also those of another entry.

Change: a channel asks for the expiry once its connection is open, as the last step before the call. The expiry is computed, then the leases of the entries of all runs at the target are checked; if one has expired, its runs are stopped and the last expiry is used, and a start of that entry is withheld (not run). If the agent is suspended after the check, the target refuses the start as late and the poll extends nothing, so each run ends 0.9 + 1.02 s after the last message of its entry, which waits for 2.12 s. A run counts as started once its start is sent, no longer while the connection is opened, so one that never left counts as not run when the target is lost. Logged: starts withheld and refused, with entry, age of the order and of the lease, and suspensions.

Tests changed: the fake targets take the expiry from the call, and the expiry is tested where it is computed now.

--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -1,5 +1,7 @@
 """Workers that start and stop runs over one connection each."""
 
+from functools import partial
+
 import trio
 
 from hornbeamshore.base.codes import ResultCode, RunState
@@ -8,6 +10,7 @@
 from hornbeamshore.runner.runs import MAX_REMEMBERED_TASKS, RunPhase
 from hornbeamshore.runner.target import (
     StartResult,
+    StartWithheld,
     TargetReplaced,
     TargetUnreachable,
     TargetUnresponsive,
@@ -39,12 +42,13 @@
 
     Attributes
     ----------
-    starts_sent : int
-        Number of start calls sent.
+    starts_sent, starts_withheld : int
+        Number of start calls that were sent, and of those that were not sent because
+        the run had been stopped or its permission had ended.
     """
 
     def __init__(self, runner, driver, supervisor):
-        self.starts_sent = 0
+        self.starts_sent = self.starts_withheld = 0
         self._runner = runner
         self._driver = driver
         self._supervisor = supervisor
@@ -74,13 +78,12 @@
                 await call(run, await channels.open(takeover), takeover)
 
     async def _send_start(self, run, channel, takeover):
-        if run.stop_reason is not None:
-            self._runner.end_run(run, run.stop_reason, RunState.NOT_RUN)
-            return
-        run.started_at = self._runner.clock()
-        self.starts_sent += 1
+        grant = partial(self._grant_start, run, takeover)
         try:
-            answer = await channel.start(run.task, run.number, run.spec)
+            self._check_permission(run, takeover)
+            answer = await channel.start(run.task, run.number, run.spec, grant)
+        except StartWithheld as exc:
+            self._end_withheld(run, exc)
         except TargetReplaced as exc:
             self._supervisor.handle_replacement(takeover, exc)
         except TargetUnreachable as exc:
@@ -103,6 +106,52 @@
             if self._runner.is_active(run):
                 self._handle_start_answer(run, answer)
 
+    def _grant_start(self, run, takeover):
+        """Return the lease expiry for a start that is about to be sent.
+
+        The entry may have given the run up since it was admitted, while the agent was
+        suspended. So the permission is checked last, after the expiry was computed: if
+        the agent is suspended after the check, the target refuses the start.
+
+        Raises
+        ------
+        StartWithheld
+            If the run must not be started any more.
+        """
+        expiry_ms = self._supervisor.lease_expiry_ms()
+        self._check_permission(run, takeover)
+        run.started_at = self._runner.clock()
+        self.starts_sent += 1
+        return expiry_ms
+
+    def _check_permission(self, run, takeover):
+        if takeover != self._supervisor.takeover:
+            raise StartWithheld("target lost")
+        reason = self._runner.stop_reason(run)
+        if reason is not None:
+            raise StartWithheld(reason.name)
+
+    def _end_withheld(self, run, exc):
+        """End a run whose start was not sent, unless the loss of the target did."""
+        self.starts_withheld += 1
+        self._log_unstarted("withheld", run, exc)
+        if self._runner.is_active(run):
+            code = run.stop_reason or ResultCode.TARGET_UNREACHABLE
+            self._runner.end_run(run, code, RunState.NOT_RUN, "start not sent")
+
+    def _log_unstarted(self, event, run, reason):
+        now = self._runner.clock()
+        log.info(
+            "start %s task=%s run=%d entry=%s order_age_ms=%.0f lease_age_ms=%.0f: %s",
+            event,
+            run.task,
+            run.number,
+            run.session.entry_id,
+            (now - run.ordered_at) * 1000,
+            (now - run.session.last_heard) * 1000,
+            reason,
+        )
+
     def _handle_start_answer(self, run, answer):
         if answer is StartResult.STARTED:
             run.phase = RunPhase.RUNNING
@@ -110,7 +159,7 @@
             if run.stop_reason is not None:
                 self.enqueue_stop(run, run.stop_reason)
             return
-        log.info("start refused task=%s run=%d: %s", run.task, run.number, answer.value)
+        self._log_unstarted("refused", run, answer.value)
         if answer is StartResult.STALE_RUN and run.number < MAX_REMEMBERED_TASKS:
             self._runner.renumber(run)
             self.enqueue_start(run)
--- a/packages/runner/src/hornbeamshore/runner/channels.py
+++ b/packages/runner/src/hornbeamshore/runner/channels.py
@@ -14,7 +14,7 @@
     Raises the errors of `TargetChannel.poll`, except `TargetFenced`.
     """
     try:
-        state = await channel.poll(0.0, acknowledged, renew=False)
+        state = await channel.poll(0.0, acknowledged)
     except TargetFenced as exc:
         return exc.clock_ms
     return state.clock_ms
@@ -36,7 +36,7 @@
         If the target may still be running something.
     """
     while True:
-        state = await channel.poll(0.0, acknowledged, renew=False)
+        state = await channel.poll(0.0, acknowledged)
         acknowledged = max([acknowledged, *(ended.number for ended in state.ended)])
         if not state.running and not state.ended:
             return acknowledged
--- a/packages/runner/src/hornbeamshore/runner/metrics.py
+++ b/packages/runner/src/hornbeamshore/runner/metrics.py
@@ -80,6 +80,11 @@
             "Starts sent",
             runner.call_workers.starts_sent,
         )
+        yield CounterMetricFamily(
+            "hornbeamshore_agent_starts_withheld",
+            "Starts not sent because their permission had ended",
+            runner.call_workers.starts_withheld,
+        )
         yield CounterMetricFamily(
             "hornbeamshore_agent_refusals",
             "Orders refused",
--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -25,6 +25,9 @@
 
 # Interval of the lease checks while runs are left or the target is unavailable.
 SESSION_CHECK_INTERVAL_S = 0.1
+# Duration of that interval above which the log says that the process was suspended or
+# did not get the processor.
+SUSPENSION_THRESHOLD_S = 0.3
 
 _END_CODES = {
     RunOutcome.DONE: ResultCode.OK,
@@ -184,7 +187,7 @@
         for order in body.orders:
             if order.run_id in session.runs or order.run_id in session.ends:
                 continue
-            run = Run(session, body, order)
+            run = Run(session, body, order, sent_at)
             session.add_run(run)
             refusal = (
                 ResultCode.START_EXPIRED if is_expired else self._refusal_code(run)
@@ -292,6 +295,14 @@
         """Return whether the target may be running this run."""
         return self._table.active.get(run.key) is run
 
+    def stop_reason(self, run):
+        """Return the code with which a run is to be stopped now, or None.
+
+        The lease of its entry is looked at first.
+        """
+        self._expire_lease(run.session)
+        return run.stop_reason
+
     def renumber(self, run):
         """Assign a higher number to a run that the target refused as stale."""
         self._table.renumber(run)
@@ -331,6 +342,21 @@
             if run.phase is RunPhase.RUNNING or run.stop_answered
         ]
 
+    def may_extend_lease(self):
+        """Return whether the entries of all runs at the target hold their leases.
+
+        The runs of an entry that does not are stopped; until that is answered, their
+        end depends on the lease of the target.
+        """
+        sessions = {
+            run.session
+            for run in self._table.active.values()
+            if run.started_at and not run.stop_answered
+        }
+        for session in sessions:
+            self._expire_lease(session)
+        return not any(self._is_lease_expired(session) for session in sessions)
+
     def target_polled(self, ended, state, expected):
         """Process the ended, running and missing runs of a poll."""
         for item in ended:
@@ -466,8 +492,11 @@
             if is_available and not self._table.is_busy:
                 with trio.move_on_after(self.cfg.end_retention):
                     await self._checks_requested.wait()
+            slept_from = self.clock()
             await trio.sleep(SESSION_CHECK_INTERVAL_S)
             now = self.clock()
+            if now - slept_from > SUSPENSION_THRESHOLD_S:
+                log.warning("suspended gap=%.3f", now - slept_from)
             self.supervisor.end_lapsed_runs()
             for session in list(self.sessions.values()):
                 self._check_session(session, now)
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -32,6 +32,10 @@
         Result code of a run that is to be stopped.
     stop_answered : bool
         Whether the target has answered the stop.
+    ordered_at : float
+        Time on the runner's clock at or after which the entry has sent the order.
+    started_at : float
+        Time at which the start was sent; 0 if the target cannot have executed one.
     attempt : int
         Number of runs of the task that its entry has ordered, including this one.
     isolated : bool
@@ -58,6 +62,7 @@
         "phase",
         "stop_reason",
         "stop_answered",
+        "ordered_at",
         "started_at",
         "attempt",
         "isolated",
@@ -66,7 +71,7 @@
         "is_confirmed",
     )
 
-    def __init__(self, session, body, order):
+    def __init__(self, session, body, order, ordered_at):
         self.session = session
         self.run_id = order.run_id
         self.job_id = body.job_id
@@ -81,6 +86,7 @@
         self.phase = RunPhase.STARTING
         self.stop_reason = None
         self.stop_answered = False
+        self.ordered_at = ordered_at
         self.started_at = 0.0
         self.progress = None
         self.is_listed = self.is_confirmed = False
@@ -129,6 +135,7 @@
         """Assign a much higher number to a run that the target refused as stale."""
         del self.active[run.key]
         run.number += MAX_REMEMBERED_TASKS
+        run.started_at = 0.0
         self._last_numbers[run.task] = run.number
         self.active[run.key] = run
 
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from dataclasses import replace
+from functools import partial
 
 import trio
 
@@ -82,6 +83,8 @@
         self._fencing_token = 0
         self._last_acknowledged = 0
         self._has_unacknowledged_ends = False
+        # Last expiry granted in this takeover, in ms on the clock of the target.
+        self._lease_expiry_ms = 0
         self._renewed_at = 0.0
         self._poll_requested = trio.Event()
         self._adopt_requested = trio.Event()
@@ -174,6 +177,24 @@
                 LossReason.RESTARTED if is_same_id else LossReason.MISDIRECTED
             )
 
+    def lease_expiry_ms(self):
+        """Return the expiry of the target's lease for a call that is about to be sent.
+
+        The lease holds for all runs at the target, so it is extended only if none of
+        them has to stop; otherwise the last expiry is returned. That is checked after
+        the new expiry was computed, so that a suspension of the agent between the two
+        cannot make the expiry later than the check allows.
+
+        Returns
+        -------
+        int
+            Reading of the target's clock in ms.
+        """
+        expiry_ms = round(self._driver.clock_ms + self.cfg.lease.target_lease * 1000)
+        if self._owner.may_extend_lease():
+            self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
+        return self._lease_expiry_ms
+
     def record_renewal(self):
         """Record the end of a call that may have renewed the lease, answered or not."""
         self._renewed_at = self._clock()
@@ -229,8 +250,9 @@
         # The lease of a suspect target is left to expire: the target may execute the
         # calls that renew it while only their answers are lost.
         renew = not self.is_suspect
+        grant = partial(self._grant_renewal, takeover) if renew else None
         try:
-            state = await channel.poll(wait_s, self._last_acknowledged, renew=renew)
+            state = await channel.poll(wait_s, self._last_acknowledged, grant)
         except TargetReplaced as exc:
             self.handle_replacement(takeover, exc)
             return
@@ -249,6 +271,10 @@
             self.record_renewal()
         self._process_state(state, expected)
 
+    def _grant_renewal(self, takeover):
+        """Return the expiry for a poll, or None if its takeover has ended."""
+        return self.lease_expiry_ms() if takeover == self.takeover else None
+
     def _handle_unanswered_poll(self, exc):
         silence = self._clock() - self._renewed_at
         log.warning("poll unanswered silence=%.2f: %s", silence, exc)
@@ -323,6 +349,7 @@
         if not is_same:
             self._replace_target(target)
         self._driver.follow_clock(target, clock_ms)
+        self._lease_expiry_ms = 0
         # The target's monotonic clock orders the fencing tokens of successive agents
         # even if the wall clock is set back.
         self._fencing_token = max(self._fencing_token + 1, round(clock_ms))
--- a/packages/runner/src/hornbeamshore/runner/takeover.py
+++ b/packages/runner/src/hornbeamshore/runner/takeover.py
@@ -56,6 +56,10 @@
     def expected_runs(self):
         """Return the runs that a poll sent now must report, running or ended."""
 
+    @abc.abstractmethod
+    def may_extend_lease(self):
+        """Return whether all runs at the target may go on until a later expiry."""
+
     @abc.abstractmethod
     def target_polled(self, ended, state, expected):
         """Process the answer to a poll.
--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -33,6 +33,10 @@
         self.clock_ms = clock_ms
 
 
+class StartWithheld(Exception):  # noqa: N818
+    """A start was not sent, because the permission for it has ended."""
+
+
 class TargetReplaced(Exception):  # noqa: N818
     """A different incarnation of the target answered; the expected one has ended."""
 
@@ -184,18 +188,35 @@
     the connection was refused and `TargetReplaced` if another incarnation answered. The
     call after a `TargetUnresponsive` opens a new connection. Only a poll is certain to
     notice another incarnation with the same id.
+
+    A call that renews the lease of the target asks its caller for the expiry once the
+    connection is open, as the last step before the call is sent. If the agent is
+    suspended after that, the call arrives with an expiry that has passed.
     """
 
     @abc.abstractmethod
-    async def start(self, task, run, spec):
-        """Start a run, renew the lease of all runs and return the `StartResult`."""
+    async def start(self, task, run, spec, grant):
+        """Start a run, renew the lease of all runs and return the `StartResult`.
+
+        Parameters
+        ----------
+        grant : callable
+            Returns the reading of the target's clock, in whole milliseconds, at which
+            the lease expires; the target refuses a start that arrives later. May raise
+            `StartWithheld`, after which nothing is sent.
+
+        Raises
+        ------
+        StartWithheld
+            If `grant` has raised it.
+        """
 
     @abc.abstractmethod
     async def stop(self, task, run):
         """Stop a run; if its start arrives later, the target refuses it."""
 
     @abc.abstractmethod
-    async def poll(self, wait_s, acknowledged, *, renew=True):
+    async def poll(self, wait_s, acknowledged, grant=None):
         """Return the `TargetState` once a run has ended, or after `wait_s` seconds.
 
         Parameters
@@ -203,8 +224,9 @@
         acknowledged : int
             Number of the last ended run that was processed; the target discards the
             ended runs up to it.
-        renew : bool
-            Whether to renew the lease of all runs.
+        grant : callable or None
+            Returns the expiry of the lease as for a start, or None; None leaves the
+            lease of all runs as it is.
 
         Raises
         ------
@@ -224,7 +246,7 @@
 
     @abc.abstractmethod
     def follow_clock(self, incarnation, clock_ms):
-        """Express leases in the clock of an incarnation from now on.
+        """Estimate the clock of an incarnation from now on.
 
         Parameters
         ----------
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -225,8 +225,9 @@
         await trio.sleep(0.0005)
         self._target.check(self._incarnation)
 
-    async def start(self, task, run, spec):
+    async def start(self, task, run, spec, grant):
         await self._begin_call()
+        grant()
         self._target.start(task, run, spec)
         return StartResult.STARTED
 
@@ -235,8 +236,10 @@
         if (task, run) in self._target._running:
             self._target.end((task, run), RunOutcome.STOPPED)
 
-    async def poll(self, wait_s, acknowledged, *, renew=True):
+    async def poll(self, wait_s, acknowledged, grant=None):
         await self._begin_call()
+        if grant is not None:
+            grant()
         return await self._target.poll(wait_s, acknowledged, self._incarnation)
 
     async def aclose(self):
--- a/tests/platform/test_http_connection.py
+++ b/tests/platform/test_http_connection.py
@@ -138,3 +138,32 @@
         with trio.move_on_after(0.05):
             await conn.request("GET", "/first", 1.0)
         assert (await conn.request("GET", "/second", 1.0)).status == 200
+
+
+@pytest.mark.parametrize("is_reconnected", [False, True])
+async def test_a_body_is_made_once_the_connection_is_open(monkeypatch, is_reconnected):
+    """Guards against a body that states what held before the connection was opened.
+
+    Opening a connection may take long, or reach another process than the one before.
+    """
+    events = []
+    open_tcp_stream = trio.open_tcp_stream
+
+    async def open_and_record(host, port):
+        stream = await open_tcp_stream(host, port)
+        events.append("opened")
+        return stream
+
+    def make_body():
+        events.append("made")
+        return {"n": len(events)}
+
+    monkeypatch.setattr(trio, "open_tcp_stream", open_and_record)
+    async with serving([[OK, None]], [[OK]]) as (conn, requests):
+        if is_reconnected:
+            await conn.request("GET", "/", 0.5)
+            await trio.sleep(0.05)
+            events.clear()
+        await conn.request("POST", "/", 0.5, make_body)
+    assert events == ["opened", "made"]
+    assert requests[-1].endswith(b'{"n":2}')
--- a/tests/platform/test_target.py
+++ b/tests/platform/test_target.py
@@ -11,6 +11,7 @@
     EndedRun,
     RunOutcome,
     StartResult,
+    StartWithheld,
     TargetFenced,
     TargetGone,
     TargetIncarnation,
@@ -27,6 +28,14 @@
 CFG = RunnerSettings(call_timeout=Duration(0.2))
 
 
+EXPIRY_MS = 6100
+
+
+def grant():
+    """Return the expiry of the lease for a call."""
+    return EXPIRY_MS
+
+
 def open_channel(address):
     driver = HttpTargetDriver(address, CFG)
     driver.follow_clock(TARGET, TARGET.clock_ms)
@@ -56,22 +65,26 @@
         channel = open_channel(address)
         if isinstance(expected, type):
             with pytest.raises(expected):
-                await channel.start("t", 2, "spec")
+                await channel.start("t", 2, "spec", grant)
         else:
-            assert await channel.start("t", 2, "spec") is expected
+            assert await channel.start("t", 2, "spec", grant) is expected
     method, path, headers, body = app.requests[0]
     assert (method, path) == ("POST", "/hornbeamshore/run-start")
     assert headers[b"hornbeamshore-expect-instance"] == b"i-1"
-    # The lease expires one second ahead, expressed on the target's clock.
-    assert 5900 <= body.pop("expiresAtMs") <= 7000
-    assert body == {"task": "t", "runId": 2, "taskSpec": "spec", "fencingToken": 77}
+    assert body == {
+        "task": "t",
+        "runId": 2,
+        "taskSpec": "spec",
+        "expiresAtMs": EXPIRY_MS,
+        "fencingToken": 77,
+    }
 
 
 async def test_refused_connection_raises_target_gone():
     """Guards against waiting for a run whose start request was never sent."""
     channel = open_channel("127.0.0.1:1")
     with pytest.raises(TargetGone):
-        await channel.start("t", 2, "spec")
+        await channel.start("t", 2, "spec", grant)
 
 
 async def test_silent_host_raises_target_unreachable(monkeypatch):
@@ -82,7 +95,7 @@
 
     monkeypatch.setattr(trio, "open_tcp_stream", open_tcp_stream)
     with pytest.raises(TargetUnreachable) as caught:
-        await open_channel("127.0.0.1:1").start("t", 2, "spec")
+        await open_channel("127.0.0.1:1").start("t", 2, "spec", grant)
     assert not isinstance(caught.value, TargetGone)
 
 
@@ -142,13 +155,33 @@
             await open_channel(address).poll(0.0, 0)
 
 
-@pytest.mark.parametrize("renew", [True, False])
-async def test_poll_renews_the_lease_only_if_requested(renew):
+@pytest.mark.parametrize(
+    ("poll_grant", "expected"),
+    [(grant, EXPIRY_MS), (None, None), (lambda: None, None)],
+    ids=["granted", "no grant", "not granted"],
+)
+async def test_poll_renews_the_lease_only_if_granted(poll_grant, expected):
     """Guards against extending the lease of runs that an earlier agent started."""
     app = ScriptedApp((200, {"clockMs": 1, "running": [], "completions": []}))
     async with serving(app) as address:
-        await open_channel(address).poll(0.0, 0, renew=renew)
-    assert ("expiresAtMs" in app.requests[0][3]) is renew
+        await open_channel(address).poll(0.0, 0, poll_grant)
+    assert app.requests[0][3].get("expiresAtMs") == expected
+
+
+async def test_a_start_that_is_withheld_is_not_sent():
+    """Guards against a start whose permission has ended before it could be sent."""
+
+    def withhold():
+        raise StartWithheld("stopped")
+
+    app = ScriptedApp((200, {"clockMs": 5001}))
+    async with serving(app) as address:
+        channel = open_channel(address)
+        with pytest.raises(StartWithheld):
+            await channel.start("t", 2, "spec", withhold)
+        assert app.requests == []
+        assert await channel.start("t", 2, "spec", grant) is StartResult.STARTED
+    assert len(app.requests) == 1
 
 
 @pytest.mark.parametrize(
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -160,6 +160,12 @@
         with trio.move_on_after(wait_s):
             await self._changed.wait()
 
+    def take_lease(self, expiry_ms):
+        """Extend the lease to a reading of the clock, or to 1 s from now if earlier."""
+        granted_s = (expiry_ms - self.clock_ms) / 1000
+        lease_end = trio.current_time() + min(granted_s, 1.0)
+        self.lease_end = max(self.lease_end, lease_end)
+
     def expire_lease(self):
         if trio.current_time() > self.lease_end:
             for task, _run in list(self.running_runs):
@@ -185,15 +191,18 @@
             raise TargetReplaced("status 421")
         self._target.expire_lease()
 
-    async def start(self, task, run, spec):
+    async def start(self, task, run, spec, grant):
         await self._begin_call()
         target = self._target
+        expiry_ms = grant()
         await trio.sleep(target.start_delay_s)
         if target.starts_to_leave_unanswered:
             target.starts_to_leave_unanswered -= 1
             target.unanswered_starts.append((task, run, self._fencing_token))
             raise TargetUnresponsive("answer lost")
-        target.lease_end = trio.current_time() + 1.0
+        if expiry_ms <= target.clock_ms:
+            return StartResult.EXPIRED
+        target.take_lease(expiry_ms)
         return target.start_answer or target.start(task, run, self._fencing_token)
 
     async def stop(self, task, run):
@@ -202,15 +211,16 @@
         if (task, run) in self._target.running_runs:
             self._target.end_run(task, RunOutcome.STOPPED)
 
-    async def poll(self, wait_s, acknowledged, *, renew=True):
+    async def poll(self, wait_s, acknowledged, grant=None):
         await self._begin_call()
         target = self._target
         if self._fencing_token < target.fencing_token:
             raise TargetFenced("token is too low", target.clock_ms)
         target.fencing_token = max(target.fencing_token, self._fencing_token)
         target.polls += 1
-        if renew:
-            target.lease_end = trio.current_time() + 1.0
+        expiry_ms = grant() if grant is not None else None
+        if expiry_ms is not None:
+            target.take_lease(expiry_ms)
         if target.drops_poll_answers:
             await trio.sleep(0.15)
             raise TargetUnresponsive("answer lost")
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -167,6 +167,55 @@
         assert conn.reports[0].held == (1,)
 
 
+@pytest.mark.parametrize("silence_s", [0.0, 0.5, 30.0])
+async def test_starts_and_polls_renew_the_lease_of_the_target(
+    autojump_clock, runner, target, silence_s
+):
+    """Guards against runs that lapse because their lease is not renewed in time."""
+    await trio.sleep(silence_s)
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        for _ in range(30):
+            await trio.sleep(0.1)
+            assert 0.85 <= target.lease_end - trio.current_time() <= 1.0
+    assert target.running_runs
+
+
+@pytest.mark.parametrize(
+    ("event", "code"),
+    [
+        ("cancelled", ResultCode.CANCELLED),
+        ("lease expired", ResultCode.CANCELLED),
+        ("entry restarted", ResultCode.CANCELLED),
+        ("target lost", ResultCode.TARGET_UNREACHABLE),
+    ],
+)
+async def test_a_start_whose_permission_has_ended_is_withheld(
+    autojump_clock, runner, target, clock, event, code
+):
+    """Guards against a start that is sent although its run was given up meanwhile."""
+    conn = FakeConnection()
+    with attached(runner, conn) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        # The worker is about to send the start.
+        await trio.sleep(0.0005)
+        if event == "cancelled":
+            runner.stop_runs(session, [1])
+        elif event == "lease expired":
+            clock.suspended_s += 0.95
+        elif event == "entry restarted":
+            runner.attach(FakeConnection(incarnation=2))
+        else:
+            runner.supervisor.handle_departure(TARGET.incarnation_id)
+        await trio.sleep(0.1)
+        assert target.started == []
+        assert runner.call_workers.starts_sent == 0
+        assert runner.call_workers.starts_withheld == 1
+        assert conn.ends[1].code == code
+        assert conn.ends[1].run_state == RunState.NOT_RUN
+
+
 async def test_a_delayed_start_is_refused_by_the_target(autojump_clock, runner, target):
     """Guards against two runs of a task after a start that was not answered."""
     target.starts_to_leave_unanswered = 1
