Count the age of an order from the look at its caller

What callers could see: an entry that is suspended after it has asked whether a caller is still connected, and before it sends the order, sends it as a fresh one. A caller that left meanwhile and submitted the job elsewhere has two runs of it.

Cause: the age of a message counted from its queueing, that is, from after the decision that it states.

Change: `Connection.send` takes the time of the decision, and the coordinator passes the time before the first look at a caller. The agent then refuses an order that is older than the lease of its entry (504, not run), as one that waited in an outbox.

The new row of the test of clocks and the test of presence fail if the age counts from the sending (age 0 s of 3.2 s).

--- a/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/coordinator.py
@@ -401,8 +401,11 @@
         """Place waiting tasks on agents with free capacity and order their runs.
 
         No run is ordered for a caller that has left: it may have submitted the job to
-        another entry, which runs it now.
+        another entry, which runs it now. The age of the orders counts from before the
+        first caller is looked at, so that agents refuse them if this entry is suspended
+        between that and their sending.
         """
+        decided_at = self._clock()
         checked_jobs = set()
         for task, view, expected_run_time_s in self.assigner.assign():
             if task.job not in checked_jobs:
@@ -412,7 +415,7 @@
                 self._reject_if_stopping(task.job, task.job.critical_path_s * slowness)
             if not task.job.finished.is_set():
                 self._order_run(task, view, expected_run_time_s)
-        self._flush_orders()
+        self._flush_orders(decided_at)
 
     def _order_run(self, task, view, expected_run_time_s):
         now = trio.current_time()
@@ -433,22 +436,22 @@
         )
         self._pending_orders[view.agent_id, task.job.spec.job_id].append(order)
 
-    def _flush_orders(self):
+    def _flush_orders(self, decided_at):
         pending_orders, self._pending_orders = self._pending_orders, defaultdict(list)
         for (agent_id, job_id), orders in pending_orders.items():
             view = self.fleet.agents[agent_id]
             job = self.jobs[job_id]
             body = RunTasks(job_id, job.spec.content, tuple(orders), job.queue.name)
             total = sum((order.needs for order in orders), Resources())
-            message_id = self._send(view, body)
+            message_id = self._send(view, body, decided_at)
             if message_id:
                 run_ids = {order.run_id for order in orders}
                 view.record_order(message_id, total, run_ids)
 
-    def _send(self, view, body):
+    def _send(self, view, body, decided_at=None):
         if view is None or view.conn is None or not view.conn.is_open:
             return 0
-        return view.conn.send(body)
+        return view.conn.send(body, decided_at=decided_at)
 
     # Agents.
 
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -169,7 +169,7 @@
         self._clock = clock
         self._peer_clock = PeerClock()
         self._outbox = []
-        self._oldest_queued_at = 0.0
+        self._oldest_decided_at = 0.0
         self._write_requested = trio.Event()
         self._is_writing = False
         self._write_expires_at = 0.0
@@ -181,11 +181,17 @@
     def __repr__(self):
         return f"<Connection to {self.peer.kind} {self.peer.process_id}>"
 
-    def send(self, body, reply_to=0):
+    def send(self, body, reply_to=0, decided_at=None):
         """Queue a message and return its id.
 
         A connection with more than `MAX_OUTBOX_MESSAGES` queued messages is closed.
 
+        Parameters
+        ----------
+        decided_at : float or None
+            Time on the clock from which the age of the message counts, if what it says
+            was decided earlier; None for now.
+
         Raises
         ------
         NotSent
@@ -194,8 +200,10 @@
         if not self.is_open:
             raise NotSent(f"{self!r} is already closed")
         message = Message(next(self._message_ids), reply_to, body)
-        if not self._outbox:
-            self._oldest_queued_at = self._clock()
+        decided_at = self._clock() if decided_at is None else decided_at
+        if self._outbox:
+            decided_at = min(decided_at, self._oldest_decided_at)
+        self._oldest_decided_at = decided_at
         self._outbox.append(message)
         if len(self._outbox) > MAX_OUTBOX_MESSAGES:
             log.warning("send queue full peer=%s", self.peer.process_id)
@@ -403,10 +411,10 @@
         while self._outbox:
             limit = codec.MAX_MESSAGES_PER_BATCH
             batch, self._outbox = self._outbox[:limit], self._outbox[limit:]
-            # The process may have been suspended since the first message was queued.
-            queued_at = self._oldest_queued_at
+            # The process may have been suspended since the first message was decided.
+            decided_at = self._oldest_decided_at
             timing = Timing(
-                int(self._clock() * 1000), self._peer_clock.bound_ms(queued_at)
+                int(self._clock() * 1000), self._peer_clock.bound_ms(decided_at)
             )
             payload = codec.encode_batch(batch, timing)
             self._is_writing = True
--- a/tests/dispatch/conftest.py
+++ b/tests/dispatch/conftest.py
@@ -48,13 +48,20 @@
 
 
 class FakeAgent:
-    """Connection to an agent that records messages and ends runs on request."""
+    """Connection to an agent that records messages and ends runs on request.
+
+    Attributes
+    ----------
+    decided_at : float or None
+        Time from which the age of the last order counts.
+    """
 
     def __init__(self, coordinator, agent_id, incarnation=1, data_centre="perth"):
         self.peer = Identity("test", "agent", agent_id, incarnation, data_centre)
         self.is_open = self.is_active = True
         self.last_received_at = trio.current_time()
         self.sent = []
+        self.decided_at = None
         self._ids = itertools.count(1)
         self._coordinator = coordinator
         self._last_message_id = self.loss_count = 0
@@ -62,10 +69,11 @@
         self.labels = ("a", "r1")
         coordinator.opened(self)
 
-    def send(self, body):
+    def send(self, body, decided_at=None):
         self.sent.append(body)
         message_id = next(self._ids)
         if isinstance(body, RunTasks):
+            self.decided_at = decided_at
             self._last_message_id = message_id
         return message_id
 
@@ -186,13 +194,18 @@
     ----------
     departed_callers : set
         Callers that have closed their connections.
+    after_look : callable
+        Called after the state of the connections was read.
     """
 
     def __init__(self):
         self.departed_callers = set()
+        self.after_look = lambda: None
 
     def departed(self, callers):
-        return self.departed_callers & set(callers)
+        departed = self.departed_callers & set(callers)
+        self.after_look()
+        return departed
 
 
 @pytest.fixture(autouse=True)
--- a/tests/dispatch/test_coordinator.py
+++ b/tests/dispatch/test_coordinator.py
@@ -458,9 +458,9 @@
     """Guards against jobs that end in an error once their runs are ordered."""
     send = agent.send
 
-    def send_slowly(body):
+    def send_slowly(body, **options):
         autojump_clock.jump(0.2)
-        return send(body)
+        return send(body, **options)
 
     monkeypatch.setattr(agent, "send", send_slowly)
     outcome = await coordinator.submit(make_job(1), QUEUE, 0.1)
--- a/tests/dispatch/test_presence.py
+++ b/tests/dispatch/test_presence.py
@@ -8,6 +8,7 @@
 
 from hornbeamshore.dispatch.presence import SocketPresence
 from hornbeamshore.wire.messages import Resources
+from tests.clocks import SuspendableClock
 
 from .conftest import CAPACITY, FakeAgent, Submission, make_job
 
@@ -53,6 +54,33 @@
     assert len(agent.orders) == 1
 
 
+@pytest.mark.parametrize("job_count", [1, 2])
+async def test_the_age_of_an_order_counts_from_the_look_at_its_caller(
+    autojump_clock, nursery, coordinator, presence, agent, job_count
+):
+    """Guards against an order that an entry sends after a suspension as a fresh one.
+
+    The caller may have left during the suspension and submitted the job elsewhere, so
+    the agent has to see that the order is old.
+    """
+    clock = SuspendableClock()
+    coordinator._clock = clock
+    agent.report(free=Resources())
+    for number in range(job_count):
+        job = make_job(1, f"j{number}")
+        Submission(nursery, coordinator, job, caller=f"caller {number}")
+    await trio.sleep(0.05)
+
+    def suspend():
+        presence.after_look = lambda: None
+        clock.suspended_s += 3.2
+
+    presence.after_look = suspend
+    agent.report(free=CAPACITY)
+    assert len(agent.orders) == job_count
+    assert clock() - agent.decided_at >= 3.2
+
+
 async def test_the_runs_of_a_caller_that_has_left_are_stopped(
     autojump_clock, nursery, coordinator, presence, agent
 ):
--- a/tests/wire/test_clocks.py
+++ b/tests/wire/test_clocks.py
@@ -70,13 +70,14 @@
 
 
 @pytest.mark.parametrize("held_s", [0.0, 0.5, 3.0])
-@pytest.mark.parametrize("place", ["socket", "outbox"])
+@pytest.mark.parametrize("place", ["socket", "outbox", "decision"])
 async def test_the_age_of_a_message_includes_the_time_for_which_it_was_held_up(
     autojump_clock, nursery, held_s, place
 ):
     """Guards against a message from before a suspension that counts as fresh.
 
-    It may wait in the socket of the receiver or in the outbox of the sender.
+    It may wait in the socket of the receiver or in the outbox of the sender, or be
+    queued some time after what it says was decided.
     """
     entry_stream, agent_stream = trio.testing.memory_stream_pair()
     held_stream = HeldStream(agent_stream)
@@ -99,9 +100,13 @@
         entry.send(StatusQuery("status"))
         await trio.sleep(held_s)
         held_stream.released.set()
-    else:
+    elif place == "outbox":
         entry.send(StatusQuery("status"))
         suspended_s = held_s
+    else:
+        decided_at = entry_clock()
+        suspended_s = held_s
+        entry.send(StatusQuery("status"), decided_at=decided_at)
     await trio.sleep(0.05)
     (age_s,) = handler.ages_s
     assert held_s <= age_s <= held_s + 0.15
