Count the lease of an entry from the beginning of the handshake

What callers could see: an agent that is suspended while the last message of a handshake is in its socket counts the connection as opened when it resumes, and gives the runs of that entry up to 0.9 s more than the entry allows for.

Change: `open_connection` notes the time before the handshake; the messages of the peer count as sent at that time or later, until its batches say more.

--- a/packages/runner/src/hornbeamshore/runner/runner.py
+++ b/packages/runner/src/hornbeamshore/runner/runner.py
@@ -103,9 +103,9 @@
         if session is None or session.incarnation != peer.incarnation:
             if session is not None:
                 self._stop_entry_runs(session, "entry restarted")
-            session = Session(peer.process_id, peer.incarnation, self.clock())
+            session = Session(peer.process_id, peer.incarnation, conn.sent_at)
             self.sessions[peer.process_id] = session
-        self.renew_lease(session, self.clock())
+        self.renew_lease(session, conn.sent_at)
         session.attach(conn)
         log.info(
             "entry attached id=%s runs=%d ends=%d",
--- a/packages/wire/src/hornbeamshore/wire/connection.py
+++ b/packages/wire/src/hornbeamshore/wire/connection.py
@@ -134,6 +134,9 @@
     clock : callable
         Returns the time in seconds by which the age of messages is measured; it
         includes the time for which the host is suspended.
+    begun_at : float or None
+        Time on the clock at which the handshake began, before which the peer cannot
+        have sent anything on the connection; None for now.
 
     Attributes
     ----------
@@ -153,10 +156,12 @@
         closed by this process, for example after a timeout.
     """
 
-    def __init__(self, stream, peer, cfg, reader=None, clock=boot_time_s):
+    def __init__(
+        self, stream, peer, cfg, reader=None, clock=boot_time_s, begun_at=None
+    ):
         self.peer = peer
         self.cfg = cfg
-        self.sent_at = clock()
+        self.sent_at = clock() if begun_at is None else begun_at
         self.is_open = self.is_active = True
         self.closed_by_peer = False
         self.last_received_at = self._active_since = trio.current_time()
--- a/packages/wire/src/hornbeamshore/wire/establish.py
+++ b/packages/wire/src/hornbeamshore/wire/establish.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from hornbeamshore.base.clock import boot_time_s
 from hornbeamshore.base.decoding import split_address
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.wire import codec, framing, handshake
@@ -48,6 +49,7 @@
     HandshakeError
         If either process rejects the other.
     """
+    begun_at = boot_time_s()
     async with contextlib.AsyncExitStack() as stack:
         try:
             host, port = split_address(address)
@@ -62,7 +64,7 @@
             raise error_type(f"{address}: {exc}") from exc
         except (trio.TooSlowError, trio.BrokenResourceError, ValueError) as exc:
             raise ConnectionLost(f"{address}: {exc}") from exc
-        yield Connection(stream, peer, cfg, reader)
+        yield Connection(stream, peer, cfg, reader, begun_at=begun_at)
 
 
 def _is_refused(exc):
@@ -103,6 +105,7 @@
 
 
 async def _accept_connection(stream, identity, secret, cfg):
+    begun_at = boot_time_s()
     reader = _handshake_reader(stream)
     send, receive = _handshake_channel(stream, reader)
     try:
@@ -115,7 +118,7 @@
     ) as exc:
         log.warning("handshake failed: %s", exc or type(exc).__name__)
         return None
-    return Connection(stream, peer, cfg, reader)
+    return Connection(stream, peer, cfg, reader, begun_at=begun_at)
 
 
 def _handshake_reader(stream):
--- a/tests/platform/test_restarted_target.py
+++ b/tests/platform/test_restarted_target.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from hornbeamshore.base.clock import boot_time_s
 from hornbeamshore.base.settings import Duration
 from hornbeamshore.platform.target import HttpTargetDriver
 from hornbeamshore.runner.metrics import RunnerMetrics
@@ -34,6 +35,7 @@
 
     def __init__(self):
         self.peer = Identity("test", "entry", "entry-1", 1, "perth")
+        self.sent_at = boot_time_s()
         self.closed_by_peer = False
         self.reports = []
 
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -245,6 +245,8 @@
 
     Attributes
     ----------
+    sent_at : float
+        Time at which the handshake began.
     is_receiving : bool
         Whether heartbeats of the entry arrive.
     on_write : callable or None
@@ -253,6 +255,7 @@
 
     def __init__(self, entry_id="entry-1", incarnation=1):
         self.peer = Identity("test", "entry", entry_id, incarnation, "glasgow")
+        self.sent_at = trio.current_time()
         self.reports = []
         self.closed_by_peer = False
         self.is_receiving = self.is_active = True
--- a/tests/runner/test_runner.py
+++ b/tests/runner/test_runner.py
@@ -167,6 +167,28 @@
         assert conn.reports[0].held == (1,)
 
 
+@pytest.mark.parametrize(("began_s", "is_running"), [(0.0, False), (0.8, True)])
+async def test_the_lease_of_an_entry_that_reconnects_counts_from_the_handshake(
+    autojump_clock, runner, target, began_s, is_running
+):
+    """Guards against a lease renewed by a handshake that was read late.
+
+    The agent may be suspended, while the last message of the handshake is in its
+    socket.
+    """
+    with attached(runner, FakeConnection()) as session:
+        runner.order_runs(session, 1, order_tasks(1), runner.clock())
+        ordered_at = trio.current_time()
+        await trio.sleep(0.1)
+    conn = FakeConnection()
+    conn.is_receiving = False
+    conn.sent_at = ordered_at + began_s
+    await trio.sleep(0.75)
+    with attached(runner, conn):
+        await trio.sleep(0.4)
+        assert bool(target.running_runs) is is_running
+
+
 @pytest.mark.parametrize("silence_s", [0.0, 0.5, 30.0])
 async def test_starts_and_polls_renew_the_lease_of_the_target(
     autojump_clock, runner, target, silence_s
--- a/tests/wire/test_connection.py
+++ b/tests/wire/test_connection.py
@@ -85,6 +85,26 @@
     assert handler.connections == []
 
 
+async def test_messages_are_no_older_than_the_handshake(monkeypatch):
+    """Guards against a handshake that was read late and counts as just sent."""
+    initiate = establish.handshake.initiate
+
+    async def initiate_late(*args):
+        peer = await initiate(*args)
+        # The process is suspended before the handshake has returned.
+        now_s[0] += 3.2
+        return peer
+
+    now_s = [100.0]
+    monkeypatch.setattr(establish, "boot_time_s", lambda: now_s[0])
+    monkeypatch.setattr(establish.handshake, "initiate", initiate_late)
+    async with (
+        serving(StatusHandler()) as address,
+        establish.open_connection(address, AGENT, SECRET, CFG) as conn,
+    ):
+        assert conn.sent_at == 100.0
+
+
 @pytest.mark.parametrize(
     "data",
     [b"GET / HTTP/1.1\r\n\r\n", b"\xff\xff\xff\xff", framing.encode_frame(b"x" * 64)],
