Let a target's lease end in time if its clock runs slow

What callers could see: a target whose clock is 2% slow and that was idle for a minute starts a run up to 1.2 s after the agent's permission has ended, if the agent is suspended between the check and the call.

Cause: the expiry is computed from the last reading of the target's clock, on the assumption that it has run exactly since. An idle agent makes no calls, so the reading may be old, and the expiry then lies in the future of a slow clock.

Change: the lowest reading that the allowed error leaves possible is used for leases. After 50 s without an answer such an expiry has passed for an exact clock; the target then refuses the start as late, its answer has a new reading, and the start is sent once more, with all checks. The same holds for a reading that lay unread during a suspension, which makes the estimate too low as well.

Two new rows of the test of suspended agents fail without the change (runs until 2.17 and 2.25 s of 2.12 s); the test of idle times fails without the second try (300 s, exact clock: no start).

--- a/packages/runner/src/hornbeamshore/runner/call_workers.py
+++ b/packages/runner/src/hornbeamshore/runner/call_workers.py
@@ -164,6 +164,12 @@
             self._runner.renumber(run)
             self.enqueue_start(run)
             return
+        if answer is StartResult.EXPIRED and not run.was_late:
+            # The clock of the target was underestimated; its answer has corrected that.
+            run.was_late = True
+            run.started_at = 0.0
+            self.enqueue_start(run)
+            return
         if answer is StartResult.UNHEALTHY:
             self._runner.record_target_failure(run)
         code = _REFUSAL_CODES[answer]
--- a/packages/runner/src/hornbeamshore/runner/runs.py
+++ b/packages/runner/src/hornbeamshore/runner/runs.py
@@ -36,6 +36,8 @@
         Time on the runner's clock at or after which the entry has sent the order.
     started_at : float
         Time at which the start was sent; 0 if the target cannot have executed one.
+    was_late : bool
+        Whether the target has refused a start that arrived after its expiry.
     attempt : int
         Number of runs of the task that its entry has ordered, including this one.
     isolated : bool
@@ -64,6 +66,7 @@
         "stop_answered",
         "ordered_at",
         "started_at",
+        "was_late",
         "attempt",
         "isolated",
         "progress",
@@ -88,6 +91,7 @@
         self.stop_answered = False
         self.ordered_at = ordered_at
         self.started_at = 0.0
+        self.was_late = False
         self.progress = None
         self.is_listed = self.is_confirmed = False
 
--- a/packages/runner/src/hornbeamshore/runner/supervisor.py
+++ b/packages/runner/src/hornbeamshore/runner/supervisor.py
@@ -183,14 +183,16 @@
         The lease holds for all runs at the target, so it is extended only if none of
         them has to stop; otherwise the last expiry is returned. That is checked after
         the new expiry was computed, so that a suspension of the agent between the two
-        cannot make the expiry later than the check allows.
+        cannot make the expiry later than the check allows, nor can a clock that runs
+        slow.
 
         Returns
         -------
         int
             Reading of the target's clock in ms.
         """
-        expiry_ms = round(self._driver.clock_ms + self.cfg.lease.target_lease * 1000)
+        lease_ms = self.cfg.lease.target_lease * 1000
+        expiry_ms = round(self._driver.earliest_clock_ms + lease_ms)
         if self._owner.may_extend_lease():
             self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
         return self._lease_expiry_ms
--- a/packages/runner/src/hornbeamshore/runner/target.py
+++ b/packages/runner/src/hornbeamshore/runner/target.py
@@ -261,6 +261,14 @@
     def clock_ms(self):
         """Return the estimated reading, in ms, of the clock in use."""
 
+    @property
+    @abc.abstractmethod
+    def earliest_clock_ms(self):
+        """Return the lowest possible reading, in ms, of the clock in use.
+
+        It differs from the estimate by as much as the clock may run slow.
+        """
+
     @abc.abstractmethod
     def open_channel(self, incarnation, fencing_token):
         """Return a `TargetChannel` whose calls carry the fencing token `fencing_token`.
--- a/tests/fleet/conftest.py
+++ b/tests/fleet/conftest.py
@@ -165,6 +165,10 @@
     def clock_ms(self):
         return trio.current_time() * 1000
 
+    @property
+    def earliest_clock_ms(self):
+        return self.clock_ms
+
     def open_channel(self, incarnation, fencing_token):
         return SimulatedChannel(self, incarnation.started_ms)
 
--- a/tests/platform/test_suspended_agent.py
+++ b/tests/platform/test_suspended_agent.py
@@ -47,6 +47,8 @@
     ----------
     clock : SuspendableClock
         Clock of the test; the target is not suspended.
+    rate : float
+        Rate of the target's own clock.
 
     Attributes
     ----------
@@ -59,16 +61,17 @@
         Whether starts with the run number 1 are refused as stale.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, rate=1.0):
         self.runs = {}
         self.after_call = lambda: None
         self.refuses_first_number = False
         self._clock = clock
+        self._rate = rate
         self._lease_end = 0.0
 
     @property
     def clock_ms(self):
-        return TARGET.clock_ms + int(self._clock() * 1000)
+        return TARGET.clock_ms + int(self._clock() * self._rate * 1000)
 
     async def accept(self, host, port):
         await trio.lowlevel.checkpoint()
@@ -88,7 +91,7 @@
 
     def _take_lease(self, body):
         granted_s = (body.get("expiresAtMs", 0) - self.clock_ms) / 1000
-        lease_end = self._clock() + min(granted_s, MAX_HOLD_S)
+        lease_end = self._clock() + min(granted_s, MAX_HOLD_S) / self._rate
         self._lease_end = max(self._lease_end, lease_end)
 
     def _run_start(self, body):
@@ -202,6 +205,10 @@
         as the steps begin.
     is_number_stale : bool
         Whether the target refuses the first number of the run.
+    idle_s : float
+        Time without a call before the entry falls silent.
+    clock_rate : float
+        Rate of the clock of the target.
     """
 
     silence_s: float
@@ -209,12 +216,14 @@
     other_entry: bool = False
     has_run: bool = False
     is_number_stale: bool = False
+    idle_s: float = 0.0
+    clock_rate: float = 1.0
 
 
 async def play(monkeypatch, scenario, step):
     """Return whether a step was reached, the times of the runs, and their results."""
     clock = SuspendableClock()
-    target = SimulatedTarget(clock)
+    target = SimulatedTarget(clock, scenario.clock_rate)
     target.refuses_first_number = scenario.is_number_stale
     monkeypatch.setattr(platform_target, "boot_time_s", clock)
     monkeypatch.setattr(trio, "open_tcp_stream", target.accept)
@@ -230,7 +239,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(runner.run)
         runner.supervisor.handle_announcement(TARGET)
-        await trio.sleep(0.2)
+        await trio.sleep(0.2 + scenario.idle_s)
         conn, other_conn = FakeConnection("entry-1"), FakeConnection("entry-2")
         with attached(runner, conn) as silent, attached(runner, other_conn) as other:
             silent_from = clock()
@@ -267,6 +276,8 @@
         Scenario(0.8, 0.8, has_run=True),
         Scenario(0.8, 0.5, has_run=True),
         Scenario(0.8, 0.3, has_run=True, other_entry=True),
+        Scenario(0.0, 1.5, idle_s=60.0, clock_rate=0.98),
+        Scenario(0.85, 0.3, idle_s=30.0, clock_rate=0.98),
     ],
     ids=str,
 )
@@ -289,3 +300,17 @@
         if not is_reached:
             break
     assert MIN_STEPS < step < MAX_STEPS
+
+
+@pytest.mark.parametrize("clock_rate", [1.0, 0.98])
+@pytest.mark.parametrize("idle_s", [1.0, 30.0, 300.0])
+async def test_a_run_is_started_after_an_idle_time(
+    autojump_clock, monkeypatch, clock_rate, idle_s
+):
+    """Guards against starts refused as late because a clock may run slow.
+
+    The agent reads the clock of its target from answers, and gets none while idle.
+    """
+    scenario = Scenario(0.0, 0.0, idle_s=idle_s, clock_rate=clock_rate)
+    _, active, _ = await play(monkeypatch, scenario, MAX_STEPS)
+    assert len(active) == 1
--- a/tests/runner/conftest.py
+++ b/tests/runner/conftest.py
@@ -108,6 +108,10 @@
     def clock_ms(self):
         return TARGET.clock_ms + (trio.current_time() - self.restarted_at) * 1000
 
+    @property
+    def earliest_clock_ms(self):
+        return self.clock_ms
+
     def open_channel(self, incarnation, fencing_token):
         return FakeChannel(self, incarnation, fencing_token)
 
