Let agents pause in the model of direct dispatch

An order is now queued at its agent until its start is sent, and an agent may pause like an entry. Contact no longer renews a lease that has expired while runs have to stop, as in the code.

--- a/spec/dispatching.py
+++ b/spec/dispatching.py
@@ -21,13 +21,16 @@
     LearnRunAbsent,
     LoseCaller,
     LoseTarget,
+    PauseAgent,
     PauseEntry,
     Place,
     ReadDisconnect,
     Resend,
     RestartAgent,
+    ResumeAgent,
     ResumeEntry,
     Run,
+    Send,
     State,
     Stop,
     Tick,
@@ -77,10 +80,13 @@
     orders_expire : bool
         An agent refuses a start that it reads later than the duration of the entry
         lease after it was sent, whether or not its connection is still open.
+    calls_check_leases : bool
+        An agent sends a start, which extends the lease of all runs at its target, only
+        while none of them has to stop and the entry of the run holds its lease.
     agents_outlive_callers : bool
-        An assumption: no agent or target is lost between the loss of an entry, or of
-        its caller, and the resubmission. Without it, the two leases expire one after
-        the other, which takes longer than a caller waits.
+        An assumption: no agent or target is lost or paused between the loss of an
+        entry, or of its caller, and the resubmission. Without it, the two leases expire
+        one after the other, which takes longer than a caller waits.
     """
 
     entry_lease: bool = True
@@ -94,6 +100,7 @@
     list_after_adoption: bool = True
     read_before_placing: bool = True
     orders_expire: bool = True
+    calls_check_leases: bool = True
     agents_outlive_callers: bool = True
 
 
@@ -126,7 +133,9 @@
         for number, run in enumerate(state.runs):
             enabled += self._run_steps(state, number, run)
         for number, agent in enumerate(state.agents):
-            if not agent.adopted and agent.reaches_target:
+            if agent.paused:
+                enabled.append(ResumeAgent(number))
+            elif not agent.adopted and agent.reaches_target:
                 enabled.append(Adopt(number))
         if state.faults < self.max_faults:
             enabled += self._fault_steps(state)
@@ -164,19 +173,28 @@
 
     def _run_steps(self, state, number, run):
         agent = state.agents[run.agent]
-        is_linked = self._is_linked(state, run.entry, agent)
-        if run.in_flight and agent.adopted:
-            yield Deliver(number)
         if run.pending:
             yield Execute(number)
         if run.active:
             yield Finish(number)
-        if self._must_stop(state, run) and agent.reaches_target:
-            yield Stop(number)
+        if not agent.paused:
+            yield from self._agent_steps(state, number, run, agent)
+        is_linked = self._is_linked(state, run.entry, agent)
         if run.tracked and not is_linked and not self._is_halted(state, run.entry):
             min_silence_ticks = AGENT_LOSS_TICKS if self.rules.entry_waits else 1
             if agent.silence_ticks + agent.idle_ticks >= min_silence_ticks:
                 yield AbandonRun(number)
+
+    def _agent_steps(self, state, number, run, agent):
+        is_linked = self._is_linked(state, run.entry, agent)
+        has_overdue_stop = self._has_overdue_stop(state, agent)
+        if run.in_flight and agent.adopted and not has_overdue_stop:
+            yield Deliver(number)
+        may_send = not (has_overdue_stop and self.rules.calls_check_leases)
+        if run.queued and agent.reaches_target and may_send:
+            yield Send(number)
+        if self._must_stop(state, run) and agent.reaches_target:
+            yield Stop(number)
         if (
             run.known_to_agent
             and run.tracked
@@ -206,6 +224,8 @@
                 continue
             if agent.adopted:
                 yield RestartAgent(number)
+            if not agent.paused:
+                yield PauseAgent(number)
             if agent.reaches_target:
                 yield LoseTarget(number)
         if not state.paused and not state.crashed:
@@ -220,15 +240,19 @@
     def _is_linked(self, state, entry, agent):
         """Return whether an entry and an agent can exchange messages."""
         return entry == 1 or not (
-            agent.is_disconnected or state.paused or state.crashed
+            agent.is_disconnected or agent.paused or state.paused or state.crashed
         )
 
+    def _is_lease_expired(self, run, agent):
+        """Return whether the lease of the entry of a run has expired at its agent."""
+        return run.entry == 0 and agent.silence_ticks >= ENTRY_LEASE_TICKS
+
     def _must_stop(self, state, run):
         """Return whether an agent has to stop a run."""
-        if not run.known_to_agent or not (run.pending or run.active):
+        if not run.known_to_agent or not (run.queued or run.pending or run.active):
             return False
         agent = state.agents[run.agent]
-        lease_expired = run.entry == 0 and agent.silence_ticks >= ENTRY_LEASE_TICKS
+        lease_expired = self._is_lease_expired(run, agent)
         untracked = not run.tracked and self._is_linked(state, run.entry, agent)
         return untracked or (lease_expired and self.rules.entry_lease)
 
@@ -239,8 +263,14 @@
         """
         if self._has_unread_disconnect(state):
             return True
+        return any(self._has_overdue_stop(state, agent) for agent in state.agents)
+
+    def _has_overdue_stop(self, state, agent):
+        """Return whether an agent can stop a run that has to stop."""
+        if agent.paused or not agent.reaches_target:
+            return False
         return any(
-            self._must_stop(state, run) and state.agents[run.agent].reaches_target
+            state.agents[run.agent] is agent and self._must_stop(state, run)
             for run in state.runs
         )
 
@@ -264,12 +294,21 @@
         return replace(state, runs=(*state.runs, Run(step.entry, step.agent)))
 
     def _do_deliver(self, state, step):
-        agent = state.agents[state.runs[step.run].agent]
-        will_execute = agent.reaches_target and state.runs[step.run].tracked
+        run = state.runs[step.run]
+        agent = state.agents[run.agent]
+        will_start = agent.reaches_target and run.tracked
+        if self._is_lease_expired(run, agent):
+            # An order that is read is news of its entry; an older one has expired.
+            state = self._with_agent(state, run.agent, silence_ticks=0)
         return self._with_run(
-            state, step.run, in_flight=False, known_to_agent=True, pending=will_execute
+            state, step.run, in_flight=False, known_to_agent=True, queued=will_start
         )
 
+    def _do_send(self, state, step):
+        agent = state.runs[step.run].agent
+        state = self._with_agent(state, agent, target_silence_ticks=0)
+        return self._with_run(state, step.run, queued=False, pending=True)
+
     def _do_execute(self, state, step):
         return self._with_run(state, step.run, pending=False, active=True)
 
@@ -283,7 +322,12 @@
     def _do_stop(self, state, step):
         pending = state.runs[step.run].pending and not self.rules.stop_refuses
         return self._with_run(
-            state, step.run, active=False, pending=pending, known_to_agent=False
+            state,
+            step.run,
+            active=False,
+            queued=False,
+            pending=pending,
+            known_to_agent=False,
         )
 
     def _do_stop_tracking(self, state, step):
@@ -302,9 +346,14 @@
         return self._with_agent(state, step.agent, adopted=True, target_silence_ticks=0)
 
     def _count_fault(self, state):
-        """Count a fault and reset the silence timer of agents connected to entry 0."""
+        """Count a fault and reset the silence timer of agents connected to entry 0.
+
+        Contact does not renew a lease that has expired: runs that have to stop do so.
+        """
+        stopping = {run.agent for run in state.runs if self._must_stop(state, run)}
         for number, agent in enumerate(state.agents):
-            if agent.adopted and self._is_linked(state, 0, agent):
+            is_linked = agent.adopted and self._is_linked(state, 0, agent)
+            if is_linked and number not in stopping:
                 state = self._with_agent(state, number, silence_ticks=0)
         return replace(state, faults=state.faults + 1)
 
@@ -318,9 +367,15 @@
         for number, run in enumerate(state.runs):
             if run.agent == step.agent:
                 state = self._with_run(
-                    state, number, known_to_agent=False, in_flight=False
+                    state, number, known_to_agent=False, queued=False, in_flight=False
                 )
-        return self._with_agent(state, step.agent, adopted=False)
+        return self._with_agent(state, step.agent, adopted=False, paused=False)
+
+    def _do_pause_agent(self, state, step):
+        return self._with_agent(self._count_fault(state), step.agent, paused=True)
+
+    def _do_resume_agent(self, state, step):
+        return self._with_agent(state, step.agent, paused=False)
 
     def _do_lose_target(self, state, step):
         return self._with_agent(
@@ -370,7 +425,7 @@
         idle_ticks = agent.idle_ticks
         if not (has_run or self.rules.loss_counts_from_order):
             idle_ticks = min(idle_ticks + 1, AGENT_LOSS_TICKS)
-        renews_lease = agent.reaches_target and agent.adopted
+        renews_lease = agent.reaches_target and agent.adopted and not agent.paused
         target_silence_ticks = (
             0 if renews_lease else min(agent.target_silence_ticks + 1, MAX_TIMER_TICKS)
         )
@@ -401,6 +456,7 @@
     _effects = {
         Place: _do_place,
         Deliver: _do_deliver,
+        Send: _do_send,
         Execute: _do_execute,
         Finish: _do_finish,
         Stop: _do_stop,
@@ -410,6 +466,8 @@
         Adopt: _do_adopt,
         Cut: _do_cut,
         RestartAgent: _do_restart_agent,
+        PauseAgent: _do_pause_agent,
+        ResumeAgent: _do_resume_agent,
         LoseTarget: _do_lose_target,
         PauseEntry: _do_pause_entry,
         ResumeEntry: _do_resume_entry,
@@ -420,8 +478,8 @@
     }
 
 
-def _broken(rule, *, added_later=False):
-    spec = Dispatching(f"without {rule}", rules=Rules(**{rule: False}))
+def _broken(rule, *, faults=2, added_later=False):
+    spec = Dispatching(f"without {rule}", faults=faults, rules=Rules(**{rule: False}))
     return Variant(spec, NO_CONCURRENT_RUNS, added_later)
 
 
@@ -430,7 +488,7 @@
     _broken("entry_lease"),
     _broken("target_lease"),
     _broken("entry_waits"),
-    _broken("loss_counts_from_order"),
+    _broken("loss_counts_from_order", faults=1),
     _broken("agent_waits"),
     _broken("stop_refuses"),
     _broken("clear_on_adoption"),
@@ -438,5 +496,6 @@
     _broken("list_after_adoption", added_later=True),
     _broken("read_before_placing", added_later=True),
     _broken("orders_expire", added_later=True),
+    _broken("calls_check_leases", added_later=True),
     _broken("agents_outlive_callers", added_later=True),
 )
--- a/spec/dispatching_state.py
+++ b/spec/dispatching_state.py
@@ -15,7 +15,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Deliver:
-    """An agent receives a start and calls its target, which may execute it later."""
+    """An agent receives an order and queues its start."""
+
+    run: int
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """An agent sends a queued start to its target, which may execute it later."""
 
     run: int
 
@@ -83,6 +90,20 @@
     agent: int
 
 
+@dataclass(frozen=True, slots=True)
+class PauseAgent:
+    """An agent is suspended."""
+
+    agent: int
+
+
+@dataclass(frozen=True, slots=True)
+class ResumeAgent:
+    """An agent resumes after a pause."""
+
+    agent: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoseTarget:
     """A target becomes unreachable from its agent."""
@@ -135,6 +156,8 @@
         Whether its entry considers it open.
     known_to_agent : bool
         Whether its agent has a record of it; records are lost in a restart.
+    queued : bool
+        Whether its agent has not sent the start yet.
     pending : bool
         Whether its target may still execute a start that was sent.
     active : bool
@@ -148,6 +171,7 @@
     tracked: bool = True
     in_flight: bool = True
     known_to_agent: bool = False
+    queued: bool = False
     pending: bool = False
     active: bool = False
 
@@ -168,6 +192,8 @@
     idle_ticks : int
         Ticks for which entry 0 had no run at the agent, whose messages are rarer then.
         It counts only where the rule `loss_counts_from_order` is disabled.
+    paused : bool
+        Whether the agent is suspended.
     reaches_target : bool
         Whether the agent can reach its target.
     target_silence_ticks : int
@@ -178,6 +204,7 @@
     is_disconnected: bool = False
     silence_ticks: int = 0
     idle_ticks: int = 0
+    paused: bool = False
     reaches_target: bool = True
     target_silence_ticks: int = 0
 
