--- a/tests/platform/test_suspended_agent.py
+++ b/tests/platform/test_suspended_agent.py
@@ -299,7 +299,8 @@
         assert active or ends[1].run_state == RunState.NOT_RUN, step
         if not is_reached:
             break
-    assert MIN_STEPS < step < MAX_STEPS
+    assert not is_reached
+    assert step > MIN_STEPS
 
 
 @pytest.mark.parametrize("clock_rate", [1.0, 0.98])
