--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGES := base wire store config policy serving entry agent dispatch runner cli bench
-SOURCES := packages platform tests spec
+SOURCES := packages platform deploy tests spec
 # The order of sets of strings decides the plays of the fleet tests.
 TEST_HASH_SEED := 0
 
