Log the build that a process runs, and export it as a metric

Nothing that an entry or agent wrote told which sources it ran, so the records and logs of a failed case could not tell a fault of the fix from a build that had left the code of before the fix in place.

The first line of each process now names the fingerprint of its sources, the interpreter and the kind of machine; hornbeamshore_build_info has the same as labels.

The tests of the line and of the metric fail without the change.

--- a/packages/dispatch/src/hornbeamshore/dispatch/metrics.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/metrics.py
@@ -3,6 +3,7 @@
 import prometheus_client
 from prometheus_client.core import GaugeMetricFamily
 
+from hornbeamshore.serving.build_info import BuildInfoCollector
 from hornbeamshore.serving.rejections import RejectionCollector
 
 # Response times range from tens of milliseconds to about ten seconds.
@@ -39,6 +40,7 @@
             ["code"],
             registry=self.registry,
         )
+        self.registry.register(BuildInfoCollector())
         self.registry.register(RejectionCollector())
 
     def register_gauges(self, coordinator, routing):
--- a/packages/runner/src/hornbeamshore/runner/metrics.py
+++ b/packages/runner/src/hornbeamshore/runner/metrics.py
@@ -3,6 +3,7 @@
 import prometheus_client
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
+from hornbeamshore.serving.build_info import BuildInfoCollector
 from hornbeamshore.serving.rejections import RejectionCollector
 
 # Tasks run for tens of milliseconds to several seconds.
@@ -39,6 +40,7 @@
             ["reason"],
             registry=self.registry,
         )
+        self.registry.register(BuildInfoCollector())
         self.registry.register(RejectionCollector())
 
     def target_lost(self, reason):
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the entry and the agent in the text exposition format."""
 
+import platform
+
 import httpcore
 import pytest
 import trio
@@ -16,6 +18,10 @@
 
 from .scripted_http import serving
 
+# A process of the tests runs from a checkout, which has no fingerprint.
+BUILD_INFO = 'hornbeamshore_build_info{{machine="{}",python="{}",source="unknown"}} 1.0'
+BUILD_INFO = BUILD_INFO.format(platform.machine(), platform.python_version())
+
 
 def entry_metrics():
     metrics = DispatchMetrics()
@@ -45,6 +51,7 @@
                 'hornbeamshore_entry_job_seconds_bucket{le="0.3",queue="check"} 1.0',
                 'hornbeamshore_entry_runs_total{code="TASK_FAILED"} 1.0',
                 "hornbeamshore_entry_agents_usable 0.0",
+                BUILD_INFO,
             ],
         ),
         (
@@ -53,6 +60,7 @@
                 'hornbeamshore_agent_runs_total{code="OK"} 1.0',
                 'hornbeamshore_agent_run_seconds_bucket{le="0.3"} 1.0',
                 "hornbeamshore_agent_accepting 0.0",
+                BUILD_INFO,
                 "hornbeamshore_agent_targets_lost_total{"
                 'reason="target lease expired"} 1.0',
             ],
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -69,9 +69,9 @@
     async with trio.open_nursery() as nursery:
         command = [sys.executable, "-m", "hornbeamshore.platform.main", role]
         environ = {**os.environ, "HORNBEAMSHORE_BOOT": str(settings)}
-        process = await nursery.start(
-            partial(trio.run_process, command, env=environ, check=False)
-        )
+        async with await trio.open_file(settings.with_suffix(".log"), "wb") as output:
+            start = partial(trio.run_process, command, env=environ, check=False)
+            process = await nursery.start(partial(start, stdout=output.wrapped))
         try:
             yield process
         finally:
@@ -190,6 +190,17 @@
     assert b"Traceback" not in result.stderr
 
 
+async def test_first_log_line_names_the_build(tmp_path):
+    """Guards against logs of a failure that do not tell which code was running."""
+    async with deployment(tmp_path):
+        pass
+    version = ".".join(map(str, sys.version_info[:3]))
+    build = f"source=unknown python={version} machine={os.uname().machine}"
+    for role in ("entry", "agent"):
+        first_line = (tmp_path / f"{role}.log").read_text().partition("\n")[0]
+        assert f"process: starting role={role} {build}" in first_line
+
+
 ODD_VALUES = [
     b"[" * 100_000 + b"]" * 100_000,
     b"\xff\x00",
