Let an agent notice that its host was suspended

What callers could see: a task that runs twice. An agent whose host was suspended reads a start that was sent before, takes its sender for the owner of the partition still, and executes the task; a new owner may have given the agent up and started the task elsewhere. Not seen with real processes: hosts are not suspended here, and the owners of partitions do not run on the platform. It is the last row of the table in docs/incidents/suspended-agent.md, which was only suspected.

Cause: the agent notices a pause by its clock, which is the steady one and stands still while the host is suspended. A process that is stopped by a signal was noticed.

Change: pauses and the lease of the owner are measured with the clock that includes suspensions, as they are in direct dispatch.

The tests of pauses pass the steady clock, which they move.

--- a/packages/agent/src/hornbeamshore/agent/daemon.py
+++ b/packages/agent/src/hornbeamshore/agent/daemon.py
@@ -13,7 +13,7 @@
 from hornbeamshore.agent.records import StartRecords
 from hornbeamshore.agent.target import HttpTarget
 from hornbeamshore.agent.uplink import Uplinks, select_entries
-from hornbeamshore.base.clock import new_incarnation, unix_ms
+from hornbeamshore.base.clock import boot_time_s, new_incarnation, unix_ms
 from hornbeamshore.base.codes import ResultCode, RunState, refuse
 from hornbeamshore.base.logs import PartLogger, configure_logs
 from hornbeamshore.base.types import Epoch, TaskResult
@@ -72,6 +72,9 @@
         Back end on which tasks are executed.
     seed : int or None
         Seed of the random jitter of reconnects.
+    clock : callable
+        Returns the time in seconds by which pauses and the lease of the owner are
+        measured; it includes the time for which the host is suspended.
 
     Attributes
     ----------
@@ -85,9 +88,10 @@
         Numbers of accepted and of refused starts since the process started.
     """
 
-    def __init__(self, cfg, secret, target, seed=None):
+    def __init__(self, cfg, secret, target, seed=None, clock=boot_time_s):
         self.cfg = cfg
         self.secret = secret
+        self.clock = clock
         self.random = random.Random(seed)
         self.identity = Identity(
             cfg.deployment,
@@ -98,7 +102,7 @@
             cfg.rack,
         )
         self.records_since = self.identity.incarnation
-        self.fencing = Fencing(cfg.service, cfg.wire.suspect_after, trio.current_time())
+        self.fencing = Fencing(cfg.service, cfg.wire.suspect_after, self.clock())
         self.records = StartRecords(cfg.retention)
         self.copies = StartRecords(cfg.retention)
         self.config = AgentConfig()
@@ -110,7 +114,7 @@
         self.leaving = self._has_sent_records = False
         self.tasks_started = self.starts_refused = 0
         self._conns = {}
-        self._last_checked_at = self._last_connected_at = trio.current_time()
+        self._last_checked_at = self._last_connected_at = self.clock()
         self._owner_changed = trio.Event()
         self._last_refusal = None
         self._handlers = {
@@ -171,7 +175,7 @@
         if self._conns.get(conn.peer.process_id) is not conn:
             return
         del self._conns[conn.peer.process_id]
-        self._last_connected_at = trio.current_time()
+        self._last_connected_at = self.clock()
         self.fencing.connection_closed(_entry_key(conn), by_peer=conn.closed_by_peer)
 
     def connection_refused(self, peer):
@@ -189,7 +193,7 @@
 
     def handle(self, conn, message):
         """Dispatch a message from an entry to its handler."""
-        now = trio.current_time()
+        now = self.clock()
         # A message that was queued while the process was paused may be outdated, and
         # may be read before the next periodic check.
         self._check_pause(now)
@@ -273,7 +277,7 @@
 
     def _report_result(self, start, result):
         ref = TaskRef(start.key, start.index, start.attempt)
-        self.records.store_result(ref, result, trio.current_time())
+        self.records.store_result(ref, result, self.clock())
         conn = self._owner_conn()
         if conn is not None:
             conn.try_send(TaskDone(self.fencing.partition, start.key, result))
@@ -314,7 +318,7 @@
                 records = tuple(blocks[0])
                 conn.send(FenceRecords(fence.partition, fence.epoch, records))
                 await conn.flush()
-            self._grant(conn, message, trio.current_time(), sent)
+            self._grant(conn, message, self.clock(), sent)
 
     def _unsent_blocks(self, sent):
         blocks = (*self.records.blocks, *self.copies.blocks)
@@ -448,10 +452,10 @@
     # Periodic checks.
 
     async def _run_periodic_checks(self):
-        expire_at = trio.current_time() + EXPIRY_INTERVAL_S
+        expire_at = self.clock() + EXPIRY_INTERVAL_S
         while True:
             await trio.sleep(self.cfg.wire.heartbeat_every)
-            now = trio.current_time()
+            now = self.clock()
             self._check_pause(now)
             self._last_checked_at = now
             if (
--- a/tests/agent/conftest.py
+++ b/tests/agent/conftest.py
@@ -143,7 +143,9 @@
                     serve_connections, listeners[0], identity, SECRET, cfg.wire, entry
                 )
                 nursery.start_soon(run_target, listeners[1])
-                env.agent = Agent(cfg, SECRET, HttpTarget(cfg), seed=1)
+                env.agent = Agent(
+                    cfg, SECRET, HttpTarget(cfg), seed=1, clock=trio.current_time
+                )
                 # Skips the wait after a start for leases based on an earlier grant.
                 env.agent.fencing = Fencing(cfg.service, cfg.wire.suspect_after)
                 env.stop_target = target_scope.cancel
--- a/tests/spec/agents_under_test.py
+++ b/tests/spec/agents_under_test.py
@@ -107,7 +107,7 @@
         """Ignore the cancellation; a real one may also arrive after the task's end."""
 
 
-def new_agent(a, deployment="x"):
+def new_agent(a, deployment="x", clock=trio.current_time):
     """Return a newly started agent that has no target and no connections."""
     placeholders = dict.fromkeys(("data_centre", "rack", "secret_file"), "x")
     cfg = AgentSettings(
@@ -118,7 +118,7 @@
         entries=("127.0.0.1:2",),
         **placeholders,
     )
-    agent = Agent(cfg, b"secret", target=None, seed=a)
+    agent = Agent(cfg, b"secret", target=None, seed=a, clock=clock)
     agent.executor = FakeExecutor()
     agent.uplinks = SimpleNamespace(reset=lambda: None, select=lambda *_, **__: None)
     return agent
