Measure the leases of partition owners with time that includes suspensions

What callers could see: two active owners of a partition. An owner whose host was suspended counts its leases as held for as long as they had left, 1.2 s at most, although the agents have granted the partition to another entry. It accepts jobs that the other one does not know. Suspected in docs/incidents/suspended-agent.md, shown now by a test, not with real processes; the owners of partitions do not run on the platform.

Cause: the sending of a renewal and the present moment were read from the steady clock, which stands still while the host is suspended.

Change: both are read from the clock that includes suspensions. EntryState has it, so a test can pass its own. Each look at the ownership reads the clock, so an owner that wakes is not active from its first step on.

--- a/packages/entry/src/hornbeamshore/entry/leases.py
+++ b/packages/entry/src/hornbeamshore/entry/leases.py
@@ -22,7 +22,8 @@
         Parameters
         ----------
         sent_at : float
-            When the owner sent the request, in seconds of trio's clock.
+            When the owner sent the request, in seconds of the clock that is passed to
+            `has_quorum` as `now`.
         """
         self._sent_at[agent_id] = sent_at
         self.incarnations[agent_id] = incarnation
--- a/packages/entry/src/hornbeamshore/entry/ownership.py
+++ b/packages/entry/src/hornbeamshore/entry/ownership.py
@@ -113,7 +113,7 @@
         return self.dispatcher.is_active and self._has_quorum()
 
     def _has_quorum(self):
-        now = trio.current_time()
+        now = self.entry.clock()
         return self._leases.has_quorum(rosters.live_ids(self.roster), now)
 
     # Called by other tasks
@@ -452,7 +452,7 @@
     async def _fence_agent(self, link):
         """Fence an agent and return whether it granted the epoch."""
         while self._highest_epoch == self.epoch:
-            sent_at = trio.current_time()
+            sent_at = self.entry.clock()
             self._fenced_agents.add(link.agent_id)
             self._early_records[link.conn] = []
             body = Fence(self.name, self.epoch.pack(), takes_ahead=True)
@@ -504,7 +504,7 @@
     async def _renew_lease(self, link):
         while link.conn.is_open:
             await trio.sleep(self.cfg.renew_every)
-            sent_at = trio.current_time()
+            sent_at = self.entry.clock()
             body = Renew(self.name, self.epoch.pack())
             reply = await link.conn.call(body, CALL_TIMEOUT_S)
             if reply.code != ResultCode.OK:
--- a/packages/entry/src/hornbeamshore/entry/state.py
+++ b/packages/entry/src/hornbeamshore/entry/state.py
@@ -3,6 +3,7 @@
 import contextlib
 from dataclasses import dataclass
 
+from hornbeamshore.base.clock import boot_time_s
 from hornbeamshore.base.codes import ResultCode, refuse
 from hornbeamshore.base.logs import PartLogger
 from hornbeamshore.base.types import Epoch, JobAnswer, Partition, partition_of
@@ -48,15 +49,19 @@
         Counters and histograms of this process.
     windows : BurnWindows
         Counts of good and bad answers, from which burn rates are computed.
+    clock : callable
+        Returns the time in seconds by which owners measure their leases; it includes
+        the time for which the host is suspended.
     """
 
-    def __init__(self, cfg, identity, replica, metrics, windows):
+    def __init__(self, cfg, identity, replica, metrics, windows, clock=boot_time_s):
         self.cfg = cfg
         self.identity = identity
         self.entry_id = identity.process_id
         self.replica = replica
         self.metrics = metrics
         self.windows = windows
+        self.clock = clock
         self.agents = AgentLinks()
         self.slices = AgentSlices(replica)
         self.peers = None
--- a/tests/spec/system_under_test.py
+++ b/tests/spec/system_under_test.py
@@ -44,6 +44,7 @@
 )
 from spec import ownership_steps as st
 from spec.ownership_state import SubmitMessage
+from tests.clocks import SuspendableClock
 from tests.spec.agents_under_test import (
     PARTITION,
     job_key,
@@ -254,7 +255,7 @@
             service_slice=lambda _: None,
         )
         self.entry = ControlledEntryState(
-            cfg, self.identity, replica, EntryMetrics(), None
+            cfg, self.identity, replica, EntryMetrics(), None, system.clock
         )
         self.entry.agents = ControlledAgentLinks()
         observers = tuple(map(ObserverConnection, range(2)))
@@ -304,11 +305,14 @@
         submissions carry no time.
     violations : list of str
         Violations of the invariants.
+    clock : SuspendableClock
+        Clock of the leases of all processes.
     """
 
     def __init__(self, limits, clock, monkeypatch, nursery, timestamped=True):
         self.limits, self.nursery, self.timestamped = limits, nursery, timestamped
         self.network = Network(clock)
+        self.clock = SuspendableClock()
         service = Service(kinds={"quote": Kind()})
         self.deployment = Deployment(
             deployment="x",
@@ -372,7 +376,7 @@
             self._connect(e, a)
 
     def _start_agent(self, a):
-        agent = new_agent(a)
+        agent = new_agent(a, clock=self.clock)
         agent.cfg = dataclasses.replace(agent.cfg, retention=Duration(RETENTION_S))
         agent.executor.submit = self._count_starts(agent.executor.submit)
         self.agents[a] = agent
@@ -412,12 +416,12 @@
         process, agent = self.entries[e], self.agents[a]
         if frozenset((entry_id(e), agent.cfg.agent_id)) in self.network.broken_links:
             return
-        agent._last_checked_at = trio.current_time()
+        agent._last_checked_at = self.clock()
         self.network.connect(process.identity, process.handler, agent.identity, agent)
 
     async def advance_time(self):
         for agent in self.agents.values():
-            agent._last_checked_at = trio.current_time() + 5
+            agent._last_checked_at = self.clock() + 5
         await self.network.advance_time()
 
     async def resubmit_and_complete(self):
@@ -455,7 +459,7 @@
     async def apply_step(self, step):
         """Apply a step, if the real classes can; return whether it was applied."""
         for agent in self.agents.values():
-            agent._last_checked_at = trio.current_time()
+            agent._last_checked_at = self.clock()
         applied = await getattr(self, f"_apply_{type(step).__name__.lower()}")(step)
         await self.network.run_until_idle()
         return applied is not False
@@ -778,7 +782,7 @@
         await self.advance_time()
         agent = self.agents[step.agent]
         self.network.paused_messages.pop(f"agent-{step.agent}")
-        agent._last_checked_at = trio.current_time() - 60
+        agent._last_checked_at = self.clock() - 60
         agent._check_pause(trio.current_time())
         await self.network.run_until_idle()
         await self._reconnect()
