Reject an announcement without the start time of the target

What callers saw: work that was done twice.

Cause: the start time was 0 if absent, and the check of an answer against the announced start time passed for 0. So the incarnation in use confirmed an announcement that was not its own, as one of another incarnation.

Change: the start time is required and above 0, as the heartbeat would name no target otherwise; an answer with another start time than the announced one is that of another incarnation, without an exception.

--- a/packages/base/src/hornbeamshore/base/decoding.py
+++ b/packages/base/src/hornbeamshore/base/decoding.py
@@ -12,6 +12,8 @@
 Amount = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
 # Larger integers lose digits in programs that read JSON numbers as floating point.
 WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Unix time of a start, in milliseconds; 0 stands for an unknown one and is invalid.
+StartTime = Annotated[int, msgspec.Meta(ge=1, le=2**53)]
 # Milliseconds of a clock.
 ClockReading = Annotated[float, msgspec.Meta(ge=0, le=2**53)]
 Name = Annotated[str, msgspec.Meta(max_length=1000)]
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -29,6 +29,9 @@
     "born": 1234,
 }
 
+# Value of a field that is left out.
+MISSING = object()
+
 
 class FakeSupervisor:
     def __init__(self):
@@ -76,19 +79,22 @@
         {"seq": -1},
         {"clockMs": 1e300},
         {"clockMs": -1},
+        {"born": MISSING},
+        {"born": None},
+        {"born": 0},
         {"born": 10**25},
         {"born": 1.5},
         {"labels": ["x" * 2000]},
         {"labels": ["x"] * 2000},
         {"service": "x" * 2000},
     ],
-    ids=str,
+    ids=lambda change: "no born" if MISSING in change.values() else str(change),
 )
 async def test_invalid_announcement_is_rejected(change):
     """Guards against an invalid announcement being used or ending the process."""
-    status, calls = await put_announcement(
-        json.dumps({**ANNOUNCEMENT, **change}).encode()
-    )
+    body = {**ANNOUNCEMENT, **change}
+    present = {name: value for name, value in body.items() if value is not MISSING}
+    status, calls = await put_announcement(json.dumps(present).encode())
     assert (status, calls) == (400, [])
 
 
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -219,6 +219,7 @@
     ("i-2", {"born": 2**52}),
     ("i-2", {"born": 2**52, "clockMs": 2**52, "address": "nowhere:0"}),
     ("i-1", {"born": 2**52}),
+    ("i-1", {"born": 0, "seq": 2, "clockMs": 2}),
 ]
 HEARTBEAT = {
     "service": "order-desk",
