Ask entries that were not known about a cancellation

What callers saw: a job that ran to its end after its cancellation was answered with 410 at another entry.

Cause: a cancellation was passed to the entries that were known at one moment, and then forgotten. The list was up to 5 s old; a read that failed was not repeated, and counted as a complete list without further entries; a read that took 1 s used up the time in which known entries would have been asked.

Change: known entries are asked at once. The cancellation waits until a read of the list that began after it has succeeded, and then those are asked that were not; a read that fails is repeated for the 10 s in which entries that do not reply are asked as well. The answer is `unknown` inside, not `no such job`, while the list is not read. Reads are 0.1 s apart and shared, so a wave of cancellations makes ten a second at each entry at most.

Evidence: the four new rows fail before.

--- a/packages/dispatch/src/hornbeamshore/dispatch/peers.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/peers.py
@@ -27,8 +27,9 @@
 REPLY_TIMEOUT_S = 1.0
 # Time after the last request for which the connection to an entry is kept.
 IDLE_TIMEOUT_S = 5.0
-# Time for which the addresses of the entries are used before they are read again.
-ADDRESSES_VALIDITY_S = 5.0
+# Pause after each read of the addresses of the entries, which bounds the calls of the
+# store in a wave of cancellations.
+READ_PAUSE_S = 0.1
 
 log = PartLogger("entry")
 
@@ -77,18 +78,52 @@
         """Ignore a message that is not a reply."""
 
 
-class _Request:
-    """Cancellation that one other entry has not replied to yet."""
+class _Cancellation:
+    """Cancellation that other entries are asked about.
+
+    Attributes
+    ----------
+    job_id : str
+        Job to cancel.
+    expires_at : float
+        Time on the clock of trio until which entries that do not reply are asked.
+    asked, replied : set of str
+        Addresses of the entries that were asked, and of those that have replied.
+    is_found : bool
+        Whether an entry has replied that it ran the job.
+    is_listed : bool
+        Whether the entries were read from the store since the cancellation came; an
+        entry that has joined shortly before may run the job.
+    """
 
     def __init__(self, job_id):
         self.job_id = job_id
         self.expires_at = trio.current_time() + RETRY_S
-        self.is_found = False
-        self.done = trio.Event()
+        self.asked, self.replied = set(), set()
+        self.is_found = self.is_listed = False
+        self._changed = trio.Event()
+
+    @property
+    def is_answered(self):
+        """Whether all registered entries have replied, or one that ran the job."""
+        return self.is_found or (self.is_listed and self.replied >= self.asked)
+
+    def add_reply(self, address, *, is_found):
+        """Record the reply of an entry."""
+        self.replied.add(address)
+        self.is_found |= is_found
+        self._changed.set()
 
-    def finish(self, *, is_found=False):
-        self.is_found = is_found
-        self.done.set()
+    def mark_listed(self):
+        """Record that all registered entries have been asked."""
+        self.is_listed = True
+        self._changed.set()
+
+    async def wait_answered(self):
+        """Wait until the cancellation is answered."""
+        while not self.is_answered:
+            self._changed = trio.Event()
+            await self._changed.wait()
 
 
 class EntryPeer:
@@ -108,15 +143,15 @@
         self._cfg = cfg
         self._address = address
         self._identity = identity
-        self._requests = []
+        self._cancellations = []
         self._requested = trio.Event()
 
-    def request(self, job_id):
-        """Queue a cancellation and return its `_Request`."""
-        request = _Request(job_id)
-        self._requests.append(request)
-        self._requested.set()
-        return request
+    def request(self, cancellation):
+        """Queue a cancellation, unless this entry was asked about it before."""
+        if self._address not in cancellation.asked:
+            cancellation.asked.add(self._address)
+            self._cancellations.append(cancellation)
+            self._requested.set()
 
     async def run(self):
         """Deliver cancellations until cancelled; connects while there are some."""
@@ -134,41 +169,45 @@
                     nursery.cancel_scope.cancel()
             except ConnectionRefused:
                 # The process that ran the jobs has ended.
-                self._drop_requests(trio.current_time() + RETRY_S)
+                for cancellation in self._cancellations:
+                    cancellation.add_reply(self._address, is_found=False)
+                self._cancellations = []
             except (ConnectionLost, HandshakeError) as exc:
                 log.info("entry not asked address=%s: %s", self._address, exc)
-            self._drop_requests(trio.current_time())
+            self._drop_expired()
             await trio.sleep(self._cfg.wire.redial_after)
 
     async def _wait_requested(self):
-        while not self._requests:
+        while not self._cancellations:
             self._requested = trio.Event()
             await self._requested.wait()
 
     async def _deliver(self, conn):
-        """Send the requests until there are none for a while or the connection ends."""
+        """Send cancellations until there are none for a while or the connection ends.
+
+        A cancellation is removed once it is replied to.
+        """
         while True:
             with trio.move_on_after(IDLE_TIMEOUT_S) as scope:
                 await self._wait_requested()
             if scope.cancelled_caught:
                 return
-            requests = list(self._requests)
-            body = CancelJobs(tuple(request.job_id for request in requests))
+            sent = list(self._cancellations)
+            body = CancelJobs(tuple(item.job_id for item in sent))
             try:
                 reply = await conn.call(body, REPLY_TIMEOUT_S)
             except (ConnectionLost, CallTimeout) as exc:
                 log.info("cancellations not delivered to=%s: %s", self._address, exc)
                 return
-            for request in requests:
-                request.finish(is_found=request.job_id in reply.found)
-            self._requests = [item for item in self._requests if item not in requests]
+            for item in sent:
+                item.add_reply(self._address, is_found=item.job_id in reply.found)
+            del self._cancellations[: len(sent)]
 
-    def _drop_requests(self, now):
-        """Finish the requests that have expired at time `now`."""
-        for request in self._requests:
-            if now >= request.expires_at:
-                request.finish()
-        self._requests = [item for item in self._requests if not item.done.is_set()]
+    def _drop_expired(self):
+        now = trio.current_time()
+        self._cancellations = [
+            item for item in self._cancellations if item.expires_at > now
+        ]
 
 
 class EntryPeers:
@@ -196,60 +235,78 @@
         self._identity = identity
         self._peers = {}
         self._nursery = None
-        self._read_at = -ADDRESSES_VALIDITY_S
-        self._reading = trio.Lock()
+        # Cancellations since which the entries were not read.
+        self._unlisted = []
+        self._requested = trio.Event()
 
     async def run(self):
-        """Run one task for each entry that was asked, until cancelled."""
+        """Read the entries when needed and run one task for each, until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await trio.sleep_forever()
+            await self._read_entries()
 
     async def cancel(self, job_id):
         """Cancel a job wherever it runs.
 
         Other entries are asked only if this one does not run the job. An entry that
-        does not reply in time is asked again in the background.
+        does not reply in time is asked again in the background, as is the store for
+        the entries.
 
         Returns
         -------
         bool or None
             Whether the job was in progress; None if no entry that has replied ran it,
-            and some have not replied.
+            and some have not replied or may not be known.
         """
         if self._coordinator.cancel(job_id):
             return True
-        requests = []
+        cancellation = _Cancellation(job_id)
+        self._ask_entries(cancellation)
+        self._unlisted.append(cancellation)
+        self._requested.set()
         with trio.move_on_after(REPLY_TIMEOUT_S):
-            await self._read_addresses()
-            requests = [peer.request(job_id) for peer in self._peers.values()]
-            for request in requests:
-                await request.done.wait()
-        is_found = any(request.is_found for request in requests)
-        replies = sum(request.done.is_set() for request in requests)
+            await cancellation.wait_answered()
         log.info(
-            "cancelled elsewhere id=%s found=%s entries=%d replies=%d",
+            "cancelled elsewhere id=%s found=%s listed=%s entries=%d replies=%d",
             job_id,
-            is_found,
-            len(requests),
-            replies,
+            cancellation.is_found,
+            cancellation.is_listed,
+            len(cancellation.asked),
+            len(cancellation.replied),
         )
-        return None if not is_found and replies < len(requests) else is_found
+        return cancellation.is_found if cancellation.is_answered else None
 
-    async def _read_addresses(self):
-        """Read the addresses of the entries, unless that was done a moment ago."""
-        async with self._reading:
-            if trio.current_time() - self._read_at < ADDRESSES_VALIDITY_S:
-                return
+    def _ask_entries(self, cancellation):
+        for peer in self._peers.values():
+            peer.request(cancellation)
+
+    async def _read_entries(self):
+        """Read the registered entries for each cancellation, and ask those that joined.
+
+        The read begins after the cancellation has come. One that fails is repeated.
+        """
+        while True:
+            while not self._unlisted:
+                self._requested = trio.Event()
+                await self._requested.wait()
+            waiting = list(self._unlisted)
             try:
                 snapshot = await self._store.get_prefix(self._prefix)
             except StoreError as exc:
-                # The entries that are known already are asked all the same.
                 log.warning("entries not read: %s", exc)
-                return
-            self._read_at = trio.current_time()
-            for item in snapshot.items:
-                self._add_peer(item)
+            else:
+                for item in snapshot.items:
+                    self._add_peer(item)
+                for cancellation in waiting:
+                    self._ask_entries(cancellation)
+                    cancellation.mark_listed()
+            now = trio.current_time()
+            self._unlisted = [
+                item
+                for item in self._unlisted
+                if not item.is_listed and item.expires_at > now
+            ]
+            await trio.sleep(READ_PAUSE_S)
 
     def _add_peer(self, item):
         try:
--- a/tests/dispatch/test_peers.py
+++ b/tests/dispatch/test_peers.py
@@ -30,8 +30,11 @@
     def __init__(self):
         self.values = {"odd": b"nowhere"}
         self.is_available = True
+        self.answers = trio.Event()
+        self.answers.set()
 
     async def get_prefix(self, prefix):
+        await self.answers.wait()
         if not self.is_available:
             raise StoreUnavailable("no response")
         items = [KeyValue(prefix + k, v, 1, 0) for k, v in self.values.items()]
@@ -135,11 +138,63 @@
         found[2].listeners[0].socket.close()
         assert not await found[0].peers.cancel("unknown")
         store.is_available = False
-        monkeypatch.setattr(peers, "ADDRESSES_VALIDITY_S", 0.0)
         await submit(nursery, found[1])
         assert await found[0].peers.cancel("j1")
 
 
+async def store_unavailable(found, store):
+    store.is_available = False
+    yield
+    store.is_available = True
+
+
+async def store_silent(found, store):
+    store.answers = trio.Event()
+    yield
+    store.answers.set()
+
+
+async def entry_joins(found, store):
+    registration = store.values.pop("entry-1")
+    assert not await found[0].peers.cancel("earlier")
+    store.values["entry-1"] = registration
+    yield
+
+
+@pytest.mark.parametrize("disturb", [store_unavailable, store_silent, entry_joins])
+async def test_an_entry_that_was_not_known_is_told_of_a_cancellation(
+    monkeypatch, disturb
+):
+    """Guards against a cancelled job that goes on at an entry that was never asked."""
+    async with entries(monkeypatch) as (found, store, nursery):
+        found[2].listeners[0].socket.close()
+        async with contextlib.aclosing(disturb(found, store)) as disturbance:
+            await anext(disturbance)
+            _, submission = await submit(nursery, found[1])
+            # The caller does not wait for an answer of the store.
+            monkeypatch.setattr(peers, "REPLY_TIMEOUT_S", 0.05)
+            monkeypatch.setattr(peers, "RETRY_S", 600.0)
+            await found[0].peers.cancel("j1")
+            await anext(disturbance, None)
+            while submission.outcome is None:  # noqa: ASYNC110
+                await trio.sleep(0.005)
+        assert submission.outcome.code is ResultCode.CANCELLED
+
+
+async def test_a_cancellation_is_not_answered_before_the_entries_are_known(
+    monkeypatch,
+):
+    """Guards against `no such job` for a job at an entry that was not asked."""
+    async with entries(monkeypatch) as (found, store, nursery):
+        found[2].listeners[0].socket.close()
+        monkeypatch.setattr(peers, "REPLY_TIMEOUT_S", 0.1)
+        store.is_available = False
+        assert await found[0].peers.cancel("j1") is None
+        store.is_available = True
+        monkeypatch.setattr(peers, "REPLY_TIMEOUT_S", 600.0)
+        assert await found[0].peers.cancel("j1") is False
+
+
 async def test_a_submission_that_a_cancellation_has_overtaken_does_not_run(
     autojump_clock, nursery, coordinator, agent
 ):
