Pass a cancellation on to an entry that is starting

What callers saw: a job that ran to its end after its cancellation was answered with 410 at another entry.

Cause: a refused connection was taken to mean that nothing runs there, now or later, and the cancellation was dropped. But an entry binds the address for callers before its imports, and that for its peers after them. A job that is accepted in between is read afterwards.

Change: a refusal still answers the caller at once, since nothing runs there, but the entry is told for the 10 s in which others are asked again. It already refuses a job whose cancellation it has read before.

--- a/packages/dispatch/src/hornbeamshore/dispatch/peers.py
+++ b/packages/dispatch/src/hornbeamshore/dispatch/peers.py
@@ -168,10 +168,10 @@
                     await self._deliver(conn)
                     nursery.cancel_scope.cancel()
             except ConnectionRefused:
-                # The process that ran the jobs has ended.
+                # The process that ran jobs has ended. Its successor takes jobs from
+                # callers before it listens here, so it is still told.
                 for cancellation in self._cancellations:
                     cancellation.add_reply(self._address, is_found=False)
-                self._cancellations = []
             except (ConnectionLost, HandshakeError) as exc:
                 log.info("entry not asked address=%s: %s", self._address, exc)
             self._drop_expired()
--- a/tests/dispatch/test_peers.py
+++ b/tests/dispatch/test_peers.py
@@ -181,6 +181,26 @@
         assert submission.outcome.code is ResultCode.CANCELLED
 
 
+async def test_an_entry_that_is_starting_is_told_of_a_cancellation(monkeypatch):
+    """Guards against a job that a starting entry reads after its cancellation."""
+    monkeypatch.setattr(peers, "RETRY_S", 600.0)
+    async with entries(monkeypatch) as (found, store, nursery):
+        starting = found[2]
+        port = starting.listeners[0].socket.getsockname()[1]
+        starting.listeners[0].socket.close()
+        assert await found[0].peers.cancel("j1") is False
+        told = trio.Event()
+        cancel = starting.coordinator.cancel
+        starting.coordinator.cancel = lambda job_id: told.set() or cancel(job_id)
+        starting.listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        nursery.start_soon(starting.serve)
+        await told.wait()
+        submission = Submission(nursery, starting.coordinator, make_job(1))
+        while submission.outcome is None:  # noqa: ASYNC110
+            await trio.sleep(0.005)
+        assert submission.outcome.code is ResultCode.CANCELLED
+
+
 async def test_a_cancellation_is_not_answered_before_the_entries_are_known(
     monkeypatch,
 ):
