Repeat the package step if the description of a package is missing

Found while reading deploy/build.py again: a package without METADATA, as an interrupted installation can leave it, ended each build with a TypeError, and only the removal of target/deps by hand would have helped.

Such a package counts as missing now, so the packages are installed again. The row of the test without METADATA fails before; those without .ready and without WHEEL passed. The test asks for the error of pip, so that another failure of the build does not pass it.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -75,7 +75,7 @@
         if not (self.packages / READY_MARKER).exists():
             return False
         installed = {
-            _normalize(dist.metadata["Name"]): dist.version
+            _normalize(dist.metadata["Name"] or ""): dist.version
             for dist in metadata.distributions(path=[str(self.packages)])
             if _is_usable(dist)
         }
--- a/tests/deploy/test_build.py
+++ b/tests/deploy/test_build.py
@@ -41,18 +41,24 @@
         self.module.write_text(f"VERSION = {version}\n")
         os.utime(self.module, (BEFORE, BEFORE))
 
-    def install_package(self, tag, version="1.0", is_complete=True):
+    def install_package(self, tag, version="1.0"):
         folder = self.deps / f"some_package-{version}.dist-info"
         folder.mkdir(parents=True)
         metadata = f"Metadata-Version: 2.1\nName: Some.Package\nVersion: {version}\n"
         (folder / "METADATA").write_text(metadata)
         (folder / "WHEEL").write_text(f"Wheel-Version: 1.0\nTag: {tag}\n")
-        if is_complete:
-            (self.deps / ".ready").touch()
-            os.utime(self.deps / ".ready", (BEFORE + 1, BEFORE + 1))
+        (self.deps / ".ready").touch()
+        os.utime(self.deps / ".ready", (BEFORE + 1, BEFORE + 1))
 
     def build(self):
         """Run the command of the deploy file; return the exit code."""
+        return self._run_build().returncode
+
+    def build_error(self):
+        """Run the command of the deploy file; return the last line of its errors."""
+        return self._run_build().stderr.decode().splitlines()[-1]
+
+    def _run_build(self):
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         environ = {
             "PATH": f"{pathlib.Path(sys.executable).parent}:{os.environ['PATH']}",
@@ -65,7 +71,7 @@
             cwd=self.root,
             env=environ,
             capture_output=True,
-        ).returncode
+        )
 
     def fingerprint(self):
         """Return the fingerprint that the build script prints for the checkout."""
@@ -128,10 +134,13 @@
     assert checkout.installed_version() == installed
 
 
-def test_interrupted_package_step_is_repeated(checkout):
+@pytest.mark.parametrize("missing", [".ready", "METADATA", "WHEEL"])
+def test_interrupted_package_step_is_repeated(checkout, missing):
     """Guards against packages of which only a part is installed."""
-    checkout.install_package("py3-none-any", is_complete=False)
-    assert checkout.build() != 0
+    checkout.install_package("py3-none-any")
+    (path,) = checkout.deps.rglob(missing)
+    path.unlink()
+    assert "pip ended with code" in checkout.build_error()
 
 
 def test_second_build_in_one_second_replaces_the_first(checkout):
